Add the design page, the rule file parser, and the log fold

Cause: the repository was empty. The shared state has to be settled without a coordination service, so it is a deterministic fold over the platform's log.

--- /dev/null
+++ b/include/pistachiostand/version/Rules.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief The rules of one revision, as plain values.
+
+namespace pistachiostand {
+
+/// \brief Failure domain over which a pool is spread or a wave is cut.
+enum class Domain : std::uint8_t
+{
+  None,
+  Rack,
+  Zone,
+};
+
+/// \brief Class of service; the lower value is served first.
+enum class ServiceClass : std::uint8_t
+{
+  Urgent,
+  Batch,
+  Overnight,
+};
+
+inline constexpr std::array kServiceClasses{ ServiceClass::Urgent, ServiceClass::Batch,
+                                             ServiceClass::Overnight };
+
+/// \brief What a pool's backend servers can do to a task.
+enum class TaskControl : std::uint8_t
+{
+  None, ///< Plain HTTP service.
+  Full, ///< Remembers stops, refuses late starts and dispatches for another pool or boot.
+};
+
+[[nodiscard]] std::string_view ToString(Domain aDomain) noexcept;
+[[nodiscard]] std::string_view ToString(ServiceClass aClass) noexcept;
+[[nodiscard]] std::string_view ToString(TaskControl aControl) noexcept;
+
+struct PoolRule
+{
+  std::uint32_t m_instances{};    ///< Number of instances promised.
+  std::uint32_t m_minAvailable{}; ///< Planned work may not leave fewer serving instances.
+  Domain m_spread{};              ///< The planner places instances evenly over these domains.
+  Domain m_tolerate{};            ///< The budget must also survive the loss of one such domain.
+  TaskControl m_taskControl{};
+  bool m_spare{};
+
+  friend auto operator<=>(const PoolRule&, const PoolRule&) = default;
+};
+
+struct ServiceRule
+{
+  PoolName m_pool;
+  ServiceClass m_class{};
+  bool m_idempotent{};
+  Millis m_timeoutMs{};
+
+  friend auto operator<=>(const ServiceRule&, const ServiceRule&) = default;
+};
+
+struct TenantRule
+{
+  std::uint32_t m_share{ 1 };       ///< Weight inside a class.
+  std::uint32_t m_maxQueued{ 128 }; ///< Requests that may wait in one entry instance.
+
+  friend auto operator<=>(const TenantRule&, const TenantRule&) = default;
+};
+
+struct MaintenanceRule
+{
+  std::vector<PoolName> m_pools; ///< Empty means every pool.
+  std::uint32_t m_periodDays{};
+  std::uint32_t m_maxAtOnce{};
+  Domain m_domain{};
+
+  friend auto operator<=>(const MaintenanceRule&, const MaintenanceRule&) = default;
+};
+
+/// \brief Weights of the planner's measures.
+struct PlacementWeights
+{
+  std::uint32_t m_bufferCost{ 1 };
+  std::uint32_t m_rolloutTime{ 1 };
+  std::uint32_t m_moves{ 1 };
+
+  friend auto operator<=>(const PlacementWeights&, const PlacementWeights&) = default;
+};
+
+/// \brief Who asked for a rule, and the exact line.
+struct RuleOrigin
+{
+  std::string m_requester;
+  std::string m_why;
+  std::string m_line;
+  std::uint32_t m_lineNumber{};
+
+  friend auto operator<=>(const RuleOrigin&, const RuleOrigin&) = default;
+};
+
+inline constexpr std::string_view kDefaultTenant = "default";
+
+/// \brief All rules of a revision.
+struct Rules
+{
+  std::map<PoolName, PoolRule> m_pools;
+  std::map<ServiceName, ServiceRule> m_services;
+  std::map<TenantName, TenantRule> m_tenants;
+  std::map<std::string, MaintenanceRule> m_maintenance;
+  PlacementWeights m_weights;
+  std::map<std::string, RuleOrigin> m_origins; ///< By rule name, such as `pool.lookups`.
+
+  friend bool operator==(const Rules&, const Rules&) = default;
+};
+
+/// \brief Rule of a tenant, or of `tenant.default`; null when neither exists.
+[[nodiscard]] const TenantRule* FindTenant(const Rules& aRules, const TenantName& aTenant) noexcept;
+
+/// \brief Name of the spare pool; empty when there are no rules yet.
+[[nodiscard]] PoolName SparePool(const Rules& aRules);
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/process/Pack.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include <msgpack.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+/// \file
+/// \brief Short helpers that write and read msgpack arrays field by field.
+///
+/// A struct takes part by a free function `Fields(aStruct, aVisit)` that calls `aVisit` with all
+/// its fields. One list serves both directions, so that they cannot differ.
+
+namespace pistachiostand::internal {
+
+template<typename T>
+concept HasFields = requires(T& aValue)
+{
+  Fields(aValue, [](auto&...) {});
+};
+
+class Packer
+{
+public:
+  explicit Packer(msgpack::sbuffer& aBuffer)
+    : m_packer(aBuffer)
+  {
+  }
+
+  template<typename T>
+  void Write(const T& aValue)
+  {
+    if constexpr (std::is_enum_v<T>) {
+      m_packer.pack(static_cast<std::underlying_type_t<T>>(aValue));
+    } else if constexpr (HasFields<T>) {
+      // Fields() takes a mutable value for the reading direction and changes nothing here.
+      Fields(const_cast<T&>(aValue), [this](auto&... aFields) { // NOLINT
+        m_packer.pack_array(sizeof...(aFields));
+        (Write(aFields), ...);
+      });
+    } else {
+      m_packer.pack(aValue);
+    }
+  }
+
+  template<typename T>
+  void Write(const std::optional<T>& aValue)
+  {
+    m_packer.pack_array(aValue ? 1 : 0);
+    if (aValue) {
+      Write(*aValue);
+    }
+  }
+
+  template<typename T>
+  void Write(const std::vector<T>& aValues)
+  {
+    m_packer.pack_array(static_cast<std::uint32_t>(aValues.size()));
+    for (const auto& each : aValues) {
+      Write(each);
+    }
+  }
+
+  template<typename K, typename V>
+  void Write(const std::map<K, V>& aValues)
+  {
+    m_packer.pack_map(static_cast<std::uint32_t>(aValues.size()));
+    for (const auto& [key, value] : aValues) {
+      m_packer.pack(key);
+      Write(value);
+    }
+  }
+
+  void Write(const std::string& aValue)
+  {
+    m_packer.pack_bin(static_cast<std::uint32_t>(aValue.size()));
+    m_packer.pack_bin_body(aValue.data(), static_cast<std::uint32_t>(aValue.size()));
+  }
+
+private:
+  msgpack::packer<msgpack::sbuffer> m_packer;
+};
+
+/// \brief Reads what Packer wrote; throws `msgpack::type_error` on anything else.
+class Unpacker
+{
+public:
+  template<typename T>
+  static void Read(const msgpack::object& aObject, T& aValue)
+  {
+    if constexpr (std::is_enum_v<T>) {
+      aValue = static_cast<T>(aObject.as<std::underlying_type_t<T>>());
+    } else if constexpr (HasFields<T>) {
+      Fields(aValue, [&aObject](auto&... aFields) {
+        const auto items = ArrayOf(aObject, sizeof...(aFields));
+        std::size_t next = 0;
+        (Read(items.ptr[next++], aFields), ...);
+      });
+    } else {
+      aValue = aObject.as<T>();
+    }
+  }
+
+  template<typename T>
+  static void Read(const msgpack::object& aObject, std::optional<T>& aValue)
+  {
+    const auto items = ArrayOf(aObject);
+    aValue.reset();
+    if (items.size != 0) {
+      Read(items.ptr[0], aValue.emplace());
+    }
+  }
+
+  template<typename T>
+  static void Read(const msgpack::object& aObject, std::vector<T>& aValues)
+  {
+    const auto items = ArrayOf(aObject);
+    aValues.clear();
+    for (std::uint32_t i = 0; i < items.size; ++i) {
+      Read(items.ptr[i], aValues.emplace_back());
+    }
+  }
+
+  template<typename K, typename V>
+  static void Read(const msgpack::object& aObject, std::map<K, V>& aValues)
+  {
+    if (aObject.type != msgpack::type::MAP) {
+      throw msgpack::type_error();
+    }
+    aValues.clear();
+    for (std::uint32_t i = 0; i < aObject.via.map.size; ++i) {
+      const auto& item = aObject.via.map.ptr[i];
+      Read(item.val, aValues[item.key.as<K>()]);
+    }
+  }
+
+  static void Read(const msgpack::object& aObject, std::string& aValue)
+  {
+    if (aObject.type != msgpack::type::BIN) {
+      throw msgpack::type_error();
+    }
+    aValue.assign(aObject.via.bin.ptr, aObject.via.bin.size);
+  }
+
+  [[nodiscard]] static msgpack::object_array ArrayOf(const msgpack::object& aObject)
+  {
+    if (aObject.type != msgpack::type::ARRAY) {
+      throw msgpack::type_error();
+    }
+    return aObject.via.array;
+  }
+
+  [[nodiscard]] static msgpack::object_array ArrayOf(const msgpack::object& aObject,
+                                                     std::size_t aSize)
+  {
+    const auto items = ArrayOf(aObject);
+    if (items.size != aSize) {
+      throw msgpack::type_error();
+    }
+    return items;
+  }
+};
+
+/// \brief Encodes any value that Packer knows.
+template<typename T>
+[[nodiscard]] std::string Pack(const T& aValue)
+{
+  msgpack::sbuffer buffer;
+  Packer{ buffer }.Write(aValue);
+  return { buffer.data(), buffer.size() };
+}
+
+/// \brief Decodes a value that uses all of `aBytes`, or nothing.
+template<typename T>
+[[nodiscard]] std::optional<T> Unpack(std::string_view aBytes)
+{
+  try {
+    std::size_t end = 0;
+    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size(), end);
+    if (end != aBytes.size()) {
+      return std::nullopt;
+    }
+    T value{};
+    Unpacker::Read(handle.get(), value);
+    return value;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace pistachiostand::internal
--- /dev/null
+++ b/src/process/RecordCodec.cpp
@@ -0,0 +1,73 @@
+#include "pistachiostand/process/RecordCodec.h"
+
+#include "Fields.h"
+#include "Pack.h"
+
+#include <utility>
+
+namespace pistachiostand {
+
+namespace {
+
+/// \brief Format of the stored record; readers refuse what they do not know.
+constexpr std::uint8_t kFormat = 1;
+
+template<std::size_t Index = 0>
+bool ReadBody(std::size_t aIndex, const msgpack::object& aObject, RecordBody& aBody)
+{
+  if constexpr (Index == std::variant_size_v<RecordBody>) {
+    return false;
+  } else if (aIndex == Index) {
+    internal::Unpacker::Read(aObject, aBody.emplace<Index>());
+    return true;
+  } else {
+    return ReadBody<Index + 1>(aIndex, aObject, aBody);
+  }
+}
+
+std::optional<Record> TryDecode(std::string_view aBytes)
+{
+  std::size_t end = 0;
+  const auto handle = msgpack::unpack(aBytes.data(), aBytes.size(), end);
+  const auto items = internal::Unpacker::ArrayOf(handle.get(), 5);
+  Record record;
+  internal::Unpacker::Read(items.ptr[1], record.m_id);
+  internal::Unpacker::Read(items.ptr[2], record.m_author);
+  const bool known = items.ptr[0].as<std::uint8_t>() == kFormat && end == aBytes.size() &&
+                     ReadBody(items.ptr[3].as<std::size_t>(), items.ptr[4], record.m_body);
+  return known ? std::optional{ std::move(record) } : std::nullopt;
+}
+
+} // namespace
+
+std::string EncodeRecord(const Record& aRecord)
+{
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer>{ buffer }.pack_array(5);
+  internal::Packer packer{ buffer };
+  packer.Write(kFormat);
+  packer.Write(aRecord.m_id);
+  packer.Write(aRecord.m_author);
+  packer.Write(aRecord.m_body.index());
+  std::visit([&packer](const auto& aBody) { packer.Write(aBody); }, aRecord.m_body);
+  return { buffer.data(), buffer.size() };
+}
+
+std::optional<Record> DecodeRecord(std::string_view aBytes, Reason& aReason)
+{
+  std::optional<Record> record;
+  try {
+    record = TryDecode(aBytes);
+  } catch (const std::exception&) {
+    record.reset();
+  }
+  if (!record) {
+    aReason = { ReasonKind::Corrupt,
+                "a log record of " + std::to_string(aBytes.size()) + " bytes cannot be decoded",
+                "check which program writes to this log",
+                {} };
+  }
+  return record;
+}
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/version/RuleParser.cpp
@@ -0,0 +1,417 @@
+#include "pistachiostand/version/RuleParser.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace pistachiostand {
+
+namespace {
+
+constexpr std::int64_t kMaxCount = 1'000'000;
+constexpr std::int64_t kMaxTimeoutMs = 86'400'000;
+
+SourcePosition PositionOf(const toml::node& aNode)
+{
+  const auto begin = aNode.source().begin;
+  return { static_cast<std::uint32_t>(begin.line), static_cast<std::uint32_t>(begin.column) };
+}
+
+std::vector<std::string_view> SplitLines(std::string_view aText)
+{
+  std::vector<std::string_view> lines;
+  while (!aText.empty()) {
+    const auto end = std::min(aText.find('\n'), aText.size());
+    lines.push_back(aText.substr(0, end));
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+  return lines;
+}
+
+std::string Trim(std::string_view aText)
+{
+  constexpr std::string_view kSpace = " \t\r";
+  const auto first = aText.find_first_not_of(kSpace);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return std::string{ aText.substr(first, aText.find_last_not_of(kSpace) - first + 1) };
+}
+
+/// \brief Reads the keys of one rule and collects its errors.
+class RuleReader
+{
+public:
+  RuleReader(std::string aName, const toml::table& aTable, Reasons& aReasons)
+    : m_name(std::move(aName))
+    , m_table(aTable)
+    , m_reasons(aReasons)
+  {
+  }
+
+  std::uint32_t Count(std::string_view aKey, std::optional<std::int64_t> aDefault,
+                      std::int64_t aMin, std::int64_t aMax = kMaxCount)
+  {
+    const auto* node = Find(aKey, aDefault.has_value());
+    if (node == nullptr) {
+      return static_cast<std::uint32_t>(aDefault.value_or(0));
+    }
+    const auto value = node->value_exact<std::int64_t>();
+    if (!value || *value < aMin || *value > aMax) {
+      Fail(*node, aKey,
+           "write a whole number from " + std::to_string(aMin) + " to " + std::to_string(aMax));
+      return 0;
+    }
+    return static_cast<std::uint32_t>(*value);
+  }
+
+  bool Flag(std::string_view aKey, std::optional<bool> aDefault)
+  {
+    const auto* node = Find(aKey, aDefault.has_value());
+    if (node == nullptr) {
+      return aDefault.value_or(false);
+    }
+    const auto value = node->value_exact<bool>();
+    if (!value) {
+      Fail(*node, aKey, "write true or false");
+    }
+    return value.value_or(false);
+  }
+
+  std::string Text(std::string_view aKey)
+  {
+    const auto* node = Find(aKey, false);
+    if (node == nullptr) {
+      return {};
+    }
+    const auto value = node->value_exact<std::string>();
+    if (!value || value->empty()) {
+      Fail(*node, aKey, "write a name in quotes");
+    }
+    return value.value_or(std::string{});
+  }
+
+  /// \brief Reads one of the names of an enumeration whose values count up from 0.
+  template<typename Enum>
+  Enum Choice(std::string_view aKey, std::optional<Enum> aDefault, const std::vector<Enum>& aValues)
+  {
+    const auto* node = Find(aKey, aDefault.has_value());
+    if (node == nullptr) {
+      return aDefault.value_or(Enum{});
+    }
+    const auto text = node->template value_exact<std::string>().value_or(std::string{});
+    const auto value =
+      std::ranges::find_if(aValues, [&text](Enum aValue) { return ToString(aValue) == text; });
+    if (value != aValues.end()) {
+      return *value;
+    }
+    std::string names;
+    for (const auto each : aValues) {
+      names += (names.empty() ? "\"" : ", \"") + std::string{ ToString(each) } + '"';
+    }
+    Fail(*node, aKey, "write one of " + names);
+    return Enum{};
+  }
+
+  std::vector<std::string> Names(std::string_view aKey)
+  {
+    std::vector<std::string> names;
+    const auto* node = Find(aKey, false);
+    if (node == nullptr) {
+      return names;
+    }
+    const auto* array = node->as_array();
+    if (array == nullptr || array->empty()) {
+      Fail(*node, aKey, "write a list of names such as [\"*\"]");
+      return names;
+    }
+    for (const auto& each : *array) {
+      if (const auto name = each.value_exact<std::string>()) {
+        names.push_back(*name);
+      } else {
+        Fail(each, aKey, "write every name in quotes");
+      }
+    }
+    return names;
+  }
+
+  /// \brief Refuses the keys that no call has asked for.
+  void Finish()
+  {
+    for (const auto& [key, node] : m_table) {
+      if (std::ranges::find(m_known, key.str()) != m_known.end()) {
+        continue;
+      }
+      const auto nearest = NearestName(key.str(), m_known);
+      m_reasons.push_back(
+        { ReasonKind::UnknownKey, m_name + " has no key \"" + std::string{ key.str() } + '"',
+          nearest.empty() ? "remove it" : "did you mean \"" + std::string{ nearest } + "\"?",
+          PositionOf(node) });
+    }
+  }
+
+private:
+  const toml::node* Find(std::string_view aKey, bool aOptional)
+  {
+    m_known.push_back(aKey);
+    const auto* node = m_table.get(aKey);
+    if (node == nullptr && !aOptional) {
+      m_reasons.push_back({ ReasonKind::MissingValue,
+                            m_name + " needs the key \"" + std::string{ aKey } + '"',
+                            "add " + std::string{ aKey } + " = ...", PositionOf(m_table) });
+    }
+    return node;
+  }
+
+  void Fail(const toml::node& aNode, std::string_view aKey, std::string aRemedy)
+  {
+    m_reasons.push_back({ ReasonKind::BadValue,
+                          m_name + " has a bad value for \"" + std::string{ aKey } + '"',
+                          std::move(aRemedy), PositionOf(aNode) });
+  }
+
+  std::string m_name;
+  const toml::table& m_table;
+  Reasons& m_reasons;
+  std::vector<std::string_view> m_known;
+};
+
+const std::vector<Domain> kDomains{ Domain::None, Domain::Rack, Domain::Zone };
+
+void ReadPool(Rules& aRules, const std::string& aName, RuleReader& aReader)
+{
+  PoolRule rule;
+  rule.m_instances = aReader.Count("instances", std::nullopt, 0);
+  rule.m_minAvailable = aReader.Count("min_available", 0, 0);
+  rule.m_spread = aReader.Choice<Domain>("spread", Domain::None, kDomains);
+  rule.m_tolerate = aReader.Choice<Domain>("tolerate", Domain::None, kDomains);
+  rule.m_taskControl = aReader.Choice<TaskControl>("task_control", TaskControl::None,
+                                                   { TaskControl::None, TaskControl::Full });
+  rule.m_spare = aReader.Flag("spare", false);
+  aRules.m_pools.emplace(aName, rule);
+}
+
+void ReadService(Rules& aRules, const std::string& aName, RuleReader& aReader)
+{
+  ServiceRule rule;
+  rule.m_pool = aReader.Text("pool");
+  rule.m_class = aReader.Choice<ServiceClass>("class", std::nullopt,
+                                              { kServiceClasses.begin(), kServiceClasses.end() });
+  rule.m_idempotent = aReader.Flag("idempotent", std::nullopt);
+  rule.m_timeoutMs = aReader.Count("timeout_ms", std::nullopt, 1, kMaxTimeoutMs);
+  aRules.m_services.emplace(aName, rule);
+}
+
+void ReadTenant(Rules& aRules, const std::string& aName, RuleReader& aReader)
+{
+  TenantRule rule;
+  rule.m_share = aReader.Count("share", rule.m_share, 1, 1000);
+  rule.m_maxQueued = aReader.Count("max_queued", rule.m_maxQueued, 1, 100'000);
+  aRules.m_tenants.emplace(aName, rule);
+}
+
+void ReadMaintenance(Rules& aRules, const std::string& aName, RuleReader& aReader)
+{
+  MaintenanceRule rule;
+  rule.m_pools = aReader.Names("pools");
+  if (std::ranges::find(rule.m_pools, "*") != rule.m_pools.end()) {
+    rule.m_pools.clear();
+  }
+  rule.m_periodDays = aReader.Count("period_days", std::nullopt, 1, 3650);
+  rule.m_maxAtOnce = aReader.Count("max_at_once", std::nullopt, 1);
+  rule.m_domain = aReader.Choice<Domain>("domain", Domain::None, kDomains);
+  aRules.m_maintenance.emplace(aName, rule);
+}
+
+void ReadPlacement(Rules& aRules, const std::string& /*aName*/, RuleReader& aReader)
+{
+  aRules.m_weights.m_bufferCost = aReader.Count("buffer_cost", 1, 0, 1000);
+  aRules.m_weights.m_rolloutTime = aReader.Count("rollout_time", 1, 0, 1000);
+  aRules.m_weights.m_moves = aReader.Count("moves", 1, 0, 1000);
+}
+
+using Reader = void (*)(Rules&, const std::string&, RuleReader&);
+
+const std::map<std::string, Reader, std::less<>> kReaders{
+  { "pool", ReadPool },           { "service", ReadService },
+  { "tenant", ReadTenant },       { "maintenance", ReadMaintenance },
+  { "placement", ReadPlacement },
+};
+
+/// \brief Takes requester and reason from the comment that follows a rule on its line.
+std::optional<RuleOrigin> ReadOrigin(const std::string& aRule, const toml::table& aTable,
+                                     const std::vector<std::string_view>& aLines, Reasons& aReasons)
+{
+  const auto begin = aTable.source().begin;
+  const auto end = aTable.source().end;
+  if (begin.line == 0 || begin.line > aLines.size()) {
+    return std::nullopt;
+  }
+  const std::string_view line = aLines[begin.line - 1];
+  // toml++ counts columns in code points, so the closing brace is searched for from the right of
+  // the last brace that the comment could follow.
+  std::size_t bytes = 0;
+  for (std::uint32_t column = 1; column < end.column && bytes < line.size(); ++column) {
+    ++bytes;
+    while (bytes < line.size() && (static_cast<unsigned char>(line[bytes]) & 0xc0U) == 0x80U) {
+      ++bytes;
+    }
+  }
+  const std::string_view rest = line.substr(std::min(bytes, line.size()));
+  const auto hash = rest.find('#');
+  const std::string comment =
+    hash == std::string_view::npos ? std::string{} : Trim(rest.substr(hash + 1));
+  const auto colon = comment.find(':');
+  const std::string requester = Trim(comment.substr(0, colon));
+  if (requester.empty()) {
+    aReasons.push_back({ ReasonKind::MissingRequester, aRule + " does not name who asked for it",
+                         "end the line with \"# WHO: REASON\"", PositionOf(aTable) });
+    return std::nullopt;
+  }
+  return RuleOrigin{ requester,
+                     colon == std::string::npos ? std::string{} : Trim(comment.substr(colon + 1)),
+                     Trim(line), begin.line };
+}
+
+void ReadRule(Rules& aRules, const std::string& aKind, Reader aRead, const toml::key& aKey,
+              const toml::node& aNode, const std::vector<std::string_view>& aLines,
+              Reasons& aReasons)
+{
+  const std::string name{ aKey.str() };
+  const std::string rule = aKind + '.' + name;
+  const auto* table = aNode.as_table();
+  if (table == nullptr || !table->is_inline()) {
+    aReasons.push_back({ ReasonKind::Syntax, rule + " is not a table on one line",
+                         "write " + rule + " = { ... } # WHO: REASON", PositionOf(aNode) });
+    return;
+  }
+  if (const auto origin = ReadOrigin(rule, *table, aLines, aReasons)) {
+    aRules.m_origins.emplace(rule, *origin);
+  }
+  RuleReader reader{ rule, *table, aReasons };
+  aRead(aRules, name, reader);
+  reader.Finish();
+}
+
+SourcePosition OriginOf(const Rules& aRules, const std::string& aRule)
+{
+  const auto origin = aRules.m_origins.find(aRule);
+  return origin == aRules.m_origins.end() ? SourcePosition{}
+                                          : SourcePosition{ origin->second.m_lineNumber, 1 };
+}
+
+void CheckPools(const Rules& aRules, Reasons& aReasons)
+{
+  const auto spares =
+    std::ranges::count_if(aRules.m_pools, [](const auto& aPool) { return aPool.second.m_spare; });
+  if (spares != 1) {
+    aReasons.push_back({ ReasonKind::Inconsistent,
+                         "the file has " + std::to_string(spares) + " spare pools",
+                         "mark exactly one pool with spare = true",
+                         {} });
+  }
+  for (const auto& [name, pool] : aRules.m_pools) {
+    if (pool.m_minAvailable > pool.m_instances) {
+      aReasons.push_back(
+        { ReasonKind::Inconsistent, "pool." + name + " has a larger min_available than instances",
+          "lower min_available or raise instances", OriginOf(aRules, "pool." + name) });
+    }
+  }
+}
+
+void CheckPoolName(const Rules& aRules, const std::string& aRule, const PoolName& aPool,
+                   Reasons& aReasons)
+{
+  if (aRules.m_pools.contains(aPool)) {
+    return;
+  }
+  std::vector<std::string_view> names;
+  std::ranges::transform(aRules.m_pools, std::back_inserter(names),
+                         [](const auto& aEach) { return std::string_view{ aEach.first }; });
+  const auto nearest = NearestName(aPool, names);
+  aReasons.push_back({ ReasonKind::Inconsistent, aRule + " names the unknown pool \"" + aPool + '"',
+                       nearest.empty() ? "add the rule pool." + aPool
+                                       : "did you mean \"" + std::string{ nearest } + "\"?",
+                       OriginOf(aRules, aRule) });
+}
+
+void CheckReferences(const Rules& aRules, Reasons& aReasons)
+{
+  for (const auto& [name, service] : aRules.m_services) {
+    CheckPoolName(aRules, "service." + name, service.m_pool, aReasons);
+  }
+  for (const auto& [name, maintenance] : aRules.m_maintenance) {
+    for (const auto& pool : maintenance.m_pools) {
+      CheckPoolName(aRules, "maintenance." + name, pool, aReasons);
+    }
+  }
+}
+
+void ReadKind(Rules& aRules, const toml::key& aKey, const toml::node& aNode,
+              const std::vector<std::string_view>& aLines, Reasons& aReasons)
+{
+  const std::string kind{ aKey.str() };
+  const auto reader = kReaders.find(kind);
+  const auto* table = aNode.as_table();
+  if (reader == kReaders.end()) {
+    std::vector<std::string_view> names;
+    std::ranges::transform(kReaders, std::back_inserter(names),
+                           [](const auto& aEach) { return std::string_view{ aEach.first }; });
+    const auto nearest = NearestName(kind, names);
+    aReasons.push_back({ ReasonKind::UnknownKey, "there is no rule kind \"" + kind + '"',
+                         nearest.empty() ? "use pool, service, tenant, maintenance or placement"
+                                         : "did you mean \"" + std::string{ nearest } + "\"?",
+                         PositionOf(aNode) });
+  } else if (table == nullptr || table->is_inline()) {
+    aReasons.push_back({ ReasonKind::Syntax, kind + " needs a name",
+                         "write " + kind + ".NAME = { ... } # WHO: REASON", PositionOf(aNode) });
+  } else {
+    for (const auto& [key, node] : *table) {
+      ReadRule(aRules, kind, reader->second, key, node, aLines, aReasons);
+    }
+  }
+}
+
+} // namespace
+
+std::optional<Rules> ParseRules(std::string_view aText, Reasons& aReasons)
+{
+  if (aText.size() > kMaxRuleFileBytes) {
+    aReasons.push_back({ ReasonKind::BadValue,
+                         "the file is larger than 256 KiB",
+                         "remove rules that are no longer needed",
+                         {} });
+    return std::nullopt;
+  }
+  toml::table table;
+  try {
+    table = toml::parse(aText);
+  } catch (const toml::parse_error& error) {
+    const auto at = error.source().begin;
+    aReasons.push_back(
+      { ReasonKind::Syntax,
+        std::string{ error.description() },
+        "correct the TOML syntax",
+        { static_cast<std::uint32_t>(at.line), static_cast<std::uint32_t>(at.column) } });
+    return std::nullopt;
+  }
+  Rules rules;
+  Reasons found;
+  const auto lines = SplitLines(aText);
+  for (const auto& [key, node] : table) {
+    ReadKind(rules, key, node, lines, found);
+  }
+  if (found.empty()) {
+    CheckPools(rules, found);
+    CheckReferences(rules, found);
+  }
+  if (found.empty()) {
+    return rules;
+  }
+  std::ranges::stable_sort(found, {}, &Reason::m_position);
+  std::ranges::move(found, std::back_inserter(aReasons));
+  return std::nullopt;
+}
+
+} // namespace pistachiostand
