--- a/src/version/RuleParser.cpp
+++ b/src/version/RuleParser.cpp
@@ -1,6 +1,6 @@
 #include "pistachiostand/version/RuleParser.h"
 
-#include <toml++/toml.h>
+#include "base/TomlReader.h"
 
 #include <algorithm>
 #include <functional>
@@ -9,15 +9,8 @@
 
 namespace {
 
-constexpr std::int64_t kMaxCount = 1'000'000;
 constexpr std::int64_t kMaxTimeoutMs = 86'400'000;
 
-SourcePosition PositionOf(const toml::node& aNode)
-{
-  const auto begin = aNode.source().begin;
-  return { static_cast<std::uint32_t>(begin.line), static_cast<std::uint32_t>(begin.column) };
-}
-
 std::vector<std::string_view> SplitLines(std::string_view aText)
 {
   std::vector<std::string_view> lines;
@@ -39,147 +32,9 @@
   return std::string{ aText.substr(first, aText.find_last_not_of(kSpace) - first + 1) };
 }
 
-/// \brief Reads the keys of one rule and collects its errors.
-class RuleReader
-{
-public:
-  RuleReader(std::string aName, const toml::table& aTable, Reasons& aReasons)
-    : m_name(std::move(aName))
-    , m_table(aTable)
-    , m_reasons(aReasons)
-  {
-  }
-
-  std::uint32_t Count(std::string_view aKey, std::optional<std::int64_t> aDefault,
-                      std::int64_t aMin, std::int64_t aMax = kMaxCount)
-  {
-    const auto* node = Find(aKey, aDefault.has_value());
-    if (node == nullptr) {
-      return static_cast<std::uint32_t>(aDefault.value_or(0));
-    }
-    const auto value = node->value_exact<std::int64_t>();
-    if (!value || *value < aMin || *value > aMax) {
-      Fail(*node, aKey,
-           "write a whole number from " + std::to_string(aMin) + " to " + std::to_string(aMax));
-      return 0;
-    }
-    return static_cast<std::uint32_t>(*value);
-  }
-
-  bool Flag(std::string_view aKey, std::optional<bool> aDefault)
-  {
-    const auto* node = Find(aKey, aDefault.has_value());
-    if (node == nullptr) {
-      return aDefault.value_or(false);
-    }
-    const auto value = node->value_exact<bool>();
-    if (!value) {
-      Fail(*node, aKey, "write true or false");
-    }
-    return value.value_or(false);
-  }
-
-  std::string Text(std::string_view aKey)
-  {
-    const auto* node = Find(aKey, false);
-    if (node == nullptr) {
-      return {};
-    }
-    const auto value = node->value_exact<std::string>();
-    if (!value || value->empty()) {
-      Fail(*node, aKey, "write a name in quotes");
-    }
-    return value.value_or(std::string{});
-  }
-
-  /// \brief Reads one of the names of an enumeration whose values count up from 0.
-  template<typename Enum>
-  Enum Choice(std::string_view aKey, std::optional<Enum> aDefault, const std::vector<Enum>& aValues)
-  {
-    const auto* node = Find(aKey, aDefault.has_value());
-    if (node == nullptr) {
-      return aDefault.value_or(Enum{});
-    }
-    const auto text = node->template value_exact<std::string>().value_or(std::string{});
-    const auto value =
-      std::ranges::find_if(aValues, [&text](Enum aValue) { return ToString(aValue) == text; });
-    if (value != aValues.end()) {
-      return *value;
-    }
-    std::string names;
-    for (const auto each : aValues) {
-      names += (names.empty() ? "\"" : ", \"") + std::string{ ToString(each) } + '"';
-    }
-    Fail(*node, aKey, "write one of " + names);
-    return Enum{};
-  }
-
-  std::vector<std::string> Names(std::string_view aKey)
-  {
-    std::vector<std::string> names;
-    const auto* node = Find(aKey, false);
-    if (node == nullptr) {
-      return names;
-    }
-    const auto* array = node->as_array();
-    if (array == nullptr || array->empty()) {
-      Fail(*node, aKey, "write a list of names such as [\"*\"]");
-      return names;
-    }
-    for (const auto& each : *array) {
-      if (const auto name = each.value_exact<std::string>()) {
-        names.push_back(*name);
-      } else {
-        Fail(each, aKey, "write every name in quotes");
-      }
-    }
-    return names;
-  }
-
-  /// \brief Refuses the keys that no call has asked for.
-  void Finish()
-  {
-    for (const auto& [key, node] : m_table) {
-      if (std::ranges::find(m_known, key.str()) != m_known.end()) {
-        continue;
-      }
-      const auto nearest = NearestName(key.str(), m_known);
-      m_reasons.push_back(
-        { ReasonKind::UnknownKey, m_name + " has no key \"" + std::string{ key.str() } + '"',
-          nearest.empty() ? "remove it" : "did you mean \"" + std::string{ nearest } + "\"?",
-          PositionOf(node) });
-    }
-  }
-
-private:
-  const toml::node* Find(std::string_view aKey, bool aOptional)
-  {
-    m_known.push_back(aKey);
-    const auto* node = m_table.get(aKey);
-    if (node == nullptr && !aOptional) {
-      m_reasons.push_back({ ReasonKind::MissingValue,
-                            m_name + " needs the key \"" + std::string{ aKey } + '"',
-                            "add " + std::string{ aKey } + " = ...", PositionOf(m_table) });
-    }
-    return node;
-  }
-
-  void Fail(const toml::node& aNode, std::string_view aKey, std::string aRemedy)
-  {
-    m_reasons.push_back({ ReasonKind::BadValue,
-                          m_name + " has a bad value for \"" + std::string{ aKey } + '"',
-                          std::move(aRemedy), PositionOf(aNode) });
-  }
-
-  std::string m_name;
-  const toml::table& m_table;
-  Reasons& m_reasons;
-  std::vector<std::string_view> m_known;
-};
-
 const std::vector<Domain> kDomains{ Domain::None, Domain::Rack, Domain::Zone };
 
-void ReadPool(Rules& aRules, const std::string& aName, RuleReader& aReader)
+void ReadPool(Rules& aRules, const std::string& aName, TomlReader& aReader)
 {
   PoolRule rule;
   rule.m_instances = aReader.Count("instances", std::nullopt, 0);
@@ -192,7 +47,7 @@
   aRules.m_pools.emplace(aName, rule);
 }
 
-void ReadService(Rules& aRules, const std::string& aName, RuleReader& aReader)
+void ReadService(Rules& aRules, const std::string& aName, TomlReader& aReader)
 {
   ServiceRule rule;
   rule.m_pool = aReader.Text("pool");
@@ -203,7 +58,7 @@
   aRules.m_services.emplace(aName, rule);
 }
 
-void ReadTenant(Rules& aRules, const std::string& aName, RuleReader& aReader)
+void ReadTenant(Rules& aRules, const std::string& aName, TomlReader& aReader)
 {
   TenantRule rule;
   rule.m_share = aReader.Count("share", rule.m_share, 1, 1000);
@@ -211,7 +66,7 @@
   aRules.m_tenants.emplace(aName, rule);
 }
 
-void ReadMaintenance(Rules& aRules, const std::string& aName, RuleReader& aReader)
+void ReadMaintenance(Rules& aRules, const std::string& aName, TomlReader& aReader)
 {
   MaintenanceRule rule;
   rule.m_pools = aReader.Names("pools");
@@ -224,14 +79,14 @@
   aRules.m_maintenance.emplace(aName, rule);
 }
 
-void ReadPlacement(Rules& aRules, const std::string& /*aName*/, RuleReader& aReader)
+void ReadPlacement(Rules& aRules, const std::string& /*aName*/, TomlReader& aReader)
 {
   aRules.m_weights.m_bufferCost = aReader.Count("buffer_cost", 1, 0, 1000);
   aRules.m_weights.m_rolloutTime = aReader.Count("rollout_time", 1, 0, 1000);
   aRules.m_weights.m_moves = aReader.Count("moves", 1, 0, 1000);
 }
 
-using Reader = void (*)(Rules&, const std::string&, RuleReader&);
+using Reader = void (*)(Rules&, const std::string&, TomlReader&);
 
 const std::map<std::string, Reader, std::less<>> kReaders{
   { "pool", ReadPool },           { "service", ReadService },
@@ -289,7 +144,7 @@
   if (const auto origin = ReadOrigin(rule, *table, aLines, aReasons)) {
     aRules.m_origins.emplace(rule, *origin);
   }
-  RuleReader reader{ rule, *table, aReasons };
+  TomlReader reader{ rule, *table, aReasons };
   aRead(aRules, name, reader);
   reader.Finish();
 }
@@ -329,10 +184,8 @@
   std::vector<std::string_view> names;
   std::ranges::transform(aRules.m_pools, std::back_inserter(names),
                          [](const auto& aEach) { return std::string_view{ aEach.first }; });
-  const auto nearest = NearestName(aPool, names);
   aReasons.push_back({ ReasonKind::Inconsistent, aRule + " names the unknown pool \"" + aPool + '"',
-                       nearest.empty() ? "add the rule pool." + aPool
-                                       : "did you mean \"" + std::string{ nearest } + "\"?",
+                       NearestRemedy(aPool, names, "add the rule pool." + aPool),
                        OriginOf(aRules, aRule) });
 }
 
@@ -358,11 +211,10 @@
     std::vector<std::string_view> names;
     std::ranges::transform(kReaders, std::back_inserter(names),
                            [](const auto& aEach) { return std::string_view{ aEach.first }; });
-    const auto nearest = NearestName(kind, names);
-    aReasons.push_back({ ReasonKind::UnknownKey, "there is no rule kind \"" + kind + '"',
-                         nearest.empty() ? "use pool, service, tenant, maintenance or placement"
-                                         : "did you mean \"" + std::string{ nearest } + "\"?",
-                         PositionOf(aNode) });
+    aReasons.push_back(
+      { ReasonKind::UnknownKey, "there is no rule kind \"" + kind + '"',
+        NearestRemedy(kind, names, "use pool, service, tenant, maintenance or placement"),
+        PositionOf(aNode) });
   } else if (table == nullptr || table->is_inline()) {
     aReasons.push_back({ ReasonKind::Syntax, kind + " needs a name",
                          "write " + kind + ".NAME = { ... } # WHO: REASON", PositionOf(aNode) });
@@ -384,22 +236,14 @@
                          {} });
     return std::nullopt;
   }
-  toml::table table;
-  try {
-    table = toml::parse(aText);
-  } catch (const toml::parse_error& error) {
-    const auto at = error.source().begin;
-    aReasons.push_back(
-      { ReasonKind::Syntax,
-        std::string{ error.description() },
-        "correct the TOML syntax",
-        { static_cast<std::uint32_t>(at.line), static_cast<std::uint32_t>(at.column) } });
+  const auto table = ParseToml(aText, aReasons);
+  if (!table) {
     return std::nullopt;
   }
   Rules rules;
   Reasons found;
   const auto lines = SplitLines(aText);
-  for (const auto& [key, node] : table) {
+  for (const auto& [key, node] : *table) {
     ReadKind(rules, key, node, lines, found);
   }
   if (found.empty()) {
