Add the HTTP server and client on the Asio loop

Cause: the daemon needs RESTinio towards callers and libcurl towards backend servers and the platform, both on one loop and one thread.

Change: HttpServer hides RESTinio behind one narrow header. HttpClient drives libcurl's multi interface; a request that must not repeat gets a fresh connection, because libcurl resends on a reused one that turns out dead.

--- /dev/null
+++ b/include/pistachiostand/connection/HttpClient.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+#include "pistachiostand/connection/HttpMessage.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace asio {
+class io_context;
+} // namespace asio
+
+/// \file
+/// \brief HTTP client: libcurl's multi interface driven by the Asio loop.
+
+namespace pistachiostand {
+
+/// \brief How a transfer failed.
+enum class TransferFailure : std::uint8_t
+{
+  NotSent,   ///< No byte of the request was sent: it cannot have had an effect.
+  Timeout,   ///< Sent, but no complete response in time.
+  Truncated, ///< The response ended early.
+  Broken,    ///< Sent, then the connection failed.
+};
+
+[[nodiscard]] std::string_view ToString(TransferFailure aFailure) noexcept;
+
+struct ClientRequest
+{
+  std::string m_method{ "GET" };
+  std::string m_url;
+  HttpHeaders m_headers;
+  std::string m_body;
+  Millis m_timeoutMs{ 1'000 };
+  Millis m_connectTimeoutMs{ 1'000 };
+  /// Sends on a connection of its own. libcurl repeats a request by itself when a reused
+  /// connection turns out to be dead, which a non-idempotent request must not see.
+  bool m_neverRepeat{};
+};
+
+struct ClientResponse
+{
+  std::optional<TransferFailure> m_failure;
+  std::uint16_t m_status{};
+  HttpHeaders m_headers;
+  std::string m_body;
+};
+
+using ClientCallback = std::function<void(ClientResponse)>;
+
+class HttpClient
+{
+public:
+  [[nodiscard]] static std::unique_ptr<HttpClient> Create(asio::io_context& aLoop);
+
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  virtual ~HttpClient() = default;
+
+  /// \brief Starts a transfer; the callback runs on the loop, never inside this call.
+  /// \return an id for Cancel().
+  virtual std::uint64_t Send(ClientRequest aRequest, ClientCallback aCallback) = 0;
+
+  /// \brief Ends a transfer and its connection; its callback is not called.
+  virtual void Cancel(std::uint64_t aId) = 0;
+
+protected:
+  HttpClient() = default;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/include/pistachiostand/connection/HttpServer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "pistachiostand/base/Endpoint.h"
+#include "pistachiostand/base/Reason.h"
+#include "pistachiostand/connection/HttpMessage.h"
+
+#include <functional>
+#include <memory>
+
+namespace asio {
+class io_context;
+} // namespace asio
+
+/// \file
+/// \brief HTTP server towards callers. The only module that includes RESTinio.
+
+namespace pistachiostand {
+
+/// \brief Completes a request; must be called exactly once, on the loop's thread.
+using HttpResponder = std::function<void(HttpResponse)>;
+
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+/// Bodies up to this size get a typed refusal from the handler; beyond it the connection is closed.
+inline constexpr std::size_t kMaxReadBodyBytes = std::size_t{ 1024 } * 1024;
+
+struct HttpServerOptions
+{
+  Endpoint m_listen;
+  std::size_t m_maxConnections{ 4096 };
+
+  friend auto operator<=>(const HttpServerOptions&, const HttpServerOptions&) = default;
+};
+
+class HttpServer
+{
+public:
+  /// \brief Listens at once; returns null and sets `aReason` when the address cannot be bound.
+  [[nodiscard]] static std::unique_ptr<HttpServer> Create(asio::io_context& aLoop,
+                                                          const HttpServerOptions& aOptions,
+                                                          HttpHandler aHandler, Reason& aReason);
+
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  virtual ~HttpServer() = default;
+
+  /// \brief Accepts no more connections; open ones go on.
+  virtual void StopAccepting() = 0;
+
+protected:
+  HttpServer() = default;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/connection/HttpClient.cpp
@@ -0,0 +1,335 @@
+#include "pistachiostand/connection/HttpClient.h"
+
+#include <asio.hpp>
+#include <curl/curl.h>
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <utility>
+
+namespace pistachiostand {
+
+namespace {
+
+constexpr std::size_t kMaxResponseBytes = std::size_t{ 8 } * 1024 * 1024;
+constexpr long kMaxCachedConnections = 512;
+
+struct Transfer
+{
+  std::uint64_t m_id{};
+  ClientRequest m_request;
+  ClientResponse m_response;
+  ClientCallback m_callback;
+  CURL* m_easy{};
+  curl_slist* m_headerList{};
+
+  Transfer() = default;
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+  ~Transfer()
+  {
+    curl_easy_cleanup(m_easy);
+    curl_slist_free_all(m_headerList);
+  }
+};
+
+/// \brief A socket of libcurl that the loop waits on.
+struct WatchedSocket
+{
+  asio::posix::stream_descriptor m_descriptor;
+  int m_wanted{};
+  bool m_waitingRead{};
+  bool m_waitingWrite{};
+};
+
+std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+{
+  auto& body = static_cast<Transfer*>(aTransfer)->m_response.m_body;
+  if (body.size() + aSize * aCount > kMaxResponseBytes) {
+    return 0;
+  }
+  body.append(aData, aSize * aCount);
+  return aSize * aCount;
+}
+
+std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+{
+  const std::string_view line{ aData, aSize * aCount };
+  const auto colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    std::string_view value = line.substr(colon + 1);
+    value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+    const auto end = value.find_last_not_of(" \t\r\n");
+    value = value.substr(0, end == std::string_view::npos ? 0 : end + 1);
+    SetHeader(static_cast<Transfer*>(aTransfer)->m_response.m_headers, line.substr(0, colon),
+              value);
+  }
+  return aSize * aCount;
+}
+
+/// \brief True when the request was not handed to a connection.
+bool IsUnsent(CURL* aEasy)
+{
+  long sentBytes = 0;
+  curl_off_t uploaded = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_REQUEST_SIZE, &sentBytes);
+  curl_easy_getinfo(aEasy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  return sentBytes == 0 && uploaded == 0;
+}
+
+std::optional<TransferFailure> FailureOf(CURLcode aCode, CURL* aEasy)
+{
+  if (aCode == CURLE_OK) {
+    return std::nullopt;
+  }
+  if (IsUnsent(aEasy)) {
+    return TransferFailure::NotSent;
+  }
+  if (aCode == CURLE_OPERATION_TIMEDOUT) {
+    return TransferFailure::Timeout;
+  }
+  return aCode == CURLE_PARTIAL_FILE ? TransferFailure::Truncated : TransferFailure::Broken;
+}
+
+class CurlClient final : public HttpClient
+{
+public:
+  explicit CurlClient(asio::io_context& aLoop)
+    : m_loop(aLoop)
+    , m_timer(aLoop)
+    , m_multi(curl_multi_init())
+  {
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &CurlClient::OnSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &CurlClient::OnTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+    curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  }
+
+  CurlClient(const CurlClient&) = delete;
+  CurlClient& operator=(const CurlClient&) = delete;
+
+  ~CurlClient() override
+  {
+    for (auto& [id, transfer] : m_transfers) {
+      curl_multi_remove_handle(m_multi, transfer->m_easy);
+    }
+    m_transfers.clear();
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, nullptr);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, nullptr);
+    for (auto& [fd, socket] : m_sockets) {
+      socket->m_descriptor.release();
+    }
+    curl_multi_cleanup(m_multi);
+  }
+
+  std::uint64_t Send(ClientRequest aRequest, ClientCallback aCallback) override
+  {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->m_id = ++m_lastId;
+    transfer->m_request = std::move(aRequest);
+    transfer->m_callback = std::move(aCallback);
+    transfer->m_easy = curl_easy_init();
+    Configure(*transfer);
+    CURL* easy = transfer->m_easy;
+    m_transfers.emplace(m_lastId, std::move(transfer));
+    curl_multi_add_handle(m_multi, easy);
+    return m_lastId;
+  }
+
+  void Cancel(std::uint64_t aId) override
+  {
+    const auto found = m_transfers.find(aId);
+    if (found != m_transfers.end()) {
+      curl_multi_remove_handle(m_multi, found->second->m_easy);
+      m_transfers.erase(found);
+    }
+  }
+
+private:
+  static void SetHeaders(Transfer& aTransfer)
+  {
+    for (const auto& [name, value] : aTransfer.m_request.m_headers) {
+      const std::string line = value.empty() ? name + ';' : name + ": " + value;
+      aTransfer.m_headerList = curl_slist_append(aTransfer.m_headerList, line.c_str());
+    }
+    // Without this libcurl waits up to 1 s for a "100 Continue" before it sends a larger body.
+    aTransfer.m_headerList = curl_slist_append(aTransfer.m_headerList, "Expect:");
+    curl_easy_setopt(aTransfer.m_easy, CURLOPT_HTTPHEADER, aTransfer.m_headerList);
+  }
+
+  static void Configure(Transfer& aTransfer)
+  {
+    CURL* easy = aTransfer.m_easy;
+    const ClientRequest& request = aTransfer.m_request;
+    curl_easy_setopt(easy, CURLOPT_URL, request.m_url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.m_timeoutMs));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(request.m_connectTimeoutMs));
+    if (request.m_method != "GET") {
+      curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.m_method.c_str());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.m_body.data());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.m_body.size()));
+    }
+    if (request.m_neverRepeat) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    SetHeaders(aTransfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
+  }
+
+  static int OnTimer(CURLM* /*aMulti*/, long aTimeoutMs, void* aSelf)
+  {
+    static_cast<CurlClient*>(aSelf)->StartTimer(aTimeoutMs);
+    return 0;
+  }
+
+  void StartTimer(long aTimeoutMs)
+  {
+    m_timer.cancel();
+    if (aTimeoutMs < 0) {
+      return;
+    }
+    m_timer.expires_after(std::chrono::milliseconds{ aTimeoutMs });
+    m_timer.async_wait([this](const std::error_code& aError) {
+      if (!aError) {
+        Drive(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+  }
+
+  static int OnSocket(CURL* /*aEasy*/, curl_socket_t aSocket, int aWhat, void* aSelf,
+                      void* /*aData*/)
+  {
+    auto* self = static_cast<CurlClient*>(aSelf);
+    if (aWhat == CURL_POLL_REMOVE) {
+      self->Forget(aSocket);
+    } else {
+      self->Watch(aSocket, aWhat);
+    }
+    return 0;
+  }
+
+  void Forget(curl_socket_t aSocket)
+  {
+    const auto found = m_sockets.find(aSocket);
+    if (found != m_sockets.end()) {
+      found->second->m_descriptor.release(); // libcurl owns the socket.
+      m_sockets.erase(found);
+    }
+  }
+
+  void Watch(curl_socket_t aSocket, int aWanted)
+  {
+    auto& socket = m_sockets[aSocket];
+    if (!socket) {
+      socket = std::make_shared<WatchedSocket>(
+        WatchedSocket{ asio::posix::stream_descriptor{ m_loop, aSocket } });
+    }
+    socket->m_wanted = aWanted;
+    Wait(aSocket, socket);
+  }
+
+  void Wait(curl_socket_t aSocket, const std::shared_ptr<WatchedSocket>& aWatched)
+  {
+    if ((aWatched->m_wanted & CURL_POLL_IN) != 0 && !aWatched->m_waitingRead) {
+      aWatched->m_waitingRead = true;
+      WaitFor(aSocket, aWatched, asio::posix::stream_descriptor::wait_read, CURL_CSELECT_IN,
+              &WatchedSocket::m_waitingRead);
+    }
+    if ((aWatched->m_wanted & CURL_POLL_OUT) != 0 && !aWatched->m_waitingWrite) {
+      aWatched->m_waitingWrite = true;
+      WaitFor(aSocket, aWatched, asio::posix::stream_descriptor::wait_write, CURL_CSELECT_OUT,
+              &WatchedSocket::m_waitingWrite);
+    }
+  }
+
+  void WaitFor(curl_socket_t aSocket, const std::shared_ptr<WatchedSocket>& aWatched,
+               asio::posix::stream_descriptor::wait_type aType, int aAction,
+               bool WatchedSocket::*aWaiting)
+  {
+    aWatched->m_descriptor.async_wait(
+      aType, [this, aSocket, aWatched, aAction, aWaiting](const std::error_code& aError) {
+        (*aWatched).*aWaiting = false;
+        if (aError == asio::error::operation_aborted) {
+          return;
+        }
+        Drive(aSocket, aError ? CURL_CSELECT_ERR : aAction);
+        const auto current = m_sockets.find(aSocket);
+        if (current != m_sockets.end() && current->second == aWatched) {
+          Wait(aSocket, aWatched);
+        }
+      });
+  }
+
+  void Drive(curl_socket_t aSocket, int aAction)
+  {
+    int running = 0;
+    curl_multi_socket_action(m_multi, aSocket, aAction, &running);
+    Collect();
+  }
+
+  void Collect()
+  {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+      if (message->msg == CURLMSG_DONE) {
+        Complete(message->easy_handle, message->data.result);
+      }
+    }
+  }
+
+  void Complete(CURL* aEasy, CURLcode aCode)
+  {
+    void* data = nullptr;
+    curl_easy_getinfo(aEasy, CURLINFO_PRIVATE, &data);
+    const auto found = m_transfers.find(static_cast<Transfer*>(data)->m_id);
+    const auto transfer = std::move(found->second);
+    m_transfers.erase(found);
+    long status = 0;
+    curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
+    transfer->m_response.m_status = static_cast<std::uint16_t>(status);
+    transfer->m_response.m_failure = FailureOf(aCode, aEasy);
+    curl_multi_remove_handle(m_multi, aEasy);
+    asio::post(m_loop, [callback = std::move(transfer->m_callback),
+                        response = std::move(transfer->m_response)]() mutable {
+      callback(std::move(response));
+    });
+  }
+
+  asio::io_context& m_loop;
+  asio::steady_timer m_timer;
+  CURLM* m_multi;
+  std::uint64_t m_lastId{};
+  std::map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
+  std::map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
+};
+
+} // namespace
+
+std::string_view ToString(TransferFailure aFailure) noexcept
+{
+  constexpr std::array<std::string_view, 4> kNames{ "not-sent", "timeout", "truncated", "broken" };
+  return kNames.at(static_cast<std::size_t>(aFailure));
+}
+
+std::unique_ptr<HttpClient> HttpClient::Create(asio::io_context& aLoop)
+{
+  static const bool kInitialized = curl_global_init(CURL_GLOBAL_NOTHING) == CURLE_OK;
+  return kInitialized ? std::make_unique<CurlClient>(aLoop) : nullptr;
+}
+
+} // namespace pistachiostand
