--- /dev/null
+++ b/include/pistachiostand/request/Admission.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+#include "pistachiostand/version/Rules.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+/// \file
+/// \brief Queues of one entry instance, by pool, class and tenant.
+
+namespace pistachiostand {
+
+/// \brief A request that waits for a slot of its pool.
+struct QueuedRequest
+{
+  std::uint64_t m_id{};
+  TenantName m_tenant;
+  ServiceName m_service;
+  ServiceClass m_class{};
+  PoolName m_pool;
+  Millis m_arrivalMs{};
+  Millis m_deadlineMs{};    ///< It must start before this time, or it is not run.
+  Millis m_expectedRunMs{}; ///< Learned run time; see RunTimeEstimate.h.
+  bool m_idempotent{};
+
+  friend auto operator<=>(const QueuedRequest&, const QueuedRequest&) = default;
+};
+
+/// \brief Why a request was not queued. None of them has run.
+enum class AdmissionRefusal : std::uint8_t
+{
+  TenantQueueFull,  ///< The tenant has `max_queued` requests waiting (429).
+  EntryQueueFull,   ///< The entry instance holds its limit of all tenants together (503).
+  WaitPastDeadline, ///< The expected wait ends after the deadline (503).
+  DuplicateId,      ///< A fault of the caller of Enqueue: the id is waiting already.
+};
+
+[[nodiscard]] std::string_view ToString(AdmissionRefusal aRefusal) noexcept;
+
+/// \brief Limits and, for experiments, switches of single parts.
+struct AdmissionOptions
+{
+  std::uint32_t m_maxQueued{ 8'192 };   ///< Of all tenants; bounds memory with `tenant.default`.
+  std::uint32_t m_batchEvery{ 8 };      ///< One of so many starts of a pool is for batch.
+  std::uint32_t m_overnightEvery{ 32 }; ///< One of so many starts of a pool is for overnight.
+  bool m_fairTenants{ true };           ///< False: first in, first out inside a class.
+  bool m_refuseLate{ true };            ///< False: no request is refused or dropped as too late.
+};
+
+/// \brief What waits in one class of one pool, for status and metrics.
+struct QueueCounts
+{
+  PoolName m_pool;
+  ServiceClass m_class{};
+  std::uint64_t m_waiting{};
+  std::uint64_t m_tenants{};  ///< Tenants that have a request waiting.
+  std::uint64_t m_inFlight{}; ///< Taken and not finished, of all classes of the pool.
+  Millis m_oldestWaitMs{};    ///< Wait of the request at the front that waits longest.
+  Millis m_queuedWorkMs{};    ///< Sum of the expected run times.
+
+  friend auto operator<=>(const QueueCounts&, const QueueCounts&) = default;
+};
+
+/// \brief The queues. Times are passed in; nothing here reads a clock.
+///
+/// \code
+/// Admission admission{ {} };
+/// if (const auto refusal = admission.Enqueue(request, tenantRule, now)) {
+///   return NotRun(*refusal);
+/// }
+/// while (const auto server = ChooseServer(servers, context, random)) {
+///   const auto next = admission.Take("lookups", now);
+///   // Send it. Then PutBack(*next) when the server was full, else Finish(*next, ranMs).
+/// }
+/// \endcode
+class Admission
+{
+public:
+  explicit Admission(AdmissionOptions aOptions) noexcept;
+
+  /// \brief Queues a request, or says why not.
+  [[nodiscard]] std::optional<AdmissionRefusal> Enqueue(QueuedRequest aRequest,
+                                                        const TenantRule& aRule, Millis aNowMs);
+
+  /// \brief The request to start next in a pool that has a free slot; it counts as in flight.
+  [[nodiscard]] std::optional<QueuedRequest> Take(const PoolName& aPool, Millis aNowMs);
+
+  /// \brief Queues a taken request again, in front, because the server refused it as full.
+  void PutBack(QueuedRequest aRequest);
+
+  /// \brief A taken request has ended; its real run time corrects the tenant's deficit.
+  void Finish(const QueuedRequest& aRequest, Millis aRanMs);
+
+  /// \brief Removes a waiting request; false when it does not wait here.
+  bool Cancel(std::uint64_t aId);
+
+  /// \brief Removes and returns the requests whose deadline has passed; none of them has run.
+  [[nodiscard]] std::vector<QueuedRequest> DropExpired(Millis aNowMs);
+
+  /// \brief Time until a new request of the tenant would start.
+  [[nodiscard]] Millis ExpectedWait(const PoolName& aPool, ServiceClass aClass,
+                                    const TenantName& aTenant, std::uint32_t aShare) const;
+
+  [[nodiscard]] bool IsEmpty(const PoolName& aPool) const;
+  [[nodiscard]] std::size_t size() const noexcept { return m_byId.size(); }
+  [[nodiscard]] std::vector<QueueCounts> Counts(Millis aNowMs) const;
+
+private:
+  struct TenantQueue
+  {
+    std::list<QueuedRequest> m_requests;
+    std::uint32_t m_share{ 1 };
+    Millis m_deficitMs{};
+    Millis m_workMs{};
+  };
+
+  struct ClassQueue
+  {
+    std::map<TenantName, TenantQueue> m_tenants; ///< Only those with a request waiting.
+    std::deque<TenantName> m_round;              ///< Order of the round; front is next.
+    Millis m_workMs{};
+    std::uint64_t m_waiting{};
+    std::uint64_t m_shares{}; ///< Sum of the shares of m_tenants.
+  };
+
+  struct PoolQueue
+  {
+    std::array<ClassQueue, kServiceClasses.size()> m_classes;
+    std::uint64_t m_starts{};
+    std::uint64_t m_inFlight{};
+  };
+
+  using Position = std::list<QueuedRequest>::iterator;
+  using TenantCounts = std::array<std::uint32_t, kServiceClasses.size()>;
+
+  void Insert(QueuedRequest aRequest, std::uint32_t aShare, bool aInFront);
+  QueuedRequest Remove(Position aPosition);
+  [[nodiscard]] bool IsTenantFull(const QueuedRequest& aRequest, const TenantRule& aRule) const;
+  [[nodiscard]] ClassQueue* NextClass(PoolQueue& aPool) const;
+  [[nodiscard]] Position NextRequest(ClassQueue& aQueue) const;
+  [[nodiscard]] TenantName FairTenant(ClassQueue& aQueue) const;
+  void Expire(Millis aNowMs);
+
+  AdmissionOptions m_options;
+  std::map<PoolName, PoolQueue> m_pools;
+  std::map<TenantName, TenantCounts> m_queuedByTenant;
+  std::unordered_map<std::uint64_t, Position> m_byId;
+  std::set<std::pair<Millis, std::uint64_t>> m_byDeadline;
+  std::vector<QueuedRequest> m_expired;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/include/pistachiostand/request/Placement.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <vector>
+
+/// \file
+/// \brief Choice of a backend server among the serving instances of a pool.
+
+namespace pistachiostand {
+
+/// \brief What one entry instance knows of one backend server. Updated by the functions below.
+struct ServerStats
+{
+  InstanceId m_instance;
+  ZoneName m_zone;
+  std::uint32_t m_slots{ 8 };
+  std::uint32_t m_inFlight{};   ///< Sent from here and not answered.
+  std::uint32_t m_othersUsed{}; ///< Slots that others used at the last report.
+  Millis m_reportedAtMs{};
+  double m_latencyMs{};  ///< Moving average; 0 is unknown. An error counts as a slow one.
+  double m_errorShare{}; ///< Moving average of errors among the answers.
+  std::uint32_t m_errorsInRow{};
+  Millis m_fullUntilMs{}; ///< It refused as full and is not tried before this time.
+  bool m_ejected{};
+  Millis m_ejectedUntilMs{};   ///< From then on one request at a time probes it.
+  std::uint32_t m_ejections{}; ///< In a row; each doubles the time of the next one.
+  bool m_leaving{};            ///< It receives no new request.
+
+  friend auto operator<=>(const ServerStats&, const ServerStats&) = default;
+};
+
+/// \brief Switches of single parts, for experiments.
+struct PlacementOptions
+{
+  bool m_twoChoices{ true }; ///< False: a random server, whatever its load.
+  bool m_ejectOutliers{ true };
+  bool m_preferOwnZone{ true };
+};
+
+/// \brief What a choice depends on besides the servers.
+struct PlacementContext
+{
+  ZoneName m_zone; ///< Of the entry instance.
+  Millis m_nowMs{};
+  bool m_mayProbe{}; ///< True for an idempotent request, which may be sent to an ejected server.
+  PlacementOptions m_options;
+};
+
+using Random = std::mt19937_64;
+
+/// \brief Index of the server to send to; nothing when all slots seem taken.
+///
+/// \code
+/// if (const auto index = ChooseServer(servers, { "zone-a", now, true, {} }, random)) {
+///   OnSent(servers[*index]);
+/// }
+/// \endcode
+[[nodiscard]] std::optional<std::size_t> ChooseServer(std::span<const ServerStats> aServers,
+                                                      const PlacementContext& aContext,
+                                                      Random& aRandom);
+
+/// \brief Slots that seem taken: local in-flight plus what others had at the last report.
+[[nodiscard]] std::uint32_t EstimatedLoad(const ServerStats& aServer, Millis aNowMs) noexcept;
+
+/// \brief A request was sent.
+void OnSent(ServerStats& aServer) noexcept;
+
+/// \brief `GET /status` or `X-Load` reported `aUsed` slots, the ones in flight from here included.
+void OnLoadReport(ServerStats& aServer, std::uint32_t aUsed, Millis aNowMs) noexcept;
+
+/// \brief A complete response after `aLatencyMs`; `aUsed` is from `X-Load`, this request included.
+void OnResponse(ServerStats& aServer, Millis aLatencyMs, std::uint32_t aUsed,
+                Millis aNowMs) noexcept;
+
+/// \brief The server refused because its slots are taken. This is neither an error nor an answer.
+void OnRefusedFull(ServerStats& aServer, Millis aNowMs) noexcept;
+
+/// \brief The request failed, was truncated or timed out. Call EjectOutliers afterwards.
+void OnError(ServerStats& aServer, Millis aLatencyMs, Millis aNowMs) noexcept;
+
+/// \brief The request was abandoned for a reason that says nothing about the server.
+void OnAbandoned(ServerStats& aServer) noexcept;
+
+/// \brief Ejects servers that fail much more often than their pool, at most a third of the pool.
+void EjectOutliers(std::span<ServerStats> aServers, Millis aNowMs) noexcept;
+
+} // namespace pistachiostand
--- /dev/null
+++ b/include/pistachiostand/request/RetryBudget.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+
+/// \file
+/// \brief Limits retries to a share of the requests, so that they cannot multiply an overload.
+
+namespace pistachiostand {
+
+inline constexpr std::uint32_t kRequestsPerRetry = 10;
+
+/// \brief Retries that may be saved up; bounds the burst after a calm period.
+inline constexpr std::uint32_t kMaxSavedRetries = 20;
+
+/// \brief Token bucket in tenths of a retry. It starts with one retry, for a quiet service.
+struct RetryBudget
+{
+  std::uint32_t m_tenths{ kRequestsPerRetry };
+
+  friend auto operator<=>(const RetryBudget&, const RetryBudget&) = default;
+};
+
+/// \brief A first attempt was sent.
+inline void OnFirstAttempt(RetryBudget& aBudget) noexcept
+{
+  aBudget.m_tenths = std::min(aBudget.m_tenths + 1, kMaxSavedRetries * kRequestsPerRetry);
+}
+
+/// \brief Takes one retry out of the budget; false when none is left.
+[[nodiscard]] inline bool TryRetry(RetryBudget& aBudget) noexcept
+{
+  if (aBudget.m_tenths < kRequestsPerRetry) {
+    return false;
+  }
+  aBudget.m_tenths -= kRequestsPerRetry;
+  return true;
+}
+
+} // namespace pistachiostand
