Add the platform client and the connections between entry instances

Cause: the daemon tails the platform's log and relays it between peers.

Change: HTTP with JSON towards the platform, length-prefixed msgpack between entry instances. One connection for each direction keeps the code free of tie-breaking between two simultaneous dials.

--- /dev/null
+++ b/include/pistachiostand/connection/PeerMesh.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "pistachiostand/base/Reason.h"
+#include "pistachiostand/connection/PeerMessage.h"
+#include "pistachiostand/process/Settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace asio {
+class io_context;
+} // namespace asio
+
+/// \file
+/// \brief Connections to the other entry instances: TCP, 4-byte length prefix, msgpack.
+
+namespace pistachiostand {
+
+/// Larger frames end the connection. A copy of the state at the design size fits.
+inline constexpr std::size_t kMaxPeerFrameBytes = std::size_t{ 32 } * 1024 * 1024;
+/// Messages to a peer that does not read are dropped beyond this; heartbeats repeat anyway.
+inline constexpr std::size_t kMaxPeerBacklogBytes = std::size_t{ 16 } * 1024 * 1024;
+
+/// \brief Called with the configured id of the sender and its Hello.
+using PeerHandler = std::function<void(const Hello& aFrom, PeerMessage aMessage)>;
+
+class PeerMesh
+{
+public:
+  /// \brief Listens, and dials every configured peer again whenever its connection ends.
+  [[nodiscard]] static std::unique_ptr<PeerMesh> Create(asio::io_context& aLoop,
+                                                        const Settings& aSettings, Hello aSelf,
+                                                        PeerHandler aHandler, Reason& aReason);
+
+  PeerMesh(const PeerMesh&) = delete;
+  PeerMesh& operator=(const PeerMesh&) = delete;
+  virtual ~PeerMesh() = default;
+
+  /// \brief Sends to one peer; the message is lost while the peer is not connected.
+  virtual void Send(const EntryId& aPeer, const PeerMessage& aMessage) = 0;
+
+  virtual void Broadcast(const PeerMessage& aMessage) = 0;
+
+protected:
+  PeerMesh() = default;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/connection/PlatformClient.cpp
@@ -0,0 +1,174 @@
+#include "pistachiostand/connection/PlatformClient.h"
+
+#include "pistachiostand/base/Base64.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiostand {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::optional<ReadResult> ParseRead(const std::string& aBody)
+{
+  const Json json = Json::parse(aBody, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  ReadResult result;
+  result.m_oldest = json.value("oldest", Offset{});
+  result.m_next = json.value("next", Offset{});
+  const Json records = json.value("records", Json::array());
+  result.m_first = records.empty() ? result.m_next : records.front().value("offset", Offset{});
+  for (const auto& record : records) {
+    auto bytes = DecodeBase64(record.value("data", std::string{}));
+    const bool consecutive =
+      record.value("offset", Offset{}) == result.m_first + result.m_records.size();
+    if (!bytes || !consecutive) {
+      return std::nullopt;
+    }
+    result.m_records.push_back(std::move(*bytes));
+  }
+  return result;
+}
+
+ListedInstance ParseInstance(const Json& aJson)
+{
+  return { aJson.value("id", std::string{}),
+           aJson.value("address", std::string{}),
+           aJson.value("zone", std::string{}),
+           aJson.value("rack", std::string{}),
+           aJson.value("boot_id", std::string{}),
+           aJson.value("pool", std::string{}),
+           aJson.value("state", std::string{}) == "leaving" };
+}
+
+std::optional<InstanceList> ParseList(const std::string& aBody)
+{
+  const Json json = Json::parse(aBody, nullptr, false);
+  if (!json.is_object() || !json.contains("instances")) {
+    return std::nullopt;
+  }
+  InstanceList list;
+  list.m_version = json.value("version", std::uint64_t{});
+  std::ranges::transform(json["instances"], std::back_inserter(list.m_instances), ParseInstance);
+  return list;
+}
+
+/// \brief JSON accessors throw on values of another type; such a response is unusable.
+template<typename Parse>
+auto ParseOrNothing(const ClientResponse& aResponse, Parse aParse)
+  -> decltype(aParse(aResponse.m_body))
+{
+  if (aResponse.m_failure || aResponse.m_status != 200) {
+    return std::nullopt;
+  }
+  try {
+    return aParse(aResponse.m_body);
+  } catch (const Json::exception& error) {
+    spdlog::warn("log: Unusable response from the platform: {}.", error.what());
+    return std::nullopt;
+  }
+}
+
+AppendResult ResultOf(const ClientResponse& aResponse)
+{
+  if (aResponse.m_failure) {
+    return *aResponse.m_failure == TransferFailure::NotSent ? AppendResult::NotAppended
+                                                            : AppendResult::Unknown;
+  }
+  if (aResponse.m_status == 200) {
+    return AppendResult::Appended;
+  }
+  // 500 and 504 may come after the action took effect; the others are refusals.
+  const bool refused = aResponse.m_status == 429 || aResponse.m_status == 503 ||
+                       (aResponse.m_status >= 400 && aResponse.m_status < 500);
+  return refused ? AppendResult::NotAppended : AppendResult::Unknown;
+}
+
+std::string OperationId(const InstanceId& aInstance, Epoch aEpoch)
+{
+  return PercentEncode(aInstance + '-' + std::to_string(aEpoch));
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(HttpClient& aHttp, PlatformIdentity aIdentity)
+  : m_http(aHttp)
+  , m_identity(std::move(aIdentity))
+{
+}
+
+ClientRequest PlatformClient::MakeRequest(std::string aMethod, const std::string& aTarget,
+                                          Millis aExtraMs) const
+{
+  ClientRequest request;
+  request.m_method = std::move(aMethod);
+  request.m_url = "http://" + ToString(m_identity.m_platform) + aTarget;
+  request.m_headers = { { "x-entry-id", m_identity.m_entry }, { "x-zone", m_identity.m_zone } };
+  request.m_timeoutMs = m_identity.m_timeoutMs + aExtraMs;
+  request.m_connectTimeoutMs = m_identity.m_timeoutMs;
+  return request;
+}
+
+void PlatformClient::Append(const std::vector<std::string>& aRecords,
+                            std::function<void(AppendResult)> aDone)
+{
+  Json records = Json::array();
+  std::ranges::transform(aRecords, std::back_inserter(records), EncodeBase64);
+  auto request = MakeRequest("POST", "/log/append", 0);
+  request.m_headers.emplace("content-type", "application/json");
+  request.m_body = Json{ { "records", std::move(records) } }.dump();
+  m_http.Send(std::move(request), [done = std::move(aDone)](const ClientResponse& aResponse) {
+    done(ResultOf(aResponse));
+  });
+}
+
+void PlatformClient::Read(Offset aFrom, std::uint32_t aMax, Millis aWaitMs,
+                          std::function<void(std::optional<ReadResult>)> aDone)
+{
+  auto request =
+    MakeRequest("GET",
+                "/log/read?from=" + std::to_string(aFrom) + "&max=" + std::to_string(aMax) +
+                  "&wait_ms=" + std::to_string(aWaitMs),
+                aWaitMs);
+  m_http.Send(std::move(request), [done = std::move(aDone)](const ClientResponse& aResponse) {
+    done(ParseOrNothing(aResponse, ParseRead));
+  });
+}
+
+void PlatformClient::ListInstances(std::function<void(std::optional<InstanceList>)> aDone)
+{
+  m_http.Send(MakeRequest("GET", "/instances", 0),
+              [done = std::move(aDone)](const ClientResponse& aResponse) {
+                done(ParseOrNothing(aResponse, ParseList));
+              });
+}
+
+void PlatformClient::OrderDrain(const DrainOrder& aOrder)
+{
+  Order("/instances/" + PercentEncode(aOrder.m_instance) +
+        "/drain?op=" + OperationId(aOrder.m_instance, aOrder.m_epoch));
+}
+
+void PlatformClient::OrderReboot(const RebootOrder& aOrder)
+{
+  Order("/instances/" + PercentEncode(aOrder.m_instance) + "/reboot?op=" +
+        OperationId(aOrder.m_instance, aOrder.m_epoch) + "&pool=" + PercentEncode(aOrder.m_pool));
+}
+
+void PlatformClient::Order(const std::string& aTarget)
+{
+  m_http.Send(MakeRequest("POST", aTarget, 0), [aTarget](const ClientResponse& aResponse) {
+    if (aResponse.m_failure || aResponse.m_status != 200) {
+      spdlog::info("fleet: No confirmation of {}; it is repeated.", aTarget);
+    }
+  });
+}
+
+} // namespace pistachiostand
--- a/src/process/Pack.h
+++ b/src/process/Pack.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
+#include <variant>
 #include <vector>
 
 /// \file
@@ -192,4 +194,46 @@
   }
 }
 
+/// \brief Reads the alternative with number `aIndex`; false when there is none.
+template<typename Variant, std::size_t Index = 0>
+bool ReadAlternative(std::size_t aIndex, const msgpack::object& aObject, Variant& aValue)
+{
+  if constexpr (Index == std::variant_size_v<Variant>) {
+    return false;
+  } else if (aIndex == Index) {
+    Unpacker::Read(aObject, aValue.template emplace<Index>());
+    return true;
+  } else {
+    return ReadAlternative<Variant, Index + 1>(aIndex, aObject, aValue);
+  }
+}
+
+/// \brief Encodes a variant as `[number of the alternative, value]`.
+template<typename Variant>
+[[nodiscard]] std::string PackVariant(const Variant& aValue)
+{
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer>{ buffer }.pack_array(2);
+  Packer packer{ buffer };
+  packer.Write(aValue.index());
+  std::visit([&packer](const auto& aAlternative) { packer.Write(aAlternative); }, aValue);
+  return { buffer.data(), buffer.size() };
+}
+
+template<typename Variant>
+[[nodiscard]] std::optional<Variant> UnpackVariant(std::string_view aBytes)
+{
+  try {
+    std::size_t end = 0;
+    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size(), end);
+    const auto items = Unpacker::ArrayOf(handle.get(), 2);
+    Variant value;
+    const bool known =
+      end == aBytes.size() && ReadAlternative(items.ptr[0].as<std::size_t>(), items.ptr[1], value);
+    return known ? std::optional{ std::move(value) } : std::nullopt;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 } // namespace pistachiostand::internal
--- a/src/process/RecordCodec.cpp
+++ b/src/process/RecordCodec.cpp
@@ -12,19 +12,6 @@
 /// \brief Format of the stored record; readers refuse what they do not know.
 constexpr std::uint8_t kFormat = 1;
 
-template<std::size_t Index = 0>
-bool ReadBody(std::size_t aIndex, const msgpack::object& aObject, RecordBody& aBody)
-{
-  if constexpr (Index == std::variant_size_v<RecordBody>) {
-    return false;
-  } else if (aIndex == Index) {
-    internal::Unpacker::Read(aObject, aBody.emplace<Index>());
-    return true;
-  } else {
-    return ReadBody<Index + 1>(aIndex, aObject, aBody);
-  }
-}
-
 std::optional<Record> TryDecode(std::string_view aBytes)
 {
   std::size_t end = 0;
@@ -33,8 +20,9 @@
   Record record;
   internal::Unpacker::Read(items.ptr[1], record.m_id);
   internal::Unpacker::Read(items.ptr[2], record.m_author);
-  const bool known = items.ptr[0].as<std::uint8_t>() == kFormat && end == aBytes.size() &&
-                     ReadBody(items.ptr[3].as<std::size_t>(), items.ptr[4], record.m_body);
+  const bool known =
+    items.ptr[0].as<std::uint8_t>() == kFormat && end == aBytes.size() &&
+    internal::ReadAlternative(items.ptr[3].as<std::size_t>(), items.ptr[4], record.m_body);
   return known ? std::optional{ std::move(record) } : std::nullopt;
 }
 
