--- /dev/null
+++ b/include/pistachiostand/process/LogReplica.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "pistachiostand/base/Reason.h"
+#include "pistachiostand/process/FleetState.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief One reader's copy of the log's state, fed with records from the platform or a peer.
+
+namespace pistachiostand {
+
+/// Recent records kept for peers that cannot reach the platform.
+inline constexpr std::size_t kRelayBytes = std::size_t{ 4 } * 1024 * 1024;
+
+/// \brief Called for every record that is applied, after the state has changed.
+using RecordObserver = std::function<void(const LogEntry&, const Verdict&)>;
+
+/// \brief Applies consecutive records; loads a snapshot first when the log's begin has expired.
+///
+/// The state never goes back: records below the next offset are ignored, and a snapshot or copy
+/// that is older than the state is refused.
+class LogReplica
+{
+public:
+  explicit LogReplica(RecordObserver aObserver);
+
+  [[nodiscard]] const FleetState& State() const noexcept { return m_state; }
+
+  /// \brief True once the state is complete up to the next offset.
+  [[nodiscard]] bool IsLoaded() const noexcept { return m_loaded; }
+
+  /// \brief Offset to read from next.
+  [[nodiscard]] Offset NextOffset() const noexcept;
+
+  /// \brief Takes records starting at `aFirst`. Records already known are skipped.
+  void Feed(Offset aFirst, const std::vector<std::string>& aRecords);
+
+  /// \brief The reader has reached the end of the log. Completes loading if it can.
+  ///
+  /// \return false when the log holds no usable snapshot for its expired part.
+  [[nodiscard]] bool ReachEnd();
+
+  /// \brief Takes over a copy of a peer's state if it is newer.
+  bool Adopt(FleetState aState);
+
+  /// \brief Records from `aFrom` on for a peer; nothing when they are no longer kept.
+  [[nodiscard]] std::optional<std::vector<std::string>> Recent(Offset aFrom,
+                                                               std::size_t aMaxBytes) const;
+
+  /// \brief Snapshots of others whose digest differed from this state; must stay 0.
+  [[nodiscard]] std::uint64_t DigestMismatches() const noexcept { return m_digestMismatches; }
+
+  /// \brief Records that could not be decoded and were skipped by every reader.
+  [[nodiscard]] std::uint64_t CorruptRecords() const noexcept { return m_corruptRecords; }
+
+  /// \brief Offset covered by the newest snapshot seen in the log; 0 when there is none.
+  [[nodiscard]] Offset SnapshotCovered() const noexcept { return m_snapshotCovered; }
+
+private:
+  void FeedOne(Offset aOffset, const std::string& aBytes);
+  void ApplyEntry(const LogEntry& aEntry);
+  void CheckSnapshot(const Snapshot& aSnapshot);
+  void Keep(Offset aOffset, const std::string& aBytes);
+  void DropKept();
+
+  RecordObserver m_observer;
+  FleetState m_state;
+  bool m_loaded{};
+  std::vector<LogEntry> m_pending; ///< Records read while not loaded.
+  std::deque<std::string> m_kept;  ///< Encoded records before NextOffset().
+  Offset m_keptFirst{};
+  std::size_t m_keptBytes{};
+  std::uint64_t m_digestMismatches{};
+  std::uint64_t m_corruptRecords{};
+  Offset m_snapshotCovered{};
+  Offset m_pendingNext{};
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/include/pistachiostand/process/Membership.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Which entry instances are alive, from their heartbeats.
+///
+/// Membership decides only who does a task first. Two processes that disagree waste an append or a
+/// request; the fold and the fences keep the result right.
+
+namespace pistachiostand {
+
+/// \brief What the last heartbeat of a peer said, and when it came on the own clock.
+struct PeerStatus
+{
+  EntryId m_entry;
+  EntryId m_process; ///< Id with the incarnation.
+  ZoneName m_zone;
+  Millis m_heardMs{};
+  Offset m_nextOffset{};
+  Revision m_revision{};
+  std::optional<Millis> m_confirmedMs; ///< When the peer last read the log's end, on the own clock.
+  bool m_draining{};
+  std::map<InstanceId, std::uint32_t> m_inFlight;
+  std::vector<InstanceId> m_leaving;
+
+  friend auto operator<=>(const PeerStatus&, const PeerStatus&) = default;
+};
+
+/// \brief Unique name of one run of an entry instance: `ID#INCARNATION`.
+[[nodiscard]] EntryId ProcessId(const EntryId& aEntry, std::uint64_t aIncarnation);
+
+class Membership
+{
+public:
+  Membership(EntryId aSelfProcess, ZoneName aSelfZone, Millis aTimeoutMs);
+
+  void OnHeartbeat(PeerStatus aStatus);
+
+  [[nodiscard]] bool IsAlive(const PeerStatus& aPeer, Millis aNowMs) const noexcept;
+
+  /// \brief True for this process, and for a peer's process that was heard recently.
+  [[nodiscard]] bool IsProcessAlive(const EntryId& aProcess, Millis aNowMs) const;
+
+  /// \brief This process and the live peers that are not draining.
+  [[nodiscard]] std::vector<EntryId> Candidates(Millis aNowMs) const;
+
+  /// \brief True when this process has the highest rendezvous weight for `aKey`.
+  [[nodiscard]] bool IsOwner(const std::string& aKey, Millis aNowMs) const;
+
+  [[nodiscard]] bool HasLivePeer(Millis aNowMs) const;
+  [[nodiscard]] std::size_t LiveCount(Millis aNowMs) const;
+
+  /// \brief Smallest next offset of the live peers and `aOwn`.
+  [[nodiscard]] Offset ReadByAll(Offset aOwn, Millis aNowMs) const;
+
+  /// \brief Sum of in-flight counts of the live peers.
+  [[nodiscard]] std::map<InstanceId, std::uint32_t> InFlight(Millis aNowMs) const;
+
+  /// \brief Backend servers that a live peer reports as leaving.
+  [[nodiscard]] std::set<InstanceId> Leaving(Millis aNowMs) const;
+
+  /// \brief Latest time at which a live peer had read the log's end.
+  [[nodiscard]] std::optional<Millis> LastConfirmed(Millis aNowMs) const;
+
+  /// \brief The live peer that has read furthest, if it is ahead of `aOwn`.
+  [[nodiscard]] std::optional<EntryId> PeerAhead(Offset aOwn, Millis aNowMs) const;
+
+  [[nodiscard]] const std::map<EntryId, PeerStatus>& Peers() const noexcept { return m_peers; }
+
+private:
+  EntryId m_selfProcess;
+  ZoneName m_selfZone;
+  Millis m_timeoutMs;
+  std::map<EntryId, PeerStatus> m_peers; ///< By configured id.
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/include/pistachiostand/process/ProposalQueue.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "pistachiostand/process/FleetState.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// \file
+/// \brief Records on their way into the log: group commit, and lost responses resolved by reading.
+
+namespace pistachiostand {
+
+/// The platform takes several hundred appends a second from all entry instances together.
+inline constexpr std::int64_t kAppendsPerSecond = 300;
+inline constexpr std::size_t kMaxProposals = 8'192;
+inline constexpr std::size_t kMaxBatchRecords = 256;
+inline constexpr std::size_t kMaxBatchBytes = std::size_t{ 512 } * 1024;
+/// A durable proposal that was not seen for this long is appended again.
+inline constexpr Millis kReappendMs = 2'000;
+
+enum class ProposalResult : std::uint8_t
+{
+  Accepted,
+  Refused,     ///< The fold refused it; see the verdict.
+  NotAppended, ///< It is not in the log and will not be.
+  Unresolved,  ///< Not seen in time. If it is seen later, the callback is called once more.
+};
+
+using ProposalCallback = std::function<void(ProposalResult, const Verdict&)>;
+
+struct ProposalOptions
+{
+  bool m_durable{};          ///< Appended again until it is seen, also after a refusal to append.
+  Millis m_resolveByMs{ 0 }; ///< Unresolved after this time; 0 is never.
+};
+
+/// \brief Interval between appends that keeps all entry instances below the platform's limit.
+[[nodiscard]] constexpr Millis BatchIntervalMs(std::size_t aEntries) noexcept
+{
+  const auto entries = static_cast<Millis>(aEntries == 0 ? 1 : aEntries);
+  return (entries * 1'000 + kAppendsPerSecond - 1) / kAppendsPerSecond;
+}
+
+/// \brief Keeps proposals until they are resolved. One append is under way at a time.
+class ProposalQueue
+{
+public:
+  /// \param aAuthor process id that the fold compares with claims; must be unique for each start.
+  explicit ProposalQueue(EntryId aAuthor);
+
+  /// \brief Queues a record under an id of its own, or `aId` when it is not 0.
+  void Propose(RecordBody aBody, ProposalOptions aOptions, ProposalCallback aCallback,
+               std::uint64_t aId = 0);
+
+  /// \brief Records of the next append; empty when one is under way or nothing waits.
+  [[nodiscard]] std::vector<std::string> TakeBatch(Millis aNowMs);
+
+  /// \brief The append was answered.
+  void OnAppended(Millis aNowMs);
+
+  /// \brief The append was refused or never sent.
+  void OnNotAppended(Millis aNowMs);
+
+  /// \brief The append's response was lost.
+  void OnUnknown(Millis aNowMs);
+
+  /// \brief A record was applied; resolves the proposal with its id.
+  void OnApplied(const Record& aRecord, const Verdict& aVerdict);
+
+  /// \brief Reports proposals past their time and queues durable ones again.
+  void Expire(Millis aNowMs);
+
+  [[nodiscard]] std::size_t size() const noexcept { return m_proposals.size(); }
+
+private:
+  struct Proposal
+  {
+    std::string m_bytes;
+    ProposalOptions m_options;
+    ProposalCallback m_callback;
+    Millis m_appendedMs{};
+    bool m_waiting{};    ///< In m_waitingIds.
+    bool m_underWay{};   ///< In the current append.
+    bool m_maybeInLog{}; ///< Some append of it may have taken effect.
+    bool m_reported{};   ///< Unresolved was reported.
+  };
+
+  using Reports = std::vector<std::pair<ProposalResult, ProposalCallback>>;
+
+  void Queue(std::uint64_t aId, Proposal& aProposal);
+  /// \brief Returns true when the proposal is to be forgotten.
+  bool ExpireOne(std::uint64_t aId, Proposal& aProposal, Millis aNowMs, Reports& aReports);
+  void FinishBatch(Millis aNowMs);
+
+  EntryId m_author;
+  std::uint64_t m_counter{};
+  std::map<std::uint64_t, Proposal> m_proposals;
+  std::deque<std::uint64_t> m_waitingIds;
+  std::vector<std::uint64_t> m_batch;
+};
+
+} // namespace pistachiostand
