--- /dev/null
+++ b/include/pistachiostand/connection/BackendClient.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "pistachiostand/connection/HttpClient.h"
+#include "pistachiostand/process/FleetState.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief Requests to backend servers, and what their responses prove.
+
+namespace pistachiostand {
+
+/// \brief Names one attempt of a job to the server, so that it can refuse a stale or late one.
+struct JobDispatch
+{
+  JobKey m_key;
+  std::uint32_t m_attempt{};
+  Millis m_startBeforeMs{}; ///< On the server's clock; negative is unknown.
+
+  friend auto operator<=>(const JobDispatch&, const JobDispatch&) = default;
+};
+
+struct RunRequest
+{
+  std::string m_requestId;
+  TenantName m_tenant;
+  ServiceName m_service;
+  PoolName m_pool;
+  BootId m_bootId;
+  std::string m_address;
+  std::string m_body;
+  HttpHeaders m_passedHeaders; ///< Headers of the caller that the service sees.
+  Millis m_timeoutMs{};
+  TaskControl m_taskControl{};
+  std::optional<JobDispatch> m_job;
+};
+
+/// \brief What a response proves about the request.
+enum class RunResult : std::uint8_t
+{
+  Completed, ///< A whole response to this request.
+  NotSent,   ///< No byte left this process.
+  Full,      ///< Refused before the start: no free slot.
+  Refused,   ///< Refused before the start: leaving, stale, late or stopped.
+  Failed,    ///< The server answered with a 5xx status: it started and failed.
+  Broken,    ///< No usable response: truncated, mismatched, or the connection failed.
+  Timeout,
+};
+
+[[nodiscard]] std::string_view ToString(RunResult aResult) noexcept;
+
+struct RunOutcome
+{
+  RunResult m_result{};
+  std::string m_detail; ///< Reason of a refusal, or what was wrong with the response.
+  std::uint16_t m_status{};
+  HttpHeaders m_headers;
+  std::string m_body;
+  std::optional<std::uint32_t> m_usedSlots; ///< From `X-Load`.
+};
+
+/// \brief What became of an attempt. After a stop it is never `Running`.
+enum class TaskState : std::uint8_t
+{
+  NeverStarted,
+  Running,
+  Stopped,
+  Completed,
+  OtherBoot, ///< The server has rebooted since the claim; what it had started is gone.
+};
+
+struct TaskOutcome
+{
+  TaskState m_state{};
+  std::uint16_t m_status{};
+  std::string m_body;
+};
+
+struct ServerStatus
+{
+  PoolName m_pool;
+  BootId m_bootId;
+  std::uint32_t m_slots{};
+  std::uint32_t m_used{};
+  bool m_leaving{};
+  Millis m_nowMs{}; ///< The server's own clock.
+};
+
+class BackendClient
+{
+public:
+  explicit BackendClient(HttpClient& aHttp) noexcept;
+
+  void Run(const RunRequest& aRequest, std::function<void(RunOutcome)> aDone);
+
+  /// \brief Stops an attempt; the server remembers it for later dispatches of the same attempt.
+  void Stop(const std::string& aAddress, const JobKey& aKey, std::uint32_t aAttempt,
+            const BootId& aBoot, std::function<void(std::optional<TaskOutcome>)> aDone);
+
+  /// \brief Asks for an attempt. `NeverStarted` is no promise here: a late dispatch may follow.
+  void GetTask(const std::string& aAddress, const JobKey& aKey, std::uint32_t aAttempt,
+               std::function<void(std::optional<TaskOutcome>)> aDone);
+
+  void GetStatus(const std::string& aAddress, Millis aTimeoutMs,
+                 std::function<void(std::optional<ServerStatus>)> aDone);
+
+private:
+  HttpClient& m_http;
+};
+
+/// \brief Classifies a response to Run().
+[[nodiscard]] RunOutcome ClassifyRun(const RunRequest& aRequest, ClientResponse aResponse);
+
+} // namespace pistachiostand
--- a/include/pistachiostand/process/FleetState.h
+++ b/include/pistachiostand/process/FleetState.h
@@ -62,6 +62,7 @@
   EntryId m_claimant;
   ClaimTarget m_target;
   bool m_cancelRequested{};
+  bool m_mayHaveRun{}; ///< Some attempt may have started; the job is then never `NotRun`.
   std::uint16_t m_status{};
   std::string m_body;
   bool m_bodyKept{};
--- a/include/pistachiostand/process/ProposalQueue.h
+++ b/include/pistachiostand/process/ProposalQueue.h
@@ -77,6 +77,9 @@
 
   [[nodiscard]] std::size_t size() const noexcept { return m_proposals.size(); }
 
+  /// \brief Proposals whose callback has not been told anything yet.
+  [[nodiscard]] std::size_t OpenCount() const;
+
 private:
   struct Proposal
   {
--- a/include/pistachiostand/process/Record.h
+++ b/include/pistachiostand/process/Record.h
@@ -108,12 +108,13 @@
   friend auto operator<=>(const Claim&, const Claim&) = default;
 };
 
-/// \brief Ends an attempt that provably never started.
+/// \brief Ends an attempt without an outcome, so that the job can be claimed again.
 struct GiveBack
 {
   JobKey m_key;
   std::uint32_t m_attempt{};
-  bool m_fenced{}; ///< The server has confirmed a stop for this attempt.
+  bool m_fenced{};     ///< The server has confirmed that this attempt never starts.
+  bool m_mayHaveRun{}; ///< Only for idempotent services: the attempt may have started.
 
   friend auto operator<=>(const GiveBack&, const GiveBack&) = default;
 };
@@ -195,4 +196,7 @@
 /// \brief Name of a record's kind, such as `"drain"`.
 [[nodiscard]] std::string_view KindName(const RecordBody& aBody) noexcept;
 
+/// \brief Kind and subject for a log line, such as `"drain of i-17"`.
+[[nodiscard]] std::string DescribeRecord(const RecordBody& aBody);
+
 } // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/CallerApi.cpp
@@ -0,0 +1,206 @@
+#include "CallerApi.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/request/Outcome.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace pistachiostand {
+
+namespace {
+
+/// Headers of the caller that a service sees; all others are between caller and entry instance.
+constexpr std::string_view kPassedPrefix = "x-test-";
+constexpr std::string_view kContentType = "content-type";
+
+void Refuse(const CallerRequest& aCall, std::uint16_t aStatus, std::string aError,
+            std::string aCause, std::string aRemedy)
+{
+  aCall.m_respond(ToResponse({ OutcomeKind::NotRun,
+                               aStatus,
+                               std::move(aError),
+                               std::move(aCause),
+                               std::move(aRemedy),
+                               aCall.m_requestId,
+                               0,
+                               {} }));
+}
+
+HttpHeaders PassedHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders passed;
+  std::ranges::copy_if(aHeaders, std::inserter(passed, passed.end()), [](const auto& aField) {
+    return aField.first == kContentType || aField.first.starts_with(kPassedPrefix);
+  });
+  return passed;
+}
+
+} // namespace
+
+std::vector<std::string> SplitPath(std::string_view aPath)
+{
+  std::vector<std::string> parts;
+  while (!aPath.empty()) {
+    const auto end = std::min(aPath.find('/'), aPath.size());
+    if (end != 0) {
+      parts.emplace_back(aPath.substr(0, end));
+    }
+    aPath.remove_prefix(std::min(end + 1, aPath.size()));
+  }
+  return parts;
+}
+
+CallerApi::CallerApi(Runtime& aRuntime, Dispatcher& aDispatcher, JobRunner& aJobs)
+  : m_runtime(aRuntime)
+  , m_dispatcher(aDispatcher)
+  , m_jobs(aJobs)
+{
+}
+
+bool CallerApi::Handle(HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  const Parts parts = SplitPath(aRequest.m_path);
+  if (parts.size() != 3 || parts[0] != "v1" || (parts[1] != "services" && parts[1] != "jobs")) {
+    return false;
+  }
+  const std::string method = aRequest.m_method;
+  CallerRequest call = MakeCall(aRequest, aRespond);
+  if (m_runtime.m_draining && method == "POST") {
+    RespondNotRun(call, "draining", "this entry instance is stopping");
+  } else if (call.m_body.size() > kMaxRequestBytes) {
+    Refuse(call, 413, "body-too-large", "the body is larger than 32 KiB", "send a smaller body");
+  } else if (!CheckTenant(call)) {
+    return true;
+  } else if (parts[1] == "services" && method == "POST") {
+    HandleService(std::move(call), parts[2]);
+  } else if (parts[1] == "jobs" && method == "POST") {
+    HandleSubmit(std::move(call), parts[2]);
+  } else if (parts[1] == "jobs" && (method == "GET" || method == "DELETE")) {
+    HandleJob(std::move(call), method, parts[2]);
+  } else {
+    Refuse(call, 405, "method-not-allowed", "the path does not take " + method,
+           "use POST for services, and POST, GET or DELETE for jobs");
+  }
+  return true;
+}
+
+CallerRequest CallerApi::MakeCall(HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  CallerRequest call;
+  call.m_arrivedMs = MonotonicMs();
+  call.m_tenant = FindHeader(aRequest.m_headers, "x-tenant");
+  call.m_requestId = FindHeader(aRequest.m_headers, "x-request-id");
+  if (!IsToken(call.m_requestId)) {
+    call.m_requestId = m_runtime.m_process + '-' + std::to_string(++m_lastRequest);
+  }
+  call.m_key = FindHeader(aRequest.m_headers, "idempotency-key");
+  call.m_passedHeaders = PassedHeaders(aRequest.m_headers);
+  call.m_body = std::move(aRequest.m_body);
+  call.m_respond = Observe(aRespond, call.m_tenant);
+  return call;
+}
+
+/// \brief Counts the request until it is answered, and drops a second answer.
+HttpResponder CallerApi::Observe(const HttpResponder& aRespond, const TenantName& aTenant)
+{
+  ++m_outstanding;
+  ++m_runtime.m_counters.m_requests;
+  return
+    [this, aRespond, aTenant, answered = std::make_shared<bool>(false)](HttpResponse aResponse) {
+      if (std::exchange(*answered, true)) {
+        return;
+      }
+      --m_outstanding;
+      const auto outcome = FindHeader(aResponse.m_headers, "x-outcome");
+      m_runtime.m_counters.m_notRun += outcome == ToString(OutcomeKind::NotRun) ? 1 : 0;
+      m_runtime.m_counters.m_stopped += outcome == ToString(OutcomeKind::Stopped) ? 1 : 0;
+      aRespond(std::move(aResponse));
+    };
+}
+
+bool CallerApi::CheckTenant(CallerRequest& aCall) const
+{
+  const TenantRule* rule = FindTenant(m_runtime.CurrentRules(), aCall.m_tenant);
+  if (!IsToken(aCall.m_tenant)) {
+    Refuse(aCall, 400, "bad-tenant", "X-Tenant is missing or malformed",
+           "send X-Tenant with letters, digits, '.', '_', ':' or '-'");
+    return false;
+  }
+  if (rule == nullptr) {
+    Refuse(aCall, 403, "unknown-tenant", "no rule names the tenant " + aCall.m_tenant,
+           "publish a rule tenant." + aCall.m_tenant + " or tenant.default");
+    return false;
+  }
+  aCall.m_tenantRule = *rule;
+  return true;
+}
+
+bool CallerApi::CheckService(CallerRequest& aCall, const ServiceName& aService) const
+{
+  const auto& services = m_runtime.CurrentRules().m_services;
+  const auto service = services.find(aService);
+  if (service == services.end()) {
+    Refuse(aCall, 404, "unknown-service", "no rule names the service " + aService,
+           "publish a rule service." + aService);
+    return false;
+  }
+  aCall.m_service = aService;
+  aCall.m_serviceRule = service->second;
+  return true;
+}
+
+bool CallerApi::CheckKey(CallerRequest& aCall) const
+{
+  if (!IsToken(aCall.m_key)) {
+    Refuse(aCall, 400, "bad-key", "Idempotency-Key is missing or malformed",
+           "send a unique key of up to 128 letters, digits, '.', '_', ':' or '-'");
+    return false;
+  }
+  aCall.m_key = ScopedKey(aCall.m_tenant, aCall.m_key);
+  return true;
+}
+
+void CallerApi::HandleService(CallerRequest aCall, const ServiceName& aService)
+{
+  if (!CheckService(aCall, aService)) {
+    return;
+  }
+  // Latency is recorded for each tenant and class, which are known only now.
+  aCall.m_respond = [this, respond = aCall.m_respond, tenant = aCall.m_tenant,
+                     serviceClass = aCall.m_serviceRule.m_class,
+                     arrived = aCall.m_arrivedMs](HttpResponse aResponse) {
+    AddLatency(m_runtime.m_histograms, tenant, serviceClass, MonotonicMs() - arrived);
+    respond(std::move(aResponse));
+  };
+  if (aCall.m_serviceRule.m_idempotent) {
+    StartPlainCall(m_runtime, m_dispatcher, std::move(aCall));
+  } else if (CheckKey(aCall)) {
+    m_jobs.RunNow(std::move(aCall));
+  }
+}
+
+void CallerApi::HandleSubmit(CallerRequest aCall, const ServiceName& aService)
+{
+  if (CheckService(aCall, aService) && CheckKey(aCall)) {
+    m_jobs.Submit(std::move(aCall));
+  }
+}
+
+void CallerApi::HandleJob(CallerRequest aCall, const std::string& aMethod, const std::string& aKey)
+{
+  aCall.m_key = aKey;
+  if (!CheckKey(aCall)) {
+    return;
+  }
+  if (aMethod == "GET") {
+    m_jobs.Report(aCall);
+  } else {
+    m_jobs.Cancel(std::move(aCall));
+  }
+}
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/CallerApi.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "JobRunner.h"
+
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief HTTP routes for callers: services and jobs.
+
+namespace pistachiostand {
+
+class CallerApi
+{
+public:
+  CallerApi(Runtime& aRuntime, Dispatcher& aDispatcher, JobRunner& aJobs);
+
+  /// \brief Handles `/v1/services/...` and `/v1/jobs/...`; false for any other path.
+  bool Handle(HttpRequest& aRequest, const HttpResponder& aRespond);
+
+  /// \brief Requests accepted and not answered.
+  [[nodiscard]] std::size_t Outstanding() const noexcept { return m_outstanding; }
+
+private:
+  using Parts = std::vector<std::string>;
+
+  void HandleService(CallerRequest aCall, const ServiceName& aService);
+  void HandleSubmit(CallerRequest aCall, const ServiceName& aService);
+  void HandleJob(CallerRequest aCall, const std::string& aMethod, const std::string& aKey);
+
+  [[nodiscard]] CallerRequest MakeCall(HttpRequest& aRequest, const HttpResponder& aRespond);
+  [[nodiscard]] bool CheckTenant(CallerRequest& aCall) const;
+  [[nodiscard]] bool CheckService(CallerRequest& aCall, const ServiceName& aService) const;
+  [[nodiscard]] bool CheckKey(CallerRequest& aCall) const;
+  [[nodiscard]] HttpResponder Observe(const HttpResponder& aRespond, const TenantName& aTenant);
+
+  Runtime& m_runtime;
+  Dispatcher& m_dispatcher;
+  JobRunner& m_jobs;
+  std::size_t m_outstanding{};
+  std::uint64_t m_lastRequest{};
+};
+
+/// \brief Splits a path at its slashes, without empty parts.
+[[nodiscard]] std::vector<std::string> SplitPath(std::string_view aPath);
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/Daemon.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "CallerApi.h"
+#include "FleetDriver.h"
+#include "LogTail.h"
+#include "OperatorApi.h"
+
+#include <memory>
+
+/// \file
+/// \brief One entry instance: wires the parts on one loop and stops them in order.
+
+namespace pistachiostand {
+
+class Daemon
+{
+public:
+  /// \brief Listens on both addresses; returns null and sets `aReason` when that fails.
+  [[nodiscard]] static std::unique_ptr<Daemon> Create(asio::io_context& aLoop,
+                                                      const Settings& aSettings, Reason& aReason);
+
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+  ~Daemon() = default;
+
+private:
+  Daemon(asio::io_context& aLoop, const Settings& aSettings, std::uint64_t aIncarnation);
+
+  bool Listen(Reason& aReason);
+  void Handle(HttpRequest aRequest, const HttpResponder& aRespond);
+  void OnApplied(const LogEntry& aEntry, const Verdict& aVerdict);
+  void OnPeerMessage(const Hello& aFrom, const PeerMessage& aMessage);
+  void SendHeartbeat();
+  void SyncServers(bool aChanged);
+  void OnSignal();
+  void FinishStop();
+
+  asio::io_context& m_loop;
+  const Settings m_settings;
+  EntryId m_process;
+  std::unique_ptr<HttpClient> m_http;
+  PlatformClient m_platform;
+  BackendClient m_backend;
+  LogReplica m_replica;
+  ProposalQueue m_proposals;
+  Membership m_membership;
+  Histograms m_histograms;
+  RunTimeEstimate m_estimate;
+  Counters m_counters;
+  Runtime m_runtime;
+  ServerTable m_servers;
+  Dispatcher m_dispatcher;
+  JobRunner m_jobs;
+  LogTail m_tail;
+  FleetDriver m_fleet;
+  CallerApi m_callers;
+  OperatorApi m_operators;
+  std::unique_ptr<PeerMesh> m_peers;
+  std::unique_ptr<HttpServer> m_server;
+  Ticker m_heartbeat;
+  Ticker m_stopTicker;
+  asio::signal_set m_signals;
+  Offset m_syncedOffset{};
+  Millis m_stopByMs{};
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/Dispatcher.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "ServerTable.h"
+#include "pistachiostand/request/Admission.h"
+#include "pistachiostand/request/RetryBudget.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+/// \file
+/// \brief Starts queued requests as slots become free.
+
+namespace pistachiostand {
+
+/// \brief A request in the queues, and what to do with it.
+struct QueuedCall
+{
+  QueuedRequest m_request;
+  std::function<void(const ServerRef&)> m_start; ///< A slot of this server is held for it.
+  std::function<void()> m_expire;                ///< Its deadline passed while it waited.
+};
+
+class Dispatcher
+{
+public:
+  Dispatcher(Runtime& aRuntime, ServerTable& aServers);
+
+  [[nodiscard]] std::uint64_t NextId() noexcept { return ++m_lastId; }
+
+  /// \brief Queues a call and starts it as soon as a server has a free slot.
+  [[nodiscard]] std::optional<AdmissionRefusal> Enqueue(QueuedCall aCall, const TenantRule& aRule);
+
+  /// \brief The server had no slot: the call waits again, in front.
+  void PutBack(QueuedCall aCall);
+
+  /// \brief A started call has ended.
+  void Finish(const QueuedRequest& aRequest, Millis aRanMs);
+
+  bool Cancel(std::uint64_t aId);
+
+  /// \brief Takes one retry out of the service's budget.
+  [[nodiscard]] bool TryRetry(const ServiceName& aService);
+  void CountFirstAttempt(const ServiceName& aService);
+
+  [[nodiscard]] std::vector<QueueCounts> Counts() const;
+  [[nodiscard]] std::size_t Waiting() const noexcept { return m_admission.size(); }
+  [[nodiscard]] ServerTable& Servers() noexcept { return m_servers; }
+
+private:
+  void Pump();
+  void PumpPool(const PoolName& aPool);
+  /// \brief Starts the next request of the pool; false when none can start now.
+  bool StartNext(const PoolName& aPool);
+  void DropExpired();
+
+  Runtime& m_runtime;
+  ServerTable& m_servers;
+  Admission m_admission;
+  std::map<std::uint64_t, QueuedCall> m_calls;
+  std::map<ServiceName, RetryBudget> m_budgets;
+  std::uint64_t m_lastId{};
+  bool m_pumping{};
+  Ticker m_ticker;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/FleetDriver.cpp
@@ -0,0 +1,132 @@
+#include "FleetDriver.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/process/SnapshotCodec.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace pistachiostand {
+
+namespace {
+
+constexpr Millis kTickIntervalMs = 10'000;
+constexpr Millis kProposalLifetimeMs = 10'000;
+
+} // namespace
+
+FleetDriver::FleetDriver(Runtime& aRuntime, ServerTable& aServers)
+  : m_runtime(aRuntime)
+  , m_servers(aServers)
+  , m_pollTicker(aRuntime.m_loop, aRuntime.m_settings.m_limits.m_listPollMs, [this] { Poll(); })
+  , m_tickTicker(aRuntime.m_loop, kTickIntervalMs, [this] { ProposeTick(); })
+{
+}
+
+bool FleetDriver::IsPlanner() const
+{
+  const Millis now = MonotonicMs();
+  return !m_runtime.m_draining && CurrentView(m_runtime, now) == ViewState::Confirmed &&
+         m_runtime.m_membership.IsOwner("planner", now);
+}
+
+void FleetDriver::Poll()
+{
+  if (std::exchange(m_polling, true)) {
+    return;
+  }
+  m_runtime.m_platform.ListInstances([this](const auto& aList) {
+    m_polling = false;
+    OnList(aList);
+  });
+}
+
+void FleetDriver::OnList(const std::optional<InstanceList>& aList)
+{
+  if (!aList) {
+    return;
+  }
+  m_listed = aList->m_instances;
+  m_servers.OnList(m_listed);
+  if (!IsPlanner()) {
+    m_memory = {};
+    return;
+  }
+  Plan();
+  ProposeSnapshot();
+}
+
+std::map<InstanceId, std::uint32_t> FleetDriver::InFlight(Millis aNowMs) const
+{
+  auto inFlight = m_runtime.m_membership.InFlight(aNowMs);
+  for (const auto& [instance, count] : m_servers.InFlight()) {
+    inFlight[instance] += count;
+  }
+  return inFlight;
+}
+
+void FleetDriver::Plan()
+{
+  // Deciding again before the last records are read back would only propose them twice.
+  if (m_unresolved != 0 || m_runtime.State().m_revision == 0) {
+    return;
+  }
+  const Millis now = MonotonicMs();
+  const FleetState& state = m_runtime.State();
+  auto decision = PlanFleet({ state, m_listed, InFlight(now),
+                              m_runtime.m_membership.ReadByAll(state.m_nextOffset, now),
+                              m_servers.SeenAlive(now), now },
+                            m_memory);
+  for (auto& body : decision.m_records) {
+    spdlog::info("fleet: Proposing {}.", DescribeRecord(body));
+    ++m_unresolved;
+    m_runtime.m_proposals.Propose(
+      std::move(body), { false, now + kProposalLifetimeMs },
+      [this, reported = false](ProposalResult aResult, const Verdict& aVerdict) mutable {
+        m_unresolved -= std::exchange(reported, true) ? 0 : 1;
+        if (aResult == ProposalResult::Refused) {
+          spdlog::info("fleet: Proposal refused: {}.",
+                       ToString(aVerdict.m_refusal.value_or(Refusal::WrongPhase)));
+        }
+      });
+  }
+  for (const auto& order : decision.m_drainOrders) {
+    spdlog::info("fleet: Ordering drain of {}.", order.m_instance);
+    m_runtime.m_platform.OrderDrain(order);
+  }
+  for (const auto& order : decision.m_reboots) {
+    spdlog::info("fleet: Ordering reboot of {} for pool {}.", order.m_instance, order.m_pool);
+    m_runtime.m_platform.OrderReboot(order);
+  }
+}
+
+void FleetDriver::ProposeTick()
+{
+  if (IsPlanner()) {
+    m_runtime.m_proposals.Propose(Tick{ WallMs() }, { false, MonotonicMs() + kProposalLifetimeMs },
+                                  [](ProposalResult, const Verdict&) {});
+  }
+}
+
+void FleetDriver::ProposeSnapshot()
+{
+  const FleetState& state = m_runtime.State();
+  const Offset since = state.m_nextOffset - m_runtime.m_replica.SnapshotCovered();
+  if (m_snapshotUnderWay || since < m_runtime.m_settings.m_limits.m_snapshotEvery) {
+    return;
+  }
+  auto parts = MakeSnapshot(state);
+  spdlog::info("log: Writing a snapshot of {} parts at offset {}.", parts.size(),
+               state.m_nextOffset);
+  m_snapshotUnderWay = true;
+  for (auto& part : parts) {
+    const bool last = part.m_part + 1 == part.m_parts;
+    m_runtime.m_proposals.Propose(std::move(part), { false, MonotonicMs() + kProposalLifetimeMs },
+                                  [this, last](ProposalResult, const Verdict&) {
+                                    m_snapshotUnderWay = m_snapshotUnderWay && !last;
+                                  });
+  }
+}
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/FleetDriver.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "ServerTable.h"
+
+#include <optional>
+#include <vector>
+
+/// \file
+/// \brief Reads the instance list, and carries out the planner's decisions on the planning process.
+
+namespace pistachiostand {
+
+class FleetDriver
+{
+public:
+  FleetDriver(Runtime& aRuntime, ServerTable& aServers);
+
+  /// \brief True while this process plans for the fleet.
+  [[nodiscard]] bool IsPlanner() const;
+
+private:
+  void Poll();
+  void OnList(const std::optional<InstanceList>& aList);
+  void Plan();
+  void ProposeTick();
+  void ProposeSnapshot();
+  [[nodiscard]] std::map<InstanceId, std::uint32_t> InFlight(Millis aNowMs) const;
+
+  Runtime& m_runtime;
+  ServerTable& m_servers;
+  std::vector<ListedInstance> m_listed;
+  PlannerMemory m_memory;
+  std::size_t m_unresolved{}; ///< Records of the last decision that were not read back yet.
+  bool m_snapshotUnderWay{};
+  bool m_polling{};
+  Ticker m_pollTicker;
+  Ticker m_tickTicker;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/JobRunner.cpp
@@ -0,0 +1,305 @@
+#include "JobRunner.h"
+
+#include "ActiveAttempt.h"
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/base/Hash.h"
+#include "pistachiostand/request/Outcome.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiostand {
+
+namespace {
+
+constexpr Millis kTickMs = 100;
+/// A caller's job is tried with this many claims before it is reported as not run.
+constexpr std::uint32_t kMaxTries = 3;
+/// Queued jobs wait for a slot without a deadline of their own.
+constexpr Millis kNoDeadlineMs = 30LL * 24 * 3600 * 1000;
+
+std::uint64_t DigestOf(const CallerRequest& aRequest)
+{
+  return Hash(aRequest.m_body, Hash(aRequest.m_service));
+}
+
+} // namespace
+
+JobRunner::JobRunner(Runtime& aRuntime, Dispatcher& aDispatcher)
+  : m_runtime(aRuntime)
+  , m_dispatcher(aDispatcher)
+  , m_ticker(aRuntime.m_loop, kTickMs, [this] { Tick(); })
+{
+}
+
+void JobRunner::RunNow(CallerRequest aRequest)
+{
+  const auto& jobs = m_runtime.State().m_jobs;
+  const auto known = jobs.find(aRequest.m_key);
+  if (known != jobs.end() && known->second.m_digest != DigestOf(aRequest)) {
+    aRequest.m_respond(ToResponse({ OutcomeKind::NotRun,
+                                    409,
+                                    "key-conflict",
+                                    "the key was used with another service or body",
+                                    "use a new Idempotency-Key for a new request",
+                                    aRequest.m_requestId,
+                                    0,
+                                    {} }));
+    return;
+  }
+  const bool joins = known != jobs.end() && known->second.m_phase != JobPhase::NotRun;
+  if (joins || m_active.contains(aRequest.m_key)) {
+    WaitFor(std::move(aRequest));
+    return;
+  }
+  if (CurrentView(m_runtime, MonotonicMs()) != ViewState::Confirmed) {
+    RespondNotRun(aRequest, "log-unavailable", "the platform's log cannot be reached");
+    return;
+  }
+  auto attempt = std::make_shared<ActiveAttempt>();
+  attempt->m_request = std::move(aRequest);
+  m_active.emplace(attempt->m_request.m_key, attempt);
+  Enqueue(attempt);
+}
+
+void JobRunner::Enqueue(const AttemptPtr& aAttempt)
+{
+  ++aAttempt->m_tries;
+  aAttempt->m_queued = ToQueued(m_runtime, aAttempt->m_request, m_dispatcher.NextId());
+  if (aAttempt->m_queuedJob) {
+    aAttempt->m_queued.m_deadlineMs = MonotonicMs() + kNoDeadlineMs;
+  }
+  const auto refusal = m_dispatcher.Enqueue(
+    { aAttempt->m_queued, [this, aAttempt](const ServerRef& aServer) { OnSlot(aAttempt, aServer); },
+      [this, aAttempt] {
+        End(aAttempt);
+        if (!aAttempt->m_queuedJob) {
+          RespondNotRun(aAttempt->m_request, "deadline", "no slot became free in time");
+        }
+      } },
+    aAttempt->m_request.m_tenantRule);
+  if (refusal) {
+    End(aAttempt);
+    if (!aAttempt->m_queuedJob) {
+      RespondRefused(aAttempt->m_request, *refusal);
+    }
+  }
+}
+
+void JobRunner::OnSlot(const AttemptPtr& aAttempt, const ServerRef& aServer)
+{
+  const Millis now = MonotonicMs();
+  aAttempt->m_server = aServer;
+  aAttempt->m_claimedMs = now;
+  const ClaimTarget target{ aServer.m_instance, aServer.m_bootId };
+  const CallerRequest& request = aAttempt->m_request;
+  RecordBody body;
+  if (aAttempt->m_queuedJob) {
+    const auto job = m_runtime.State().m_jobs.find(request.m_key);
+    const std::uint32_t last = job == m_runtime.State().m_jobs.end() ? 0 : job->second.m_attempt;
+    body = Claim{ request.m_key, last + 1, target };
+  } else {
+    body = pistachiostand::Submit{
+      request.m_key, request.m_tenant, request.m_service, DigestOf(request), {}, target
+    };
+  }
+  m_runtime.m_proposals.Propose(std::move(body),
+                                { false, now + m_runtime.m_settings.m_limits.m_claimWindowMs },
+                                [this, aAttempt](ProposalResult aResult, const Verdict& aVerdict) {
+                                  OnClaim(aAttempt, aResult, aVerdict);
+                                });
+}
+
+void JobRunner::OnClaim(const AttemptPtr& aAttempt, ProposalResult aResult, const Verdict& aVerdict)
+{
+  switch (aResult) {
+    case ProposalResult::Accepted:
+      aAttempt->m_attempt = m_runtime.State().m_jobs.at(aAttempt->m_request.m_key).m_attempt;
+      Dispatch(aAttempt);
+      return;
+    case ProposalResult::Refused:
+      if (!aAttempt->m_abandoned) {
+        OnClaimRefused(aAttempt, aVerdict);
+      }
+      return;
+    case ProposalResult::NotAppended:
+      Release(aAttempt);
+      End(aAttempt);
+      if (!aAttempt->m_queuedJob) {
+        RespondNotRun(aAttempt->m_request, "log-unavailable",
+                      "the platform's log did not take the claim");
+      }
+      return;
+    case ProposalResult::Unresolved:
+      aAttempt->m_abandoned = true;
+      Release(aAttempt);
+      End(aAttempt);
+      if (!aAttempt->m_queuedJob) {
+        RespondUnknown(aAttempt->m_request);
+      }
+      return;
+  }
+}
+
+void JobRunner::OnClaimRefused(const AttemptPtr& aAttempt, const Verdict& aVerdict)
+{
+  Release(aAttempt);
+  const Refusal refusal = aVerdict.m_refusal.value_or(Refusal::WrongPhase);
+  if (refusal == Refusal::ServerUnavailable) {
+    Retry(aAttempt, "the chosen server left its pool");
+    return;
+  }
+  End(aAttempt);
+  if (aAttempt->m_queuedJob) {
+    return; // Another entry instance has claimed it.
+  }
+  if (refusal == Refusal::DuplicateKey || refusal == Refusal::KeyConflict) {
+    RunNow(std::move(aAttempt->m_request)); // The other submit is in the state now.
+    return;
+  }
+  RespondNotRun(aAttempt->m_request, std::string{ ToString(refusal) },
+                "the claim was refused because the rules have changed");
+}
+
+/// \brief Sends the claimed attempt, unless the claim is so old that a successor may have acted.
+void JobRunner::Dispatch(const AttemptPtr& aAttempt)
+{
+  const Millis now = MonotonicMs();
+  const Millis window = m_runtime.m_settings.m_limits.m_claimWindowMs;
+  const bool late = aAttempt->m_abandoned || now - aAttempt->m_claimedMs >= window;
+  const auto& offset = aAttempt->m_server ? aAttempt->m_server->m_clockOffsetMs : std::nullopt;
+  const bool fenced = aAttempt->m_server && aAttempt->m_server->m_taskControl == TaskControl::Full;
+  if (late || (fenced && !offset)) {
+    GiveBackAttempt(aAttempt, false, "the claim was read back too late");
+    return;
+  }
+  RunRequest run = ToRun(aAttempt->m_request, *aAttempt->m_server);
+  const Millis startBefore = aAttempt->m_claimedMs + window;
+  run.m_job = JobDispatch{ aAttempt->m_request.m_key, aAttempt->m_attempt,
+                           fenced ? startBefore + *offset : -1 };
+  run.m_timeoutMs = aAttempt->m_queuedJob
+                      ? aAttempt->m_request.m_serviceRule.m_timeoutMs
+                      : std::max<Millis>(1, aAttempt->m_request.DeadlineMs() - now);
+  aAttempt->m_sentMs = now;
+  m_runtime.m_backend.Run(run, [this, aAttempt](RunOutcome aOutcome) {
+    OnOutcome(aAttempt, std::move(aOutcome), MonotonicMs() - aAttempt->m_sentMs);
+  });
+}
+
+void JobRunner::OnOutcome(const AttemptPtr& aAttempt, RunOutcome aOutcome, Millis aTookMs)
+{
+  if (aAttempt->m_server) {
+    m_dispatcher.Servers().OnOutcome(*aAttempt->m_server, aOutcome, aTookMs);
+    m_dispatcher.Finish(aAttempt->m_queued, aTookMs);
+    aAttempt->m_server.reset();
+  }
+  const bool idempotent = aAttempt->m_request.m_serviceRule.m_idempotent;
+  switch (aOutcome.m_result) {
+    case RunResult::Completed:
+      Learn(m_runtime.m_estimate, aAttempt->m_request.m_service, aAttempt->m_request.m_tenant,
+            aTookMs);
+      FinishAttempt(aAttempt, FinishKind::Completed, aOutcome.m_status, aOutcome.m_body);
+      return;
+    case RunResult::NotSent:
+    case RunResult::Full:
+    case RunResult::Refused:
+      GiveBackAttempt(aAttempt, false, aOutcome.m_detail);
+      return;
+    case RunResult::Failed:
+      if (idempotent) {
+        GiveBackAttempt(aAttempt, true, "the attempt failed");
+      } else {
+        FinishAttempt(aAttempt, FinishKind::Stopped, aOutcome.m_status, aOutcome.m_body);
+      }
+      return;
+    case RunResult::Broken:
+    case RunResult::Timeout:
+      break;
+  }
+  spdlog::warn("job: No outcome of {} attempt {}: {}.", aAttempt->m_request.m_key,
+               aAttempt->m_attempt, aOutcome.m_detail);
+  End(aAttempt); // Tick() asks the server what became of it.
+  if (!aAttempt->m_queuedJob) {
+    WaitFor(std::move(aAttempt->m_request));
+  }
+}
+
+void JobRunner::FinishAttempt(const AttemptPtr& aAttempt, FinishKind aKind, std::uint16_t aStatus,
+                              const std::string& aBody)
+{
+  const bool kept = aBody.size() <= kMaxKeptBodyBytes;
+  m_runtime.m_proposals.Propose(
+    Finish{ aAttempt->m_request.m_key, aAttempt->m_attempt, aKind, aStatus,
+            kept ? aBody : std::string{}, kept },
+    { true, 0 }, [this, aAttempt](ProposalResult, const Verdict&) { End(aAttempt); });
+  if (aAttempt->m_queuedJob) {
+    return;
+  }
+  if (aKind == FinishKind::Completed) {
+    // The response is whole and belongs to this request, so the caller need not wait for the log.
+    aAttempt->m_request.m_respond(
+      CompletedResponse(aStatus, aBody, "application/json", aAttempt->m_request.m_requestId));
+    return;
+  }
+  aAttempt->m_request.m_respond(
+    ToResponse({ OutcomeKind::Stopped,
+                 502,
+                 "backend-failed",
+                 "the backend server answered with status " + std::to_string(aStatus),
+                 "check what the job has done before it is submitted under a new key",
+                 aAttempt->m_request.m_requestId,
+                 0,
+                 {} }));
+}
+
+void JobRunner::GiveBackAttempt(const AttemptPtr& aAttempt, bool aMayHaveRun,
+                                const std::string& aWhy)
+{
+  Release(aAttempt);
+  m_runtime.m_proposals.Propose(
+    GiveBack{ aAttempt->m_request.m_key, aAttempt->m_attempt, false, aMayHaveRun }, { true, 0 },
+    [this, aAttempt, aWhy](ProposalResult, const Verdict&) {
+      if (aAttempt->m_queuedJob || aAttempt->m_abandoned) {
+        End(aAttempt);
+      } else {
+        Retry(aAttempt, aWhy);
+      }
+    });
+}
+
+/// \brief Makes another claim for a caller that still waits, or reports that the job has not run.
+void JobRunner::Retry(const AttemptPtr& aAttempt, const std::string& aWhy)
+{
+  if (aAttempt->m_queuedJob) {
+    End(aAttempt);
+    return;
+  }
+  const bool inTime = MonotonicMs() < aAttempt->m_request.DeadlineMs();
+  if (inTime && aAttempt->m_tries < kMaxTries && !m_runtime.m_draining) {
+    Enqueue(aAttempt);
+    return;
+  }
+  End(aAttempt);
+  RespondNotRun(aAttempt->m_request, "not-started", aWhy);
+}
+
+void JobRunner::Release(const AttemptPtr& aAttempt)
+{
+  if (aAttempt->m_server) {
+    m_dispatcher.Servers().OnUnused(*aAttempt->m_server);
+    m_dispatcher.Finish(aAttempt->m_queued, 0);
+    aAttempt->m_server.reset();
+  }
+}
+
+void JobRunner::End(const AttemptPtr& aAttempt)
+{
+  const auto found = m_active.find(aAttempt->m_request.m_key);
+  if (found != m_active.end() && found->second == aAttempt) {
+    m_active.erase(found);
+  }
+}
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/JobRunner.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "PlainCall.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Keyed jobs: claim, dispatch, outcome, takeover and cancel.
+
+namespace pistachiostand {
+
+/// \brief The attempt of this process at one job.
+struct ActiveAttempt;
+
+class JobRunner
+{
+public:
+  JobRunner(Runtime& aRuntime, Dispatcher& aDispatcher);
+
+  JobRunner(const JobRunner&) = delete;
+  JobRunner& operator=(const JobRunner&) = delete;
+  ~JobRunner() = default;
+
+  /// \brief Runs a job while the caller waits, or joins the one that has the same key.
+  void RunNow(CallerRequest aRequest);
+
+  /// \brief Accepts a job into the log; it runs when a slot is free.
+  void Submit(CallerRequest aRequest);
+
+  /// \brief Responds with what is known about a key.
+  void Report(const CallerRequest& aRequest);
+
+  /// \brief Cancels a job and responds.
+  void Cancel(CallerRequest aRequest);
+
+  /// \brief Wakes callers that wait for the job of this record.
+  void OnApplied(const LogEntry& aEntry, const Verdict& aVerdict);
+
+  /// \brief The state was replaced: looks through all jobs again.
+  void Rescan();
+
+  [[nodiscard]] std::size_t ActiveCount() const noexcept { return m_active.size(); }
+
+private:
+  using AttemptPtr = std::shared_ptr<ActiveAttempt>;
+
+  // Attempts of this process.
+  void Enqueue(const AttemptPtr& aAttempt);
+  void OnSlot(const AttemptPtr& aAttempt, const ServerRef& aServer);
+  void OnClaim(const AttemptPtr& aAttempt, ProposalResult aResult, const Verdict& aVerdict);
+  void OnClaimRefused(const AttemptPtr& aAttempt, const Verdict& aVerdict);
+  void Dispatch(const AttemptPtr& aAttempt);
+  void OnOutcome(const AttemptPtr& aAttempt, RunOutcome aOutcome, Millis aTookMs);
+  void FinishAttempt(const AttemptPtr& aAttempt, FinishKind aKind, std::uint16_t aStatus,
+                     const std::string& aBody);
+  void GiveBackAttempt(const AttemptPtr& aAttempt, bool aMayHaveRun, const std::string& aWhy);
+  void Release(const AttemptPtr& aAttempt);
+  void End(const AttemptPtr& aAttempt);
+  void Retry(const AttemptPtr& aAttempt, const std::string& aWhy);
+
+  // Callers that wait.
+  void WaitFor(CallerRequest aRequest);
+  void RespondFinal(const CallerRequest& aRequest, const Job& aJob);
+  void RespondCompleted(const CallerRequest& aRequest, const Job& aJob);
+  void RespondUnknown(const CallerRequest& aRequest);
+  void ExpireWaiters(Millis aNowMs);
+
+  // Jobs of the state that nobody runs.
+  void Tick();
+  void StartQueued(const JobKey& aKey, const Job& aJob, Millis aNowMs);
+  void Resolve(const JobKey& aKey, const Job& aJob, Millis aNowMs);
+  void ResolveByTask(const JobKey& aKey, const Job& aJob);
+  void StopTask(const JobKey& aKey, const Job& aJob);
+  void OnTask(const JobKey& aKey, std::uint32_t aAttempt, const TaskOutcome& aOutcome);
+  [[nodiscard]] bool IsStillClaimed(const JobKey& aKey, std::uint32_t aAttempt) const;
+  [[nodiscard]] std::string AddressOf(const InstanceId& aInstance) const;
+
+  Runtime& m_runtime;
+  Dispatcher& m_dispatcher;
+  std::map<JobKey, AttemptPtr> m_active;
+  std::map<JobKey, std::vector<CallerRequest>> m_waiters;
+  std::set<JobKey> m_open; ///< Keys of jobs that may not be final.
+  std::map<JobKey, Millis> m_resolveAfterMs;
+  Ticker m_ticker;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/JobTakeover.cpp
@@ -0,0 +1,201 @@
+#include "ActiveAttempt.h"
+#include "JobRunner.h"
+
+#include "pistachiostand/base/Clock.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+/// \file
+/// \brief Jobs of the shared state that no live process runs, and cancels of running ones.
+
+namespace pistachiostand {
+
+namespace {
+
+constexpr Millis kResolveIntervalMs = 1'000;
+
+} // namespace
+
+void JobRunner::Rescan()
+{
+  for (const auto& [key, job] : m_runtime.State().m_jobs) {
+    if (!IsFinal(job.m_phase)) {
+      m_open.insert(key);
+    }
+  }
+}
+
+void JobRunner::Tick()
+{
+  const Millis now = MonotonicMs();
+  ExpireWaiters(now);
+  if (CurrentView(m_runtime, now) != ViewState::Confirmed || m_runtime.m_draining) {
+    return;
+  }
+  std::erase_if(m_open, [this](const JobKey& aKey) {
+    const auto job = m_runtime.State().m_jobs.find(aKey);
+    const bool closed = job == m_runtime.State().m_jobs.end() || IsFinal(job->second.m_phase);
+    if (closed) {
+      m_resolveAfterMs.erase(aKey);
+    }
+    return closed;
+  });
+  const std::set<JobKey> open = m_open; // The steps below may end jobs.
+  for (const auto& key : open) {
+    const auto job = m_runtime.State().m_jobs.find(key);
+    if (job == m_runtime.State().m_jobs.end()) {
+      continue;
+    }
+    if (job->second.m_phase == JobPhase::Queued) {
+      StartQueued(key, job->second, now);
+    } else if (job->second.m_phase == JobPhase::Claimed) {
+      Resolve(key, job->second, now);
+    }
+  }
+}
+
+void JobRunner::StartQueued(const JobKey& aKey, const Job& aJob, Millis aNowMs)
+{
+  const Rules& rules = m_runtime.CurrentRules();
+  const auto service = rules.m_services.find(aJob.m_service);
+  const TenantRule* tenant = FindTenant(rules, aJob.m_tenant);
+  if (m_active.contains(aKey) || service == rules.m_services.end() || tenant == nullptr ||
+      !m_runtime.m_membership.IsOwner("job/" + aKey, aNowMs)) {
+    return;
+  }
+  auto attempt = std::make_shared<ActiveAttempt>();
+  attempt->m_queuedJob = true;
+  CallerRequest& request = attempt->m_request;
+  request.m_requestId = "job-" + std::to_string(m_dispatcher.NextId());
+  request.m_tenant = aJob.m_tenant;
+  request.m_tenantRule = *tenant;
+  request.m_service = aJob.m_service;
+  request.m_serviceRule = service->second;
+  request.m_key = aKey;
+  request.m_body = aJob.m_payload;
+  request.m_arrivedMs = aNowMs;
+  m_active.emplace(aKey, attempt);
+  Enqueue(attempt);
+}
+
+bool JobRunner::IsStillClaimed(const JobKey& aKey, std::uint32_t aAttempt) const
+{
+  const auto job = m_runtime.State().m_jobs.find(aKey);
+  return job != m_runtime.State().m_jobs.end() && job->second.m_phase == JobPhase::Claimed &&
+         job->second.m_attempt == aAttempt;
+}
+
+std::string JobRunner::AddressOf(const InstanceId& aInstance) const
+{
+  const FleetState& state = m_runtime.State();
+  if (const auto found = state.m_instances.find(aInstance); found != state.m_instances.end()) {
+    return found->second.m_address;
+  }
+  const auto retired = state.m_retired.find(aInstance);
+  return retired == state.m_retired.end() ? std::string{} : retired->second.m_instance.m_address;
+}
+
+/// \brief Finds out what became of a claimed attempt that this process does not run itself.
+void JobRunner::Resolve(const JobKey& aKey, const Job& aJob, Millis aNowMs)
+{
+  const auto active = m_active.find(aKey);
+  if (active != m_active.end()) {
+    const bool stop = aJob.m_cancelRequested && active->second->m_sentMs != 0;
+    if (stop && !std::exchange(active->second->m_stopSent, true)) {
+      StopTask(aKey, aJob);
+    }
+    return;
+  }
+  const bool own = aJob.m_claimant == m_runtime.m_process;
+  const bool orphan = !own && !m_runtime.m_membership.IsProcessAlive(aJob.m_claimant, aNowMs) &&
+                      m_runtime.m_membership.IsOwner("job/" + aKey, aNowMs);
+  Millis& after = m_resolveAfterMs[aKey];
+  if ((!own && !orphan) || aNowMs < after) {
+    return;
+  }
+  after = aNowMs + kResolveIntervalMs;
+  const Rules& rules = m_runtime.CurrentRules();
+  const auto service = rules.m_services.find(aJob.m_service);
+  if (service == rules.m_services.end()) {
+    return;
+  }
+  if (service->second.m_idempotent) {
+    m_runtime.m_proposals.Propose(GiveBack{ aKey, aJob.m_attempt, false, true }, {},
+                                  [](ProposalResult, const Verdict&) {});
+    return;
+  }
+  const auto pool = rules.m_pools.find(service->second.m_pool);
+  if (pool != rules.m_pools.end() && pool->second.m_taskControl == TaskControl::Full) {
+    ResolveByTask(aKey, aJob);
+  }
+}
+
+/// \brief Leaves a running task alone: its claimant may be alive and only out of sight.
+void JobRunner::ResolveByTask(const JobKey& aKey, const Job& aJob)
+{
+  const auto& instances = m_runtime.State().m_instances;
+  const auto server = instances.find(aJob.m_target.m_server);
+  if (server != instances.end() && server->second.m_bootId != aJob.m_target.m_bootId) {
+    OnTask(aKey, aJob.m_attempt, { TaskState::OtherBoot, 0, {} });
+    return;
+  }
+  const std::string address = AddressOf(aJob.m_target.m_server);
+  if (address.empty()) {
+    return;
+  }
+  if (aJob.m_cancelRequested) {
+    StopTask(aKey, aJob);
+    return;
+  }
+  m_runtime.m_backend.GetTask(
+    address, aKey, aJob.m_attempt, [this, aKey, job = aJob](const auto& aTask) {
+      if (!aTask || aTask->m_state == TaskState::Running || !IsStillClaimed(aKey, job.m_attempt)) {
+        return;
+      }
+      if (aTask->m_state == TaskState::NeverStarted) {
+        StopTask(aKey, job);
+      } else {
+        OnTask(aKey, job.m_attempt, *aTask);
+      }
+    });
+}
+
+void JobRunner::StopTask(const JobKey& aKey, const Job& aJob)
+{
+  const std::string address = AddressOf(aJob.m_target.m_server);
+  if (address.empty()) {
+    return;
+  }
+  m_runtime.m_backend.Stop(address, aKey, aJob.m_attempt, aJob.m_target.m_bootId,
+                           [this, aKey, attempt = aJob.m_attempt](const auto& aTask) {
+                             if (aTask && IsStillClaimed(aKey, attempt) &&
+                                 !m_active.contains(aKey)) {
+                               OnTask(aKey, attempt, *aTask);
+                             }
+                           });
+}
+
+/// \brief Records what a stop, or the task's own end, has proved.
+void JobRunner::OnTask(const JobKey& aKey, std::uint32_t aAttempt, const TaskOutcome& aOutcome)
+{
+  RecordBody body;
+  if (aOutcome.m_state == TaskState::NeverStarted) {
+    body = GiveBack{ aKey, aAttempt, true, false };
+  } else {
+    const bool completed = aOutcome.m_state == TaskState::Completed && aOutcome.m_status < 500;
+    const bool kept = aOutcome.m_body.size() <= kMaxKeptBodyBytes;
+    body = Finish{ aKey,
+                   aAttempt,
+                   completed ? FinishKind::Completed : FinishKind::Stopped,
+                   aOutcome.m_status,
+                   kept ? aOutcome.m_body : std::string{},
+                   kept };
+  }
+  ++m_runtime.m_counters.m_takeovers;
+  spdlog::info("job: Resolved {} attempt {} as {}.", aKey, aAttempt, KindName(body));
+  m_runtime.m_proposals.Propose(std::move(body), {}, [](ProposalResult, const Verdict&) {});
+}
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/LogTail.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Runtime.h"
+#include "pistachiostand/connection/PeerMesh.h"
+
+/// \file
+/// \brief Reads the log from the platform, appends proposals, and relays records between peers.
+
+namespace pistachiostand {
+
+class LogTail
+{
+public:
+  LogTail(Runtime& aRuntime);
+
+  /// \brief Starts reading; `aPeers` must outlive this object.
+  void Start(PeerMesh& aPeers);
+
+  void OnPeerMessage(const Hello& aFrom, const PeerMessage& aMessage);
+
+  /// \brief True once the state holds everything that could be read at the start.
+  [[nodiscard]] bool IsReady() const noexcept { return m_ready; }
+
+  /// \brief Appends what waits now; used before the process stops.
+  void Flush() { AppendBatch(); }
+
+private:
+  void ReadNext();
+  void OnRead(const std::optional<ReadResult>& aResult);
+  void ReachEnd();
+  void AppendBatch();
+  void Relay();
+  void SendRecords(const EntryId& aPeer, Offset aFrom);
+  void SendState(const EntryId& aPeer, Offset aNewerThan);
+  void AdoptState(const StateCopy& aCopy);
+
+  Runtime& m_runtime;
+  PeerMesh* m_peers{};
+  bool m_ready{};
+  bool m_platformReachable{};
+  bool m_loggedAway{};
+  Millis m_lastReadMs{};
+  Millis m_readStartedMs{};
+  Millis m_startedMs;
+  asio::steady_timer m_retry;
+  Ticker m_appendTicker;
+  Ticker m_relayTicker;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/MetricsPage.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "Dispatcher.h"
+
+/// \file
+/// \brief The /metrics page, in the text format of Prometheus.
+
+namespace pistachiostand {
+
+[[nodiscard]] HttpResponse MetricsPage(const Runtime& aRuntime, const Dispatcher& aDispatcher);
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/Runtime.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "pistachiostand/connection/BackendClient.h"
+#include "pistachiostand/connection/PlatformClient.h"
+#include "pistachiostand/process/Histograms.h"
+#include "pistachiostand/process/LogReplica.h"
+#include "pistachiostand/process/Membership.h"
+#include "pistachiostand/process/ProposalQueue.h"
+#include "pistachiostand/process/RunTimeEstimate.h"
+#include "pistachiostand/process/Settings.h"
+
+#include <asio.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+/// \file
+/// \brief What the parts of the daemon share. It lives as long as the process.
+
+namespace pistachiostand {
+
+/// \brief Counters for /metrics.
+struct Counters
+{
+  std::uint64_t m_requests{};
+  std::uint64_t m_completed{};
+  std::uint64_t m_notRun{};
+  std::uint64_t m_unknown{};
+  std::uint64_t m_stopped{};
+  std::uint64_t m_retries{};
+  std::uint64_t m_refusedFull{};
+  std::uint64_t m_mismatched{};
+  std::uint64_t m_takeovers{};
+};
+
+struct Runtime
+{
+  asio::io_context& m_loop;
+  const Settings& m_settings;
+  EntryId m_process; ///< Id with the incarnation; author of this process's records.
+  LogReplica& m_replica;
+  ProposalQueue& m_proposals;
+  Membership& m_membership;
+  PlatformClient& m_platform;
+  BackendClient& m_backend;
+  Histograms& m_histograms;
+  RunTimeEstimate& m_estimate;
+  Counters& m_counters;
+  std::optional<Millis> m_confirmedMs; ///< When this process last read the log's end.
+  bool m_draining{};
+
+  [[nodiscard]] const FleetState& State() const noexcept { return m_replica.State(); }
+  [[nodiscard]] const Rules& CurrentRules() const noexcept { return *State().m_rules; }
+};
+
+/// \brief How far the view of the log can be trusted.
+enum class ViewState : std::uint8_t
+{
+  Confirmed, ///< This process or a live peer has read the log's end recently.
+  ZoneOnly,  ///< The platform is away, but a peer is there: probably the zone is partitioned.
+  Alone,     ///< Neither platform nor peer: probably only this process is partitioned.
+};
+
+[[nodiscard]] ViewState CurrentView(const Runtime& aRuntime, Millis aNowMs);
+
+/// \brief Calls `aTick` at an interval until it is destroyed.
+class Ticker
+{
+public:
+  Ticker(asio::io_context& aLoop, Millis aIntervalMs, std::function<void()> aTick);
+
+  Ticker(const Ticker&) = delete;
+  Ticker& operator=(const Ticker&) = delete;
+  ~Ticker() = default;
+
+  void SetInterval(Millis aIntervalMs) noexcept { m_intervalMs = aIntervalMs; }
+
+private:
+  void Arm();
+
+  asio::steady_timer m_timer;
+  Millis m_intervalMs;
+  std::function<void()> m_tick;
+};
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/daemon/ServerTable.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "Runtime.h"
+#include "pistachiostand/request/Placement.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief The backend servers of each pool, as this process knows them.
+
+namespace pistachiostand {
+
+/// \brief A server chosen for one request.
+struct ServerRef
+{
+  InstanceId m_instance;
+  PoolName m_pool;
+  BootId m_bootId;
+  std::string m_address;
+  TaskControl m_taskControl{};
+  std::optional<Millis> m_clockOffsetMs; ///< Server clock minus own clock, or a little less.
+  bool m_probe{};                        ///< The server is ejected; the request probes it.
+
+  friend auto operator<=>(const ServerRef&, const ServerRef&) = default;
+};
+
+class ServerTable
+{
+public:
+  explicit ServerTable(Runtime& aRuntime);
+
+  /// \brief Chooses a server with a free slot and counts the request as in flight there.
+  ///
+  /// Returns nothing for a pool without task control while only this process is partitioned: its
+  /// servers could not refuse a dispatch that the rest of the fleet has made stale.
+  [[nodiscard]] std::optional<ServerRef> Choose(const PoolName& aPool, bool aMayProbe);
+
+  /// \brief Releases the slot of Choose() and learns from the outcome.
+  void OnOutcome(const ServerRef& aServer, const RunOutcome& aOutcome, Millis aTookMs);
+
+  /// \brief Releases the slot without a request having been sent.
+  void OnUnused(const ServerRef& aServer);
+
+  /// \brief Takes over the serving instances after records were applied.
+  void Sync();
+
+  /// \brief The platform's list, refreshed by FleetDriver.
+  void OnList(const std::vector<ListedInstance>& aListed);
+
+  [[nodiscard]] const std::map<InstanceId, std::uint32_t>& InFlight() const noexcept
+  {
+    return m_inFlight;
+  }
+
+  /// \brief Servers whose own status says that they are leaving.
+  [[nodiscard]] std::vector<InstanceId> SaidLeaving() const;
+
+  /// \brief Servers that answered recently and are not leaving.
+  [[nodiscard]] std::set<InstanceId> SeenAlive(Millis aNowMs) const;
+
+  /// \brief Number of servers of a pool that may get requests now.
+  [[nodiscard]] std::size_t UsableCount(const PoolName& aPool) const;
+
+private:
+  struct Info
+  {
+    std::string m_address;
+    BootId m_bootId;
+    std::optional<Millis> m_clockOffsetMs;
+    Millis m_aliveMs{};
+    bool m_saidLeaving{};
+    bool m_listedLeaving{};
+    bool m_otherBoot{}; ///< Its status names another boot or pool than the state.
+    bool m_polling{};
+  };
+
+  /// \brief Both vectors have the same order; Placement works on the first alone.
+  struct PoolServers
+  {
+    std::vector<ServerStats> m_stats;
+    std::vector<Info> m_info;
+  };
+
+  struct Position
+  {
+    PoolServers* m_pool;
+    std::size_t m_index;
+  };
+
+  [[nodiscard]] std::optional<Position> Find(const InstanceId& aInstance);
+  void Release(const InstanceId& aInstance);
+  void RefreshLeaving();
+  void PollAll();
+  void Poll(const InstanceId& aInstance, const std::string& aAddress, const BootId& aBoot);
+  void OnStatus(const InstanceId& aInstance, const BootId& aBoot, Millis aSentMs,
+                const std::optional<ServerStatus>& aStatus);
+
+  Runtime& m_runtime;
+  std::map<PoolName, PoolServers> m_pools;
+  std::map<InstanceId, std::uint32_t> m_inFlight; ///< Also of servers that are no longer serving.
+  Random m_random;
+  Ticker m_pollTicker;
+};
+
+} // namespace pistachiostand
--- a/src/process/Fields.h
+++ b/src/process/Fields.h
@@ -66,7 +66,7 @@
 template<typename Visit>
 void Fields(GiveBack& aValue, Visit&& aVisit)
 {
-  aVisit(aValue.m_key, aValue.m_attempt, aValue.m_fenced);
+  aVisit(aValue.m_key, aValue.m_attempt, aValue.m_fenced, aValue.m_mayHaveRun);
 }
 
 template<typename Visit>
@@ -113,8 +113,8 @@
 {
   aVisit(aValue.m_tenant, aValue.m_service, aValue.m_digest, aValue.m_payload, aValue.m_phase,
          aValue.m_attempt, aValue.m_claimant, aValue.m_target, aValue.m_cancelRequested,
-         aValue.m_status, aValue.m_body, aValue.m_bodyKept, aValue.m_submittedMs,
-         aValue.m_finishedMs);
+         aValue.m_mayHaveRun, aValue.m_status, aValue.m_body, aValue.m_bodyKept,
+         aValue.m_submittedMs, aValue.m_finishedMs);
 }
 
 template<typename Visit>
--- a/src/process/Fold.cpp
+++ b/src/process/Fold.cpp
@@ -318,18 +318,35 @@
   return &found->second;
 }
 
-bool MayGiveBack(const FleetState& aState, const Job& aJob, const EntryId& aAuthor, bool aFenced)
+bool IsIdempotent(const FleetState& aState, const ServiceName& aService)
 {
-  if (aAuthor == aJob.m_claimant) {
-    return true;
-  }
-  const auto service = aState.m_rules->m_services.find(aJob.m_service);
+  const auto service = aState.m_rules->m_services.find(aService);
+  return service != aState.m_rules->m_services.end() && service->second.m_idempotent;
+}
+
+/// \brief True when the service's servers remember stops, so that a fence can be relied on.
+bool HasTaskControl(const FleetState& aState, const ServiceName& aService)
+{
+  const auto service = aState.m_rules->m_services.find(aService);
   if (service == aState.m_rules->m_services.end()) {
     return false;
   }
   const auto pool = aState.m_rules->m_pools.find(service->second.m_pool);
-  return service->second.m_idempotent || (aFenced && pool != aState.m_rules->m_pools.end() &&
-                                          pool->second.m_taskControl == TaskControl::Full);
+  return pool != aState.m_rules->m_pools.end() && pool->second.m_taskControl == TaskControl::Full;
+}
+
+/// \brief True unless the claimant or a fence vouches that the attempt never started.
+bool MayHaveRun(const FleetState& aState, const Job& aJob, const EntryId& aAuthor,
+                const GiveBack& aGiveBack)
+{
+  const bool fenced = aGiveBack.m_fenced && HasTaskControl(aState, aJob.m_service);
+  return aGiveBack.m_mayHaveRun || (aAuthor != aJob.m_claimant && !fenced);
+}
+
+/// \brief Ends a job without an outcome; it is `NotRun` only if no attempt can have started.
+void EndWithoutOutcome(FleetState& aState, Job& aJob)
+{
+  End(aState, aJob, aJob.m_mayHaveRun ? JobPhase::Stopped : JobPhase::NotRun);
 }
 
 Verdict ApplyBody(FleetState& aState, const Record& aRecord, const GiveBack& aGiveBack)
@@ -339,16 +356,16 @@
   if (job == nullptr) {
     return verdict;
   }
-  if (!MayGiveBack(aState, *job, aRecord.m_author, aGiveBack.m_fenced)) {
+  const bool mayHaveRun = MayHaveRun(aState, *job, aRecord.m_author, aGiveBack);
+  if (mayHaveRun && !IsIdempotent(aState, job->m_service)) {
     return Refuse(Refusal::NotClaimant);
   }
+  job->m_mayHaveRun = job->m_mayHaveRun || mayHaveRun;
   const bool again = !job->m_payload.empty() && !job->m_cancelRequested;
-  if (again && job->m_attempt >= kMaxAttempts) {
-    End(aState, *job, JobPhase::Stopped);
-  } else if (again) {
+  if (again && (job->m_attempt < kMaxAttempts || !job->m_mayHaveRun)) {
     job->m_phase = JobPhase::Queued;
   } else {
-    End(aState, *job, JobPhase::NotRun);
+    EndWithoutOutcome(aState, *job);
   }
   return kAccepted;
 }
@@ -380,7 +397,7 @@
   }
   job.m_cancelRequested = true;
   if (job.m_phase == JobPhase::Queued) {
-    End(aState, job, JobPhase::NotRun);
+    EndWithoutOutcome(aState, job);
   }
   return kAccepted;
 }
--- a/src/process/ProposalQueue.cpp
+++ b/src/process/ProposalQueue.cpp
@@ -35,6 +35,12 @@
   Queue(id, proposal);
 }
 
+std::size_t ProposalQueue::OpenCount() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    m_proposals, [](const auto& aEntry) { return !aEntry.second.m_reported; }));
+}
+
 void ProposalQueue::Queue(std::uint64_t aId, Proposal& aProposal)
 {
   if (!aProposal.m_waiting && !aProposal.m_underWay) {
--- a/src/process/Record.cpp
+++ b/src/process/Record.cpp
@@ -13,4 +13,19 @@
   return kNames.at(aBody.index());
 }
 
+std::string DescribeRecord(const RecordBody& aBody)
+{
+  std::string text{ KindName(aBody) };
+  std::visit(
+    [&text](const auto& aEach) {
+      if constexpr (requires { aEach.m_instance; }) {
+        text += " of " + aEach.m_instance;
+      } else if constexpr (requires { aEach.m_key; }) {
+        text += " of " + aEach.m_key;
+      }
+    },
+    aBody);
+  return text;
+}
+
 } // namespace pistachiostand
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -251,7 +251,9 @@
     return Send(aCall, ErrorReply(501, "this server has no task control"));
   }
   if (order == "stop") {
-    return Send(aCall, JsonReply(StopTask(aBackend, key, aCall->Query("attempt"))));
+    Json reply = StopTask(aBackend, key, aCall->Query("attempt"));
+    reply["boot_id"] = aBackend.m_boot.m_bootId;
+    return Send(aCall, JsonReply(reply));
   }
   const auto found = aBackend.m_boot.m_tasks.find(key);
   if (found == aBackend.m_boot.m_tasks.end() || found->second.m_state != "running") {
