--- /dev/null
+++ b/src/cli/CurlTransport.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "cli/Http.h"
+
+namespace pistachiostand {
+
+/// \brief Performs one exchange with libcurl; blocks for at most `aTimeoutMs`.
+[[nodiscard]] TransportResult Exchange(const Endpoint& aEntry, const HttpRequest& aRequest,
+                                       Millis aTimeoutMs);
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/cli/Http.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "pistachiostand/base/Endpoint.h"
+#include "pistachiostand/base/Types.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// \file
+/// \brief HTTP exchanges of the command line as plain values, so that tests need no socket.
+
+namespace pistachiostand {
+
+struct HttpRequest
+{
+  std::string m_method;
+  std::string m_path; ///< With the query; encoded.
+  std::vector<std::string> m_headers;
+  std::string m_body;
+};
+
+struct HttpReply
+{
+  int m_status{};
+  std::map<std::string, std::string> m_headers; ///< Names in lower case.
+  std::string m_body;
+};
+
+/// \brief Why there is no reply.
+struct TransportError
+{
+  bool m_sent{}; ///< True when the daemon may have received the request.
+  std::string m_cause;
+};
+
+using TransportResult = std::variant<HttpReply, TransportError>;
+using Transport = std::function<TransportResult(const Endpoint&, const HttpRequest&, Millis)>;
+
+/// \brief What a command needs of the outside: HTTP, a monotonic clock and a pause.
+struct Environment
+{
+  Transport m_transport;
+  std::function<Millis()> m_nowMs;
+  std::function<void(Millis)> m_sleep;
+};
+
+/// \brief Percent-encodes all bytes but the unreserved ones of RFC 3986.
+[[nodiscard]] std::string PercentEncode(std::string_view aText);
+
+[[nodiscard]] HttpRequest PublishRequest(Revision aBase, std::string_view aAuthor,
+                                         std::string_view aRules);
+[[nodiscard]] HttpRequest RulesRequest();
+[[nodiscard]] HttpRequest ProvenanceRequest(std::string_view aRule);
+[[nodiscard]] HttpRequest StatusRequest();
+[[nodiscard]] HttpRequest JobRequest(std::string_view aKey, std::string_view aTenant);
+
+} // namespace pistachiostand
