Add the fleet planner and its tests

Cause: moves, replacements and maintenance waves need a proposer that stays inside the budgets the fold enforces. The planner indexes the state once per call and keeps the counts current with its own proposals, so that a budget check costs the domains of one pool and not the whole fleet. Ruled out: MayLeave of the fold for each candidate (it reads all instances, quadratic in the fleet); waits in fold time (a tick may jump by 60 s and would shorten the wait before a reboot). Found by the tests: a pool whose budget holds every member of its fullest domain could not improve its spread, since the exchange needed both moves at once. The incoming move now comes first.

--- a/include/pistachiostand/process/FleetPlanner.h
+++ b/include/pistachiostand/process/FleetPlanner.h
@@ -42,6 +42,9 @@
 };
 
 /// \brief Everything that a decision depends on besides the planner's memory.
+///
+/// An entry instance whose heartbeats stop counts in `m_readByAll` and `m_inFlight` with its last
+/// values for `LongestWaitMs`, because it may be cut off and still have requests in flight.
 struct PlannerInput
 {
   const FleetState& m_state;
@@ -76,12 +79,12 @@
 /// \brief Parts of the planner that the experiment switches off one at a time.
 struct PlannerOptions
 {
-  bool m_spread{ true };      ///< Consider failure domains when choosing instances.
-  bool m_combine{ true };     ///< Prefer instances due for maintenance in moves.
-  bool m_wideWaves{ true };   ///< Otherwise one instance at a time.
-  bool m_sharedSpare{ true }; ///< Otherwise each pool holds `m_reservePerPool`.
-  bool m_lend{ true };        ///< Let a pool above its budget help one below.
-  std::uint32_t m_reservePerPool{};
+  bool m_spread{ true };            ///< Consider failure domains when choosing instances.
+  bool m_combine{ true };           ///< Prefer instances due for maintenance in moves.
+  bool m_wideWaves{ true };         ///< Otherwise one instance at a time.
+  bool m_replace{ true };           ///< Fill gaps from the spare pool.
+  bool m_lend{ true };              ///< Let a pool above its budget help one below.
+  std::uint32_t m_reservePerPool{}; ///< Instances that each pool holds above its promise.
 
   friend auto operator<=>(const PlannerOptions&, const PlannerOptions&) = default;
 };
--- /dev/null
+++ b/src/process/PlanMembership.cpp
@@ -0,0 +1,157 @@
+#include "PlannerSteps.h"
+
+#include <algorithm>
+
+namespace pistachiostand {
+
+namespace {
+
+/// \brief How long a condition has held; starts counting with the first call that sees it.
+Millis HeldFor(std::map<InstanceId, Millis>& aSince, const InstanceId& aId, Millis aNowMs)
+{
+  return aNowMs - aSince.try_emplace(aId, aNowMs).first->second;
+}
+
+/// \brief A server that still answers is not failed, but one with a new boot refuses all work that
+/// names the old one.
+void PlanServing(const PlannerInput& aInput, FleetIndex& aIndex, IndexedInstance& aInstance,
+                 PlannerMemory& aMemory, PlannerDecision& aDecision)
+{
+  if (IsMovable(aInstance)) {
+    aMemory.m_absentSince.erase(*aInstance.m_id);
+    return;
+  }
+  const bool rebooted = aInstance.m_listed != nullptr && !aInstance.m_listed->m_leaving;
+  if (!rebooted && aInput.m_seenAlive.contains(*aInstance.m_id)) {
+    aMemory.m_absentSince.erase(*aInstance.m_id);
+  } else if (HeldFor(aMemory.m_absentSince, *aInstance.m_id, aInput.m_nowMs) >= kAbsentGraceMs) {
+    ProposeFail(aIndex, aInstance, aDecision);
+  }
+}
+
+/// \brief True when the instance is unlisted, which it may be for a limited time only.
+bool PlanAbsent(const PlannerInput& aInput, const IndexedInstance& aInstance, Millis aLimitMs,
+                PlannerMemory& aMemory, PlannerDecision& aDecision)
+{
+  if (aInstance.m_listed != nullptr) {
+    aMemory.m_absentSince.erase(*aInstance.m_id);
+    return false;
+  }
+  if (HeldFor(aMemory.m_absentSince, *aInstance.m_id, aInput.m_nowMs) >= aLimitMs) {
+    aDecision.m_records.emplace_back(Retire{ *aInstance.m_id, aInstance.m_instance->m_epoch });
+  }
+  return true;
+}
+
+Join MakeJoin(const ListedInstance& aListed)
+{
+  return { aListed.m_id,   aListed.m_address, aListed.m_zone,
+           aListed.m_rack, aListed.m_bootId,  aListed.m_pool };
+}
+
+void PlanFailed(const PlannerInput& aInput, const IndexedInstance& aInstance,
+                PlannerMemory& aMemory, PlannerDecision& aDecision)
+{
+  if (!PlanAbsent(aInput, aInstance, kRetireFailedMs, aMemory, aDecision) &&
+      !aInstance.m_listed->m_leaving) {
+    aDecision.m_records.emplace_back(MakeJoin(*aInstance.m_listed));
+  }
+}
+
+LeavingNote& NoteLeaving(const PlannerInput& aInput, const IndexedInstance& aInstance,
+                         PlannerMemory& aMemory)
+{
+  const Epoch epoch = aInstance.m_instance->m_epoch;
+  LeavingNote& note = aMemory.m_leaving[*aInstance.m_id];
+  if (note.m_epoch != epoch) {
+    note = { epoch, aInput.m_nowMs, aInput.m_state.m_nextOffset, std::nullopt, std::nullopt };
+  }
+  return note;
+}
+
+/// \brief True at most once in `kRepeatOrderMs`.
+bool IsOrderTime(std::optional<Millis>& aOrderedMs, Millis aNowMs) noexcept
+{
+  if (aOrderedMs && aNowMs - *aOrderedMs < kRepeatOrderMs) {
+    return false;
+  }
+  aOrderedMs = aNowMs;
+  return true;
+}
+
+/// \brief Zero requests in flight count only once every entry instance has read the drain.
+bool IsIdle(const PlannerInput& aInput, const InstanceId& aId, const LeavingNote& aNote)
+{
+  const auto inFlight = aInput.m_inFlight.find(aId);
+  const bool none = inFlight == aInput.m_inFlight.end() || inFlight->second == 0;
+  return none && aInput.m_readByAll >= aNote.m_offset;
+}
+
+void PlanLeaving(const PlannerInput& aInput, const IndexedInstance& aInstance,
+                 PlannerMemory& aMemory, PlannerDecision& aDecision)
+{
+  LeavingNote& note = NoteLeaving(aInput, aInstance, aMemory);
+  if (PlanAbsent(aInput, aInstance, kRetireLeavingMs, aMemory, aDecision)) {
+    return;
+  }
+  const ListedInstance& listed = *aInstance.m_listed;
+  const Instance& instance = *aInstance.m_instance;
+  const bool rebooted = listed.m_bootId != instance.m_bootId;
+  if (rebooted && !listed.m_leaving && listed.m_pool == instance.m_target) {
+    aDecision.m_records.emplace_back(Return{ *aInstance.m_id, instance.m_epoch, listed.m_bootId });
+    return;
+  }
+  if (!rebooted && !listed.m_leaving && IsOrderTime(note.m_drainOrderedMs, aInput.m_nowMs)) {
+    aDecision.m_drainOrders.push_back({ *aInstance.m_id, instance.m_epoch });
+  }
+  const bool waited = IsIdle(aInput, *aInstance.m_id, note) ||
+                      aInput.m_nowMs - note.m_sinceMs >= LongestWaitMs(*aInput.m_state.m_rules);
+  if (waited && IsOrderTime(note.m_rebootOrderedMs, aInput.m_nowMs)) {
+    aDecision.m_reboots.push_back({ *aInstance.m_id, instance.m_epoch, instance.m_target });
+  }
+}
+
+void PlanJoins(const PlannerInput& aInput, PlannerDecision& aDecision)
+{
+  for (const auto& listed : aInput.m_listed) {
+    if (!listed.m_leaving && !aInput.m_state.m_instances.contains(listed.m_id)) {
+      aDecision.m_records.emplace_back(MakeJoin(listed));
+    }
+  }
+}
+
+/// \brief Forgets instances that have gone, or that are no longer leaving.
+void TrimMemory(const FleetState& aState, PlannerMemory& aMemory)
+{
+  std::erase_if(aMemory.m_absentSince, [&aState](const auto& aEntry) {
+    return !aState.m_instances.contains(aEntry.first);
+  });
+  std::erase_if(aMemory.m_leaving, [&aState](const auto& aEntry) {
+    const auto found = aState.m_instances.find(aEntry.first);
+    return found == aState.m_instances.end() || found->second.m_phase != InstancePhase::Leaving;
+  });
+}
+
+} // namespace
+
+void PlanMembership(const PlannerInput& aInput, FleetIndex& aIndex, PlannerMemory& aMemory,
+                    PlannerDecision& aDecision)
+{
+  TrimMemory(aInput.m_state, aMemory);
+  for (auto& instance : aIndex.m_instances) {
+    switch (instance.m_phase) {
+      case InstancePhase::Serving:
+        PlanServing(aInput, aIndex, instance, aMemory, aDecision);
+        break;
+      case InstancePhase::Leaving:
+        PlanLeaving(aInput, instance, aMemory, aDecision);
+        break;
+      case InstancePhase::Failed:
+        PlanFailed(aInput, instance, aMemory, aDecision);
+        break;
+    }
+  }
+  PlanJoins(aInput, aDecision);
+}
+
+} // namespace pistachiostand
--- /dev/null
+++ b/src/process/PlanMoves.cpp
@@ -0,0 +1,256 @@
+#include "PlannerSteps.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pistachiostand {
+
+namespace {
+
+/// \brief The best candidate so far; a lower rank is better.
+struct Choice
+{
+  using Rank = std::tuple<std::uint32_t, std::uint32_t, bool, std::uint32_t, Millis, std::uint32_t>;
+
+  std::optional<std::uint32_t> m_instance;
+  Rank m_rank;
+};
+
+bool IsSurplus(const IndexedPool& aPool) noexcept
+{
+  return aPool.m_rule == nullptr || Have(aPool) > aPool.m_want;
+}
+
+Domain SpreadOf(const IndexedPool& aPool, const PlannerOptions& aOptions) noexcept
+{
+  return aOptions.m_spread && aPool.m_rule != nullptr ? aPool.m_rule->m_spread : Domain::None;
+}
+
+Domain ToleratedBy(const IndexedPool& aPool, const PlannerOptions& aOptions) noexcept
+{
+  return aOptions.m_spread && aPool.m_rule != nullptr ? aPool.m_rule->m_tolerate : Domain::None;
+}
+
+/// \brief Prefers empty domains of the target, then surplus over spare instances because they need
+/// a move in any case, then full domains of the giver, then those whose maintenance is nearest.
+Choice::Rank RankFor(const FleetIndex& aIndex, std::uint32_t aInstance, const IndexedPool& aTarget,
+                     const PlannerOptions& aOptions)
+{
+  const IndexedInstance& instance = aIndex.m_instances[aInstance];
+  const IndexedPool& giver = aIndex.m_pools[instance.m_pool];
+  const auto countIn = [&instance](const DomainCounts& aCounts, Domain aDomain) {
+    return aDomain == Domain::None ? 0 : CountIn(aCounts, DomainNumber(instance, aDomain));
+  };
+  return { countIn(aTarget.m_placedBy, SpreadOf(aTarget, aOptions)),
+           countIn(aTarget.m_servingBy, ToleratedBy(aTarget, aOptions)),
+           instance.m_pool == aIndex.m_spare,
+           UINT32_MAX - countIn(giver.m_placedBy, SpreadOf(giver, aOptions)),
+           aOptions.m_combine ? instance.m_instance->m_maintainedMs : 0,
+           aInstance };
+}
+
+void Offer(const FleetIndex& aIndex, std::uint32_t aInstance, const Choice::Rank& aRank,
+           Choice& aBest)
+{
+  const IndexedInstance& instance = aIndex.m_instances[aInstance];
+  if ((!aBest.m_instance || aRank < aBest.m_rank) && IsMovable(instance) &&
+      MayLeave(aIndex, instance)) {
+    aBest = { aInstance, aRank };
+  }
+}
+
+/// \brief Pools that may give instances: those with a surplus, and the spare pool last.
+std::vector<PoolIndex> Givers(const FleetIndex& aIndex, PoolIndex aTarget)
+{
+  std::vector<PoolIndex> givers;
+  for (PoolIndex pool = 0; pool < aIndex.m_pools.size(); ++pool) {
+    const bool spare = pool == aIndex.m_spare;
+    if (pool != aTarget && MayGive(aIndex.m_pools[pool]) &&
+        (spare || IsSurplus(aIndex.m_pools[pool]))) {
+      givers.push_back(pool);
+    }
+  }
+  return givers;
+}
+
+Choice ChooseFor(const FleetIndex& aIndex, PoolIndex aTarget, const std::vector<PoolIndex>& aGivers,
+                 const PlannerOptions& aOptions)
+{
+  Choice best;
+  for (const PoolIndex giver : aGivers) {
+    // An earlier choice of this call may have taken the last one.
+    if ((giver != aIndex.m_spare && !IsSurplus(aIndex.m_pools[giver])) ||
+        !MayGive(aIndex.m_pools[giver])) {
+      continue;
+    }
+    for (const auto member : aIndex.m_pools[giver].m_members) {
+      Offer(aIndex, member, RankFor(aIndex, member, aIndex.m_pools[aTarget], aOptions), best);
+    }
+  }
+  return best;
+}
+
+void FillPool(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
+              PlannerDecision& aDecision)
+{
+  const auto givers = Givers(aIndex, aTarget);
+  while (Have(aIndex.m_pools[aTarget]) < aIndex.m_pools[aTarget].m_want &&
+         aDecision.m_records.size() < kMaxPlannedRecords) {
+    const Choice best = ChooseFor(aIndex, aTarget, givers, aOptions);
+    if (!best.m_instance || !ProposeDrain(aIndex, *best.m_instance, aTarget, aDecision)) {
+      return;
+    }
+  }
+}
+
+std::uint32_t Budget(const IndexedPool& aPool) noexcept
+{
+  return aPool.m_rule == nullptr ? 0 : aPool.m_rule->m_minAvailable;
+}
+
+/// \brief Pools short of instances: below budget first, then by the missing share. The spare pool
+/// comes last, since all others are filled from it.
+std::vector<PoolIndex> ShortPools(const FleetIndex& aIndex)
+{
+  std::vector<PoolIndex> pools;
+  for (PoolIndex pool = 0; pool < aIndex.m_pools.size(); ++pool) {
+    if (Have(aIndex.m_pools[pool]) < aIndex.m_pools[pool].m_want) {
+      pools.push_back(pool);
+    }
+  }
+  std::ranges::sort(pools, {}, [&aIndex](PoolIndex aEach) {
+    const IndexedPool& pool = aIndex.m_pools[aEach];
+    const double filled = static_cast<double>(Have(pool)) / pool.m_want;
+    return std::tuple{ aEach == aIndex.m_spare, Have(pool) >= Budget(pool), filled, aEach };
+  });
+  return pools;
+}
+
+/// \brief Pools that could lend an instance, those furthest above their budget first.
+std::vector<PoolIndex> Lenders(const FleetIndex& aIndex, PoolIndex aTarget)
+{
+  std::vector<PoolIndex> lenders;
+  for (PoolIndex pool = 0; pool < aIndex.m_pools.size(); ++pool) {
+    if (pool != aTarget && MayGive(aIndex.m_pools[pool])) {
+      lenders.push_back(pool);
+    }
+  }
+  std::ranges::stable_sort(lenders, std::ranges::greater{}, [&aIndex](PoolIndex aEach) {
+    return aIndex.m_pools[aEach].m_serving - Budget(aIndex.m_pools[aEach]);
+  });
+  return lenders;
+}
+
+bool LendOne(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
+             PlannerDecision& aDecision)
+{
+  for (const PoolIndex lender : Lenders(aIndex, aTarget)) {
+    Choice best;
+    for (const auto member : aIndex.m_pools[lender].m_members) {
+      Offer(aIndex, member, RankFor(aIndex, member, aIndex.m_pools[aTarget], aOptions), best);
+    }
+    if (best.m_instance) {
+      return ProposeDrain(aIndex, *best.m_instance, aTarget, aDecision);
+    }
+  }
+  return false;
+}
+
+/// \brief A pool with instances above its budget helps one below; the promise is the lesser harm.
+void LendTo(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
+            PlannerDecision& aDecision)
+{
+  while (Have(aIndex.m_pools[aTarget]) < Budget(aIndex.m_pools[aTarget]) &&
+         aDecision.m_records.size() < kMaxPlannedRecords &&
+         LendOne(aIndex, aTarget, aOptions, aDecision)) {
+  }
+}
+
+void EmptyRemovedPools(FleetIndex& aIndex, PlannerDecision& aDecision)
+{
+  for (const auto& pool : aIndex.m_pools) {
+    for (std::size_t i = 0; pool.m_rule == nullptr && i < pool.m_members.size() &&
+                            aDecision.m_records.size() < kMaxPlannedRecords;
+         ++i) {
+      ProposeDrain(aIndex, pool.m_members[i], aIndex.m_spare, aDecision);
+    }
+  }
+}
+
+/// \brief The member to give up for better spread: from the fullest domain, the oldest.
+Choice ChooseFullest(const FleetIndex& aIndex, const IndexedPool& aPool, Domain aSpread)
+{
+  Choice best;
+  for (const auto member : aPool.m_members) {
+    const IndexedInstance& instance = aIndex.m_instances[member];
+    const auto count = CountIn(aPool.m_placedBy, DomainNumber(instance, aSpread));
+    Offer(aIndex, member,
+          { UINT32_MAX - count, 0, false, 0, instance.m_instance->m_maintainedMs, member }, best);
+  }
+  return best;
+}
+
+/// \brief Exchanges one instance with the spare pool, if two domains differ by two or more. When
+/// the budget holds the outgoing one back, it follows as surplus once the other has arrived.
+void ImproveSpread(FleetIndex& aIndex, PoolIndex aPool, const PlannerOptions& aOptions,
+                   PlannerDecision& aDecision)
+{
+  const IndexedPool& pool = aIndex.m_pools[aPool];
+  const Domain spread = SpreadOf(pool, aOptions);
+  if (spread == Domain::None || aPool == aIndex.m_spare || pool.m_inbound > 0 ||
+      pool.m_serving != pool.m_want) {
+    return;
+  }
+  const auto countOf = [&](const Choice& aChoice) {
+    return CountIn(pool.m_placedBy, DomainNumber(aIndex.m_instances[*aChoice.m_instance], spread));
+  };
+  const Choice in = ChooseFor(aIndex, aPool, { aIndex.m_spare }, aOptions);
+  if (!in.m_instance || LargestCount(pool.m_placedBy) < countOf(in) + 2) {
+    return;
+  }
+  const Choice out = ChooseFullest(aIndex, pool, spread);
+  const bool exchange = out.m_instance && countOf(out) >= countOf(in) + 2;
+  ProposeDrain(aIndex, *in.m_instance, aPool, aDecision);
+  if (exchange) {
+    ProposeDrain(aIndex, *out.m_instance, aIndex.m_spare, aDecision);
+  }
+}
+
+/// \brief Reboots instances that the platform started with the service of another pool.
+void RepairServices(FleetIndex& aIndex, PlannerDecision& aDecision)
+{
+  for (std::uint32_t i = 0; i < aIndex.m_instances.size(); ++i) {
+    const IndexedInstance& instance = aIndex.m_instances[i];
+    if (IsMovable(instance) && instance.m_listed->m_pool != instance.m_instance->m_pool &&
+        aDecision.m_records.size() < kMaxPlannedRecords) {
+      ProposeDrain(aIndex, i, instance.m_pool, aDecision);
+    }
+  }
+}
+
+} // namespace
+
+void PlanMoves(const FleetState& aState, const PlannerOptions& aOptions, FleetIndex& aIndex,
+               PlannerDecision& aDecision)
+{
+  for (const PoolIndex pool : ShortPools(aIndex)) {
+    if (aOptions.m_replace) {
+      FillPool(aIndex, pool, aOptions, aDecision);
+    }
+    if (aOptions.m_lend) {
+      LendTo(aIndex, pool, aOptions, aDecision);
+    }
+  }
+  EmptyRemovedPools(aIndex, aDecision);
+  RepairServices(aIndex, aDecision);
+  const PlacementWeights& weights = aState.m_rules->m_weights;
+  if (weights.m_moves > std::max(weights.m_bufferCost, weights.m_rolloutTime)) {
+    return; // Spread then improves only with the moves that are needed anyway.
+  }
+  for (PoolIndex pool = 0;
+       pool < aIndex.m_pools.size() && aDecision.m_records.size() < kMaxPlannedRecords; ++pool) {
+    ImproveSpread(aIndex, pool, aOptions, aDecision);
+  }
+}
+
+} // namespace pistachiostand
--- /dev/null
+++ b/tests/unit/FleetPlannerMembershipTest.cpp
@@ -0,0 +1,164 @@
+#include "PlannerFixture.h"
+
+namespace pistachiostand {
+namespace {
+
+class FleetPlannerMembershipTest : public PlannerFixture
+{
+protected:
+  void SetUp() override
+  {
+    Apply(Tick{ 100 * kDay });
+    PublishRules("pool.admin = { instances = 3, spare = true } # A: x\n"
+                 "pool.web = { instances = 3, min_available = 1 } # A: x\n"
+                 "service.web = { pool = \"web\", class = \"batch\", idempotent = true, "
+                 "timeout_ms = 2000 } # A: x\n");
+    AddInstances("web", 3);
+  }
+
+  void DrainWeb0() { ASSERT_TRUE(Apply(Drain{ "web0", 1, "web" }).Accepted()); }
+};
+
+// Guards against instances that start and are never used.
+TEST_F(FleetPlannerMembershipTest, Instance_ListedAndUnknown_Joins)
+{
+  m_listed.push_back({ "new", "10.0.0.9:80", "z1", "r1", "b1", "web", false });
+  m_listed.push_back({ "ending", "10.0.0.9:80", "z1", "r1", "b1", "web", true });
+  const auto joins = Of<Join>(PlanAndApply());
+  ASSERT_EQ(joins.size(), 1U);
+  EXPECT_EQ(joins[0].m_instance, "new");
+}
+
+// Guards against failing healthy servers because one answer of the lagging list lacks them.
+TEST_F(FleetPlannerMembershipTest, Instance_DroppedFromList_FailsOnlyAfterGrace)
+{
+  m_listed.erase(m_listed.begin());
+  EXPECT_TRUE(Plan().m_records.empty());
+  EXPECT_TRUE(Plan(kAbsentGraceMs - 1).m_records.empty());
+  const auto fails = Of<Fail>(PlanAndApply(1));
+  ASSERT_EQ(fails.size(), 1U);
+  EXPECT_EQ(fails[0].m_instance, "web0");
+}
+
+TEST_F(FleetPlannerMembershipTest, Instance_BackInLaggingList_StartsGraceAgain)
+{
+  Listed("web0").m_leaving = true;
+  EXPECT_TRUE(Plan().m_records.empty());
+  Listed("web0").m_leaving = false;
+  EXPECT_TRUE(Plan(kAbsentGraceMs).m_records.empty());
+  Listed("web0").m_leaving = true;
+  EXPECT_TRUE(Plan(kAbsentGraceMs).m_records.empty());
+}
+
+TEST_F(FleetPlannerMembershipTest, Instance_SeenAliveByPeers_IsNotFailed)
+{
+  m_listed.erase(m_listed.begin());
+  m_alive = { "web0" };
+  EXPECT_TRUE(Plan().m_records.empty());
+  EXPECT_TRUE(Plan(10 * kAbsentGraceMs).m_records.empty());
+}
+
+// An empty answer of the platform would otherwise fail the whole fleet.
+TEST_F(FleetPlannerMembershipTest, List_WhenEmpty_ChangesNothing)
+{
+  m_listed.clear();
+  EXPECT_TRUE(Plan().m_records.empty());
+  EXPECT_TRUE(Plan(100 * kAbsentGraceMs).m_records.empty());
+}
+
+// Guards against a server that refuses all work because the fold still has its old boot id.
+TEST_F(FleetPlannerMembershipTest, Instance_RestartedByItself_FailsAndJoinsWithNewBoot)
+{
+  m_alive = { "web0" };
+  Listed("web0").m_bootId = "b2";
+  EXPECT_TRUE(Plan().m_records.empty());
+  EXPECT_EQ(Of<Fail>(PlanAndApply(kAbsentGraceMs)).size(), 1U);
+  EXPECT_EQ(Of<Join>(PlanAndApply()).size(), 1U);
+  EXPECT_EQ(m_state.m_instances.at("web0").m_bootId, "b2");
+}
+
+TEST_F(FleetPlannerMembershipTest, FailedInstance_UnlistedForLong_IsRetired)
+{
+  m_listed.erase(m_listed.begin());
+  Plan();
+  PlanAndApply(kAbsentGraceMs);
+  PlanAndApply(kRetireFailedMs);
+  EXPECT_FALSE(m_state.m_instances.contains("web0"));
+}
+
+// Guards I7: a reboot must not cut requests of entry instances that have not read the drain.
+TEST_F(FleetPlannerMembershipTest, Reboot_WithRequestsOrUnreadDrain_Waits)
+{
+  DrainWeb0();
+  m_inFlight["web0"] = 1;
+  auto decision = Plan();
+  EXPECT_EQ(decision.m_drainOrders.size(), 1U);
+  EXPECT_TRUE(decision.m_reboots.empty());
+  m_inFlight["web0"] = 0;
+  m_readByAll = 1;
+  EXPECT_TRUE(Plan().m_reboots.empty());
+  m_readByAll = m_state.m_nextOffset;
+  decision = Plan();
+  ASSERT_EQ(decision.m_reboots.size(), 1U);
+  EXPECT_EQ(decision.m_reboots[0], (RebootOrder{ "web0", 2, "web" }));
+}
+
+TEST_F(FleetPlannerMembershipTest, Reboot_AfterLongestWait_IsOrderedWithRequestsInFlight)
+{
+  DrainWeb0();
+  m_inFlight["web0"] = 1;
+  Plan();
+  AdvanceFold(10 * kMaxTickMs); // A jump of the fold's time must not shorten the wait.
+  const Millis wait = kStaleViewMs + 2'000;
+  EXPECT_TRUE(Plan(wait - 1).m_reboots.empty());
+  EXPECT_EQ(Plan(1).m_reboots.size(), 1U);
+}
+
+// A lost response is answered by the same order again, with the same operation id.
+TEST_F(FleetPlannerMembershipTest, Reboot_WithoutEffect_IsRepeatedWithSameEpoch)
+{
+  DrainWeb0();
+  const auto first = Plan().m_reboots;
+  EXPECT_TRUE(Plan(kRepeatOrderMs - 1).m_reboots.empty());
+  EXPECT_EQ(Plan(1).m_reboots, first);
+}
+
+TEST_F(FleetPlannerMembershipTest, Return_NeedsNewBootWithTargetPool)
+{
+  ASSERT_TRUE(Apply(Drain{ "web0", 1, "admin" }).Accepted());
+  Plan();
+  Listed("web0").m_bootId = "b2"; // Restarted by itself, still with the old service.
+  EXPECT_TRUE(Of<Return>(Plan()).empty());
+  Listed("web0").m_pool = "admin";
+  EXPECT_EQ(Of<Return>(PlanAndApply()).size(), 1U);
+  EXPECT_EQ(m_state.m_instances.at("web0").m_pool, "admin");
+}
+
+TEST_F(FleetPlannerMembershipTest, LeavingInstance_Unlisted_IsRetiredLate)
+{
+  DrainWeb0();
+  m_listed.erase(m_listed.begin());
+  Plan();
+  EXPECT_TRUE(Of<Retire>(Plan(kRetireLeavingMs - 1)).empty());
+  EXPECT_EQ(Of<Retire>(PlanAndApply(1)).size(), 1U);
+}
+
+// A planner with an older list and an equal state must do no harm.
+TEST_F(FleetPlannerMembershipTest, Planners_Racing_ChangeTheStateOnce)
+{
+  m_listed.push_back({ "new", "10.0.0.9:80", "z1", "r1", "b1", "web", false });
+  const auto first = Plan();
+  const auto second = Plan();
+  EXPECT_EQ(first.m_records, second.m_records);
+  for (const auto& body : first.m_records) {
+    EXPECT_TRUE(Apply(body).Accepted());
+  }
+  const auto instances = m_state.m_instances;
+  for (const auto& body : second.m_records) {
+    EXPECT_FALSE(Apply(body).Accepted());
+  }
+  EXPECT_EQ(m_state.m_instances, instances);
+}
+
+} // namespace
+} // namespace pistachiostand
