--- a/src/process/PlanMoves.cpp
+++ b/src/process/PlanMoves.cpp
@@ -10,7 +10,7 @@
 /// \brief The best candidate so far; a lower rank is better.
 struct Choice
 {
-  using Rank = std::tuple<std::uint32_t, std::uint32_t, bool, Millis, std::uint32_t>;
+  using Rank = std::tuple<std::uint32_t, std::uint32_t, bool, std::uint32_t, Millis, std::uint32_t>;
 
   std::optional<std::uint32_t> m_instance;
   Rank m_rank;
@@ -26,21 +26,27 @@
   return aOptions.m_spread && aPool.m_rule != nullptr ? aPool.m_rule->m_spread : Domain::None;
 }
 
+Domain ToleratedBy(const IndexedPool& aPool, const PlannerOptions& aOptions) noexcept
+{
+  return aOptions.m_spread && aPool.m_rule != nullptr ? aPool.m_rule->m_tolerate : Domain::None;
+}
+
 /// \brief Prefers empty domains of the target, then surplus over spare instances because they need
-/// a move in any case, then those whose maintenance is nearest.
+/// a move in any case, then full domains of the giver, then those whose maintenance is nearest.
 Choice::Rank RankFor(const FleetIndex& aIndex, std::uint32_t aInstance, const IndexedPool& aTarget,
                      const PlannerOptions& aOptions)
 {
   const IndexedInstance& instance = aIndex.m_instances[aInstance];
-  const Domain spread = SpreadOf(aTarget, aOptions);
-  const Domain tolerate =
-    aOptions.m_spread && aTarget.m_rule != nullptr ? aTarget.m_rule->m_tolerate : Domain::None;
-  return { spread == Domain::None ? 0 : CountIn(aTarget.m_placedBy, DomainNumber(instance, spread)),
-           tolerate == Domain::None
-             ? 0
-             : CountIn(aTarget.m_servingBy, DomainNumber(instance, tolerate)),
+  const IndexedPool& giver = aIndex.m_pools[instance.m_pool];
+  const auto countIn = [&instance](const DomainCounts& aCounts, Domain aDomain) {
+    return aDomain == Domain::None ? 0 : CountIn(aCounts, DomainNumber(instance, aDomain));
+  };
+  return { countIn(aTarget.m_placedBy, SpreadOf(aTarget, aOptions)),
+           countIn(aTarget.m_servingBy, ToleratedBy(aTarget, aOptions)),
            instance.m_pool == aIndex.m_spare,
-           aOptions.m_combine ? instance.m_instance->m_maintainedMs : 0, aInstance };
+           UINT32_MAX - countIn(giver.m_placedBy, SpreadOf(giver, aOptions)),
+           aOptions.m_combine ? instance.m_instance->m_maintainedMs : 0,
+           aInstance };
 }
 
 void Offer(const FleetIndex& aIndex, std::uint32_t aInstance, const Choice::Rank& aRank,
@@ -179,12 +185,13 @@
     const IndexedInstance& instance = aIndex.m_instances[member];
     const auto count = CountIn(aPool.m_placedBy, DomainNumber(instance, aSpread));
     Offer(aIndex, member,
-          { UINT32_MAX - count, 0, false, instance.m_instance->m_maintainedMs, member }, best);
+          { UINT32_MAX - count, 0, false, 0, instance.m_instance->m_maintainedMs, member }, best);
   }
   return best;
 }
 
-/// \brief Exchanges one instance with the spare pool, if two domains differ by two or more.
+/// \brief Exchanges one instance with the spare pool, if two domains differ by two or more. When
+/// the budget holds the outgoing one back, it follows as surplus once the other has arrived.
 void ImproveSpread(FleetIndex& aIndex, PoolIndex aPool, const PlannerOptions& aOptions,
                    PlannerDecision& aDecision)
 {
@@ -194,17 +201,18 @@
       pool.m_serving != pool.m_want) {
     return;
   }
-  const Choice in = ChooseFor(aIndex, aPool, { aIndex.m_spare }, aOptions);
-  const Choice out = ChooseFullest(aIndex, pool, spread);
-  if (!in.m_instance || !out.m_instance) {
-    return;
-  }
   const auto countOf = [&](const Choice& aChoice) {
     return CountIn(pool.m_placedBy, DomainNumber(aIndex.m_instances[*aChoice.m_instance], spread));
   };
-  if (countOf(out) >= countOf(in) + 2) {
+  const Choice in = ChooseFor(aIndex, aPool, { aIndex.m_spare }, aOptions);
+  if (!in.m_instance || LargestCount(pool.m_placedBy) < countOf(in) + 2) {
+    return;
+  }
+  const Choice out = ChooseFullest(aIndex, pool, spread);
+  const bool exchange = out.m_instance && countOf(out) >= countOf(in) + 2;
+  ProposeDrain(aIndex, *in.m_instance, aPool, aDecision);
+  if (exchange) {
     ProposeDrain(aIndex, *out.m_instance, aIndex.m_spare, aDecision);
-    ProposeDrain(aIndex, *in.m_instance, aPool, aDecision);
   }
 }
 
