--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -39,7 +39,7 @@
 CommandResult InvalidRules(const Reasons& aReasons, const std::string& aFile, bool aJson)
 {
   if (aJson) {
-    const Json json{ { "outcome", "refused" },
+    const Json json{ { "result", "refused" },
                      { "kind", "invalid-rules" },
                      { "file", aFile },
                      { "reasons", ReasonsJson(aReasons) } };
@@ -95,7 +95,7 @@
     return InvalidRules(reasons, aFile, aJson);
   }
   if (aJson) {
-    const Json json{ { "outcome", "ok" },
+    const Json json{ { "result", "ok" },
                      { "file", aFile },
                      { "pools", rules->m_pools.size() },
                      { "services", rules->m_services.size() },
@@ -126,7 +126,7 @@
   }
   const auto revision = ReadPublish(std::get<HttpReply>(result)).value_or(0);
   if (aArguments.m_json) {
-    return { ExitCode::Ok, JsonLine({ { "outcome", "ok" }, { "revision", revision } }), {} };
+    return { ExitCode::Ok, JsonLine({ { "result", "ok" }, { "revision", revision } }), {} };
   }
   return { ExitCode::Ok, "published as revision " + std::to_string(revision) + '\n', {} };
 }
@@ -152,7 +152,7 @@
     return InvalidRules(reasons, "revision " + std::to_string(revision), aArguments.m_json);
   }
   if (aArguments.m_json) {
-    const Json json{ { "outcome", "ok" },
+    const Json json{ { "result", "ok" },
                      { "revision", revision },
                      { "changes", ChangesJson(*changes) } };
     return { ExitCode::Ok, JsonLine(json), {} };
--- a/src/cli/Report.cpp
+++ b/src/cli/Report.cpp
@@ -100,7 +100,7 @@
                                   : size + ", not printable; use --json";
 }
 
-std::string_view OutcomeName(ExitCode aCode)
+std::string_view ResultName(ExitCode aCode)
 {
   constexpr std::array<std::string_view, 5> kNames{ "ok", "refused", "usage", "unreachable",
                                                     "unknown" };
@@ -109,7 +109,7 @@
 
 Json FailureJson(const Failure& aFailure)
 {
-  Json json{ { "outcome", OutcomeName(aFailure.m_code) },
+  Json json{ { "result", ResultName(aFailure.m_code) },
              { "kind", aFailure.m_kind },
              { "cause", aFailure.m_cause },
              { "remedy", aFailure.m_remedy } };
--- a/src/version/RuleParser.cpp
+++ b/src/version/RuleParser.cpp
@@ -144,6 +144,11 @@
   if (const auto origin = ReadOrigin(rule, *table, aLines, aReasons)) {
     aRules.m_origins.emplace(rule, *origin);
   }
+  // A second placement rule would replace the weights of the first without notice.
+  if (aKind == "placement" && name != "weights") {
+    aReasons.push_back({ ReasonKind::UnknownKey, "there is no rule \"" + rule + '"',
+                         "write placement.weights", PositionOf(aNode) });
+  }
   TomlReader reader{ rule, *table, aReasons };
   aRead(aRules, name, reader);
   reader.Finish();
--- a/tests/unit/CliCommandsTest.cpp
+++ b/tests/unit/CliCommandsTest.cpp
@@ -51,10 +51,10 @@
 TEST_F(CliCommandsTest, Check_WithJson_PrintsOneObject)
 {
   const auto valid = nlohmann::json::parse(CheckRules("r.toml", kRules, true).m_out);
-  EXPECT_EQ(valid["outcome"], "ok");
+  EXPECT_EQ(valid["result"], "ok");
   EXPECT_EQ(valid["pools"], 1);
   const auto invalid = nlohmann::json::parse(CheckRules("r.toml", "x = 1\n", true).m_out);
-  EXPECT_EQ(invalid["outcome"], "refused");
+  EXPECT_EQ(invalid["result"], "refused");
   EXPECT_EQ(invalid["reasons"][0]["line"], 1);
 }
 
--- a/tests/unit/CliRepliesTest.cpp
+++ b/tests/unit/CliRepliesTest.cpp
@@ -117,10 +117,19 @@
   EXPECT_EQ(text.m_err, "pistachiostand: invalid-rules: 1 error; correct it\n"
                         "r.toml:3:5: bad-value: c; r\n");
   const auto json = nlohmann::json::parse(FailureResult(failure, "r.toml", true).m_out);
-  EXPECT_EQ(json["outcome"], "refused");
+  EXPECT_EQ(json["result"], "refused");
   EXPECT_EQ(json["reasons"][0]["line"], 3);
 }
 
+// Guards against a script that takes "unknown" of the command line for the outcome of a job.
+TEST_F(CliRepliesTest, Failure_AsJson_HasNoOutcomeKey)
+{
+  const Failure failure{ .m_code = ExitCode::Unreachable };
+  const auto json = nlohmann::json::parse(FailureResult(failure, {}, true).m_out);
+  EXPECT_EQ(json["result"], "unreachable");
+  EXPECT_FALSE(json.contains("outcome"));
+}
+
 // Guards against an empty message when something else than a daemon answers.
 TEST_F(CliRepliesTest, Failure_WithoutExplanation_NamesTheStatus)
 {
--- a/tests/unit/RuleParserTest.cpp
+++ b/tests/unit/RuleParserTest.cpp
@@ -76,6 +76,16 @@
   EXPECT_EQ(m_reasons[0].m_remedy, "did you mean \"admin\"?");
 }
 
+// Guards against two placement rules, of which one would replace the other without notice.
+TEST_F(RuleParserTest, Placement_OfAnotherName_IsRefused)
+{
+  EXPECT_FALSE(Parse("placement.weights = { moves = 2 } # Bo: x\n"
+                     "placement.weight = { moves = 3 } # Bo: x\n"));
+  ASSERT_EQ(m_reasons.size(), 1U);
+  EXPECT_EQ(m_reasons[0].m_kind, ReasonKind::UnknownKey);
+  EXPECT_EQ(m_reasons[0].m_position.m_line, 3U);
+}
+
 TEST_F(RuleParserTest, Syntax_WhenBroken_NamesLineAndColumn)
 {
   EXPECT_FALSE(Parse("pool.web = { instances = } # Bo: x\n"));
