--- a/include/pistachiostand/process/Histograms.h
+++ b/include/pistachiostand/process/Histograms.h
@@ -6,6 +6,7 @@
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
@@ -32,9 +33,9 @@
 inline constexpr std::string_view kOtherTenants = "(other)";
 
 using LatencyAccumulator = boost::accumulators::accumulator_set<
-  double,
-  boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean,
-                             boost::accumulators::tag::extended_p_square>>;
+  double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                     boost::accumulators::tag::mean, boost::accumulators::tag::max,
+                                     boost::accumulators::tag::extended_p_square>>;
 
 struct Histogram
 {
@@ -58,7 +59,7 @@
   ServiceClass m_class{};
   std::uint64_t m_count{};
   double m_meanMs{};
-  double m_p50Ms{};
+  double m_p50Ms{}; ///< With fewer than 7 values, the bound of the bucket.
   double m_p99Ms{};
   std::array<std::uint64_t, kBucketBoundsMs.size() + 1> m_cumulative{}; ///< The last one is all.
 };
--- a/include/pistachiostand/request/Admission.h
+++ b/include/pistachiostand/request/Admission.h
@@ -6,7 +6,6 @@
 #include <array>
 #include <compare>
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <map>
 #include <optional>
@@ -51,11 +50,13 @@
 /// \brief Limits and, for experiments, switches of single parts.
 struct AdmissionOptions
 {
-  std::uint32_t m_maxQueued{ 8'192 };   ///< Of all tenants; bounds memory with `tenant.default`.
-  std::uint32_t m_batchEvery{ 8 };      ///< One of so many starts of a pool is for batch.
-  std::uint32_t m_overnightEvery{ 32 }; ///< One of so many starts of a pool is for overnight.
-  bool m_fairTenants{ true };           ///< False: first in, first out inside a class.
-  bool m_refuseLate{ true };            ///< False: no request is refused or dropped as too late.
+  std::uint32_t m_maxQueued{ 8'192 }; ///< Of all tenants; bounds memory with `tenant.default`.
+  /// While higher classes wait, a lower class is guaranteed one part in so many of their slot time.
+  /// Slot time, because one part of the starts would give most of it to long overnight requests.
+  std::uint32_t m_batchDivisor{ 8 };
+  std::uint32_t m_overnightDivisor{ 32 };
+  bool m_fairTenants{ true }; ///< False: first in, first out inside a class.
+  bool m_refuseLate{ true };  ///< False: no request is refused or dropped as too late.
 };
 
 /// \brief What waits in one class of one pool, for status and metrics.
@@ -120,6 +121,7 @@
   struct TenantQueue
   {
     std::list<QueuedRequest> m_requests;
+    std::list<TenantName>::iterator m_turn; ///< Place in m_round.
     std::uint32_t m_share{ 1 };
     Millis m_deficitMs{};
     Millis m_workMs{};
@@ -128,7 +130,7 @@
   struct ClassQueue
   {
     std::map<TenantName, TenantQueue> m_tenants; ///< Only those with a request waiting.
-    std::deque<TenantName> m_round;              ///< Order of the round; front is next.
+    std::list<TenantName> m_round;               ///< Order of the round; front is next.
     Millis m_workMs{};
     std::uint64_t m_waiting{};
     std::uint64_t m_shares{}; ///< Sum of the shares of m_tenants.
@@ -137,19 +139,20 @@
   struct PoolQueue
   {
     std::array<ClassQueue, kServiceClasses.size()> m_classes;
-    std::uint64_t m_starts{};
+    std::array<double, kServiceClasses.size()> m_creditMs{}; ///< Slot time owed to lower classes.
     std::uint64_t m_inFlight{};
   };
 
   using Position = std::list<QueuedRequest>::iterator;
   using TenantCounts = std::array<std::uint32_t, kServiceClasses.size()>;
 
-  void Insert(QueuedRequest aRequest, std::uint32_t aShare, bool aInFront);
-  QueuedRequest Remove(Position aPosition);
+  [[nodiscard]] const TenantName& QueueName(const TenantName& aTenant) const noexcept;
   [[nodiscard]] bool IsTenantFull(const QueuedRequest& aRequest, const TenantRule& aRule) const;
-  [[nodiscard]] ClassQueue* NextClass(PoolQueue& aPool) const;
-  [[nodiscard]] Position NextRequest(ClassQueue& aQueue) const;
-  [[nodiscard]] TenantName FairTenant(ClassQueue& aQueue) const;
+  [[nodiscard]] std::optional<AdmissionRefusal> Check(const QueuedRequest& aRequest,
+                                                      const TenantRule& aRule, Millis aNowMs) const;
+  TenantQueue& Insert(QueuedRequest aRequest, std::uint32_t aShare, bool aInFront);
+  QueuedRequest Remove(Position aPosition);
+  void CreditLowerClasses(PoolQueue& aPool, const QueuedRequest& aStarted) const;
   void Expire(Millis aNowMs);
 
   AdmissionOptions m_options;
--- /dev/null
+++ b/src/request/Placement.cpp
@@ -0,0 +1,198 @@
+#include "pistachiostand/request/Placement.h"
+
+#include <algorithm>
+
+namespace pistachiostand {
+namespace {
+
+/// Weight of a new value in the moving averages: the last ten answers dominate.
+constexpr double kNewWeight = 0.1;
+
+/// A report counts for this long; afterwards the slots of others are unknown and worth a try.
+constexpr Millis kReportLifetimeMs = 500;
+
+/// A full server is tried again after this time, about the time in which one of 8 slots is freed.
+constexpr Millis kFullPauseMs = 10;
+
+/// An error counts as at least this latency, so that a server that fails fast does not look idle.
+constexpr double kErrorLatencyMs = 1'000;
+
+constexpr std::uint32_t kErrorsToEject = 5;
+constexpr double kErrorShareToEject = 0.5;
+constexpr Millis kFirstEjectionMs = 1'000;
+constexpr std::uint32_t kMaxDoublings = 5; ///< 32 s at most between two probes.
+
+bool IsProbeDue(const ServerStats& aServer, Millis aNowMs) noexcept
+{
+  return aServer.m_ejected && aServer.m_inFlight == 0 && aNowMs >= aServer.m_ejectedUntilMs;
+}
+
+bool IsAvailable(const ServerStats& aServer, const PlacementContext& aContext) noexcept
+{
+  if (aServer.m_leaving || aContext.m_nowMs < aServer.m_fullUntilMs) {
+    return false;
+  }
+  if (aServer.m_ejected && aContext.m_options.m_ejectOutliers) {
+    return false;
+  }
+  return !aContext.m_options.m_twoChoices ||
+         EstimatedLoad(aServer, aContext.m_nowMs) < aServer.m_slots;
+}
+
+/// \brief Lower is better: the queue the request joins, in units of the server's own speed.
+double ScoreOf(const ServerStats& aServer, Millis aNowMs) noexcept
+{
+  const double load = EstimatedLoad(aServer, aNowMs) + 1.0;
+  return load * std::max(aServer.m_latencyMs, 1.0);
+}
+
+std::optional<std::size_t> ChooseAmong(std::span<const ServerStats> aServers,
+                                       const std::vector<std::size_t>& aCandidates,
+                                       const PlacementContext& aContext, Random& aRandom)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t size = aCandidates.size();
+  const std::size_t first = aRandom() % size;
+  if (!aContext.m_options.m_twoChoices || size == 1) {
+    return aCandidates[first];
+  }
+  const std::size_t second = (first + 1 + aRandom() % (size - 1)) % size;
+  const auto scoreOf = [&](std::size_t aIndex) {
+    return ScoreOf(aServers[aCandidates[aIndex]], aContext.m_nowMs);
+  };
+  return aCandidates[scoreOf(second) < scoreOf(first) ? second : first];
+}
+
+void Average(double& aValue, double aNew) noexcept
+{
+  aValue = aValue <= 0 ? aNew : aValue + kNewWeight * (aNew - aValue);
+}
+
+void Release(ServerStats& aServer) noexcept
+{
+  aServer.m_inFlight -= std::min(aServer.m_inFlight, 1U);
+}
+
+void Eject(ServerStats& aServer, Millis aNowMs) noexcept
+{
+  const std::uint32_t doublings = std::min(aServer.m_ejections, kMaxDoublings);
+  aServer.m_ejected = true;
+  aServer.m_ejectedUntilMs = aNowMs + (kFirstEjectionMs << doublings);
+  ++aServer.m_ejections;
+}
+
+bool IsOutlier(const ServerStats& aServer, double aPoolShare) noexcept
+{
+  if (aServer.m_ejected) {
+    return false;
+  }
+  return aServer.m_errorsInRow >= kErrorsToEject &&
+         aServer.m_errorShare > std::min(kErrorShareToEject, 2 * aPoolShare);
+}
+
+} // namespace
+
+std::uint32_t EstimatedLoad(const ServerStats& aServer, Millis aNowMs) noexcept
+{
+  const bool isFresh = aNowMs - aServer.m_reportedAtMs < kReportLifetimeMs;
+  return aServer.m_inFlight + (isFresh ? aServer.m_othersUsed : 0);
+}
+
+std::optional<std::size_t> ChooseServer(std::span<const ServerStats> aServers,
+                                        const PlacementContext& aContext, Random& aRandom)
+{
+  std::vector<std::size_t> own;
+  std::vector<std::size_t> others;
+  for (std::size_t index = 0; index < aServers.size(); ++index) {
+    const ServerStats& server = aServers[index];
+    const bool isProbe = aContext.m_options.m_ejectOutliers && !server.m_leaving &&
+                         IsProbeDue(server, aContext.m_nowMs);
+    if (isProbe && aContext.m_mayProbe) {
+      return index;
+    }
+    if (IsAvailable(server, aContext)) {
+      const bool isOwn = !aContext.m_options.m_preferOwnZone || server.m_zone == aContext.m_zone;
+      (isOwn ? own : others).push_back(index);
+    }
+  }
+  return ChooseAmong(aServers, own.empty() ? others : own, aContext, aRandom);
+}
+
+void OnSent(ServerStats& aServer) noexcept
+{
+  ++aServer.m_inFlight;
+}
+
+void OnLoadReport(ServerStats& aServer, std::uint32_t aUsed, Millis aNowMs) noexcept
+{
+  aServer.m_othersUsed = aUsed - std::min(aUsed, aServer.m_inFlight);
+  aServer.m_reportedAtMs = aNowMs;
+}
+
+void OnResponse(ServerStats& aServer, Millis aLatencyMs, std::uint32_t aUsed,
+                Millis aNowMs) noexcept
+{
+  OnLoadReport(aServer, aUsed, aNowMs);
+  Release(aServer);
+  if (aServer.m_ejected) { // The probe succeeded. The errors no longer describe the server.
+    aServer.m_ejected = false;
+    aServer.m_errorShare = 0;
+    aServer.m_latencyMs = 0;
+  }
+  Average(aServer.m_latencyMs, static_cast<double>(std::max<Millis>(aLatencyMs, 1)));
+  aServer.m_errorShare -= kNewWeight * aServer.m_errorShare;
+  if (aServer.m_errorShare < kNewWeight) {
+    aServer.m_ejections = 0;
+  }
+  aServer.m_errorsInRow = 0;
+}
+
+void OnRefusedFull(ServerStats& aServer, Millis aNowMs) noexcept
+{
+  Release(aServer);
+  OnLoadReport(aServer, aServer.m_slots, aNowMs);
+  aServer.m_fullUntilMs = aNowMs + kFullPauseMs;
+}
+
+void OnError(ServerStats& aServer, Millis aLatencyMs, Millis aNowMs) noexcept
+{
+  Release(aServer);
+  Average(aServer.m_latencyMs, std::max(static_cast<double>(aLatencyMs), kErrorLatencyMs));
+  aServer.m_errorShare += kNewWeight * (1 - aServer.m_errorShare);
+  ++aServer.m_errorsInRow;
+  if (aServer.m_ejected) {
+    Eject(aServer, aNowMs);
+  }
+}
+
+void OnAbandoned(ServerStats& aServer) noexcept
+{
+  Release(aServer);
+}
+
+void EjectOutliers(std::span<ServerStats> aServers, Millis aNowMs) noexcept
+{
+  if (aServers.empty()) {
+    return;
+  }
+  std::size_t ejected = 0;
+  double sum = 0;
+  for (const ServerStats& server : aServers) {
+    ejected += server.m_ejected ? 1 : 0;
+    sum += server.m_errorShare;
+  }
+  const double poolShare = sum / static_cast<double>(aServers.size());
+  for (ServerStats& server : aServers) {
+    if ((ejected + 1) * 3 > aServers.size()) {
+      return;
+    }
+    if (IsOutlier(server, poolShare)) {
+      Eject(server, aNowMs);
+      ++ejected;
+    }
+  }
+}
+
+} // namespace pistachiostand
