--- /dev/null
+++ b/bench/AdmissionMetrics.h
@@ -0,0 +1,97 @@
+#pragma once
+
+/// \file
+/// \brief What the admission experiment measures.
+
+#include "AdmissionModel.h"
+
+#include <array>
+#include <map>
+#include <vector>
+
+namespace pistachiostand::experiment {
+
+/// \brief Requests of one class and of the busy tenant, or of the others together.
+struct GroupResult
+{
+  std::vector<double> m_waitsMs; ///< From arrival to the accepted start, of what started.
+  double m_offered{};
+  double m_refused{}; ///< Reported as not run.
+  double m_failed{};  ///< Reported as failed.
+  double m_late{};    ///< Completed after the caller's timeout.
+  double m_inTime{};
+  double m_startedSoon{}; ///< Within 1.4 s.
+};
+
+struct FairnessCell
+{
+  std::vector<double> m_offered = std::vector<double>(kTenants);
+  std::vector<double> m_inTime = std::vector<double>(kTenants);
+};
+
+struct Result
+{
+  std::map<std::pair<ServiceClass, bool>, GroupResult> m_groups;  ///< True: the busy tenant.
+  std::map<std::pair<std::size_t, Micros>, FairnessCell> m_cells; ///< By service and second.
+  std::map<std::size_t, std::vector<double>> m_poolWaitsMs;
+  double m_attempts{}; ///< Those that a server accepted.
+  double m_failedAttempts{};
+  double m_late{};
+  double m_full{};
+};
+
+inline double Quantile(std::vector<double> aValues, double aQuantile)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  const auto index =
+    static_cast<std::ptrdiff_t>(aQuantile * static_cast<double>(aValues.size() - 1));
+  std::nth_element(aValues.begin(), aValues.begin() + index, aValues.end());
+  return aValues[static_cast<std::size_t>(index)];
+}
+
+/// \brief Work completed in time of the worst tenant of a service, relative to its max-min fair
+/// share in each second of arrival; 1 is fair.
+inline double WorstFairShare(const Result& aResult)
+{
+  std::map<std::size_t, std::pair<std::vector<double>, std::vector<double>>> sums;
+  for (const auto& [key, cell] : aResult.m_cells) {
+    double total = 0;
+    for (const double value : cell.m_inTime) {
+      total += value;
+    }
+    const auto fair = FairShares(cell.m_offered, total);
+    auto& [got, due] = sums[key.first];
+    got.resize(kTenants);
+    due.resize(kTenants);
+    for (std::size_t tenant = 0; tenant < kTenants; ++tenant) {
+      got[tenant] += cell.m_inTime[tenant];
+      due[tenant] += fair[tenant];
+    }
+  }
+  double worst = 1;
+  for (const auto& [service, sum] : sums) {
+    for (std::size_t tenant = 0; tenant < kTenants; ++tenant) {
+      if (sum.second[tenant] > 0) {
+        worst = std::min(worst, sum.first[tenant] / sum.second[tenant]);
+      }
+    }
+  }
+  return worst;
+}
+
+inline GroupResult Join(const GroupResult& aLeft, const GroupResult& aRight)
+{
+  GroupResult all = aLeft;
+  all.m_waitsMs.insert(all.m_waitsMs.end(), aRight.m_waitsMs.begin(), aRight.m_waitsMs.end());
+  all.m_offered += aRight.m_offered;
+  all.m_refused += aRight.m_refused;
+  all.m_failed += aRight.m_failed;
+  all.m_late += aRight.m_late;
+  all.m_inTime += aRight.m_inTime;
+  all.m_startedSoon += aRight.m_startedSoon;
+  return all;
+}
+
+} // namespace pistachiostand::experiment
--- a/include/pistachiostand/request/Placement.h
+++ b/include/pistachiostand/request/Placement.h
@@ -38,7 +38,7 @@
 /// \brief Switches of single parts, for experiments.
 struct PlacementOptions
 {
-  bool m_twoChoices{ true }; ///< False: a random server, whatever its load.
+  bool m_twoChoices{ true }; ///< False: a random one of the servers with a free slot.
   bool m_ejectOutliers{ true };
   bool m_preferOwnZone{ true };
 };
--- a/src/request/Placement.cpp
+++ b/src/request/Placement.cpp
@@ -35,8 +35,7 @@
   if (aServer.m_ejected && aContext.m_options.m_ejectOutliers) {
     return false;
   }
-  return !aContext.m_options.m_twoChoices ||
-         EstimatedLoad(aServer, aContext.m_nowMs) < aServer.m_slots;
+  return EstimatedLoad(aServer, aContext.m_nowMs) < aServer.m_slots;
 }
 
 /// \brief Lower is better: the queue the request joins, in units of the server's own speed.
