Limit the requests in flight to a server that refused as full

Cause: a full answer counted as 8 taken slots for 500 ms, which kept slots idle and starved entry instances with nothing in flight there.

--- a/include/pistachiostand/request/Placement.h
+++ b/include/pistachiostand/request/Placement.h
@@ -22,6 +22,7 @@
   std::uint32_t m_slots{ 8 };
   std::uint32_t m_inFlight{};   ///< Sent from here and not answered.
   std::uint32_t m_othersUsed{}; ///< Slots that others used at the last report.
+  std::uint32_t m_limit{ 8 };   ///< Requests that may be in flight from here.
   Millis m_reportedAtMs{};
   double m_latencyMs{};  ///< Moving average; 0 is unknown. An error counts as a slow one.
   double m_errorShare{}; ///< Moving average of errors among the answers.
--- a/src/request/Placement.cpp
+++ b/src/request/Placement.cpp
@@ -11,8 +11,10 @@
 /// A report counts for this long; afterwards the slots of others are unknown and worth a try.
 constexpr Millis kReportLifetimeMs = 500;
 
-/// A full server is tried again after this time, about the time in which one of 8 slots is freed.
-constexpr Millis kFullPauseMs = 10;
+/// A full server is tried again after half of its usual latency: nine entry instances ask for slots
+/// that are freed eight times in one latency. The bounds cover an unknown latency and errors.
+constexpr Millis kMinFullPauseMs = 5;
+constexpr Millis kMaxFullPauseMs = 200;
 
 /// An error counts as at least this latency, so that a server that fails fast does not look idle.
 constexpr double kErrorLatencyMs = 1'000;
@@ -35,7 +37,8 @@
   if (aServer.m_ejected && aContext.m_options.m_ejectOutliers) {
     return false;
   }
-  return EstimatedLoad(aServer, aContext.m_nowMs) < aServer.m_slots;
+  return aServer.m_inFlight < aServer.m_limit &&
+         EstimatedLoad(aServer, aContext.m_nowMs) < aServer.m_slots;
 }
 
 /// \brief Lower is better: the queue the request joins, in units of the server's own speed.
@@ -135,6 +138,7 @@
 {
   OnLoadReport(aServer, aUsed, aNowMs);
   Release(aServer);
+  aServer.m_limit = std::min(aServer.m_limit + 1, aServer.m_slots);
   if (aServer.m_ejected) { // The probe succeeded. The errors no longer describe the server.
     aServer.m_ejected = false;
     aServer.m_errorShare = 0;
@@ -151,8 +155,10 @@
 void OnRefusedFull(ServerStats& aServer, Millis aNowMs) noexcept
 {
   Release(aServer);
-  OnLoadReport(aServer, aServer.m_slots, aNowMs);
-  aServer.m_fullUntilMs = aNowMs + kFullPauseMs;
+  // One request at a time finds out whether a slot is free; each response allows one more.
+  aServer.m_limit = aServer.m_inFlight + 1;
+  const auto halfLatencyMs = static_cast<Millis>(aServer.m_latencyMs / 2);
+  aServer.m_fullUntilMs = aNowMs + std::clamp(halfLatencyMs, kMinFullPauseMs, kMaxFullPauseMs);
 }
 
 void OnError(ServerStats& aServer, Millis aLatencyMs, Millis aNowMs) noexcept
