--- a/tests/standins/StandinServer.h
+++ b/tests/standins/StandinServer.h
@@ -191,6 +191,8 @@
 
 struct Traits : restinio::default_single_thread_traits_t
 {
+  // RESTinio prescribes this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -208,7 +210,8 @@
                  std::function<void(const CallPtr&)> aHandler)
 {
   using Server = restinio::http_server_t<Traits>;
-  const auto [address, port] = SplitAddress(aListen);
+  // clang 14 rejects structured bindings in lambda captures.
+  const auto listen = SplitAddress(aListen);
   const auto handle = [&aHandler](restinio::request_handle_t aRequest) {
     auto call = MakeCall(std::move(aRequest));
     try {
@@ -221,13 +224,13 @@
   // Held responses must outlast every client timeout, so that the server is never the one to close.
   constexpr auto kHoldLimit = std::chrono::hours(24);
   Server server{ restinio::external_io_context(aContext), [&](auto& aSettings) {
-                  aSettings.address(address)
-                    .port(static_cast<std::uint16_t>(std::stoul(port)))
+                  aSettings.address(listen.first)
+                    .port(static_cast<std::uint16_t>(std::stoul(listen.second)))
                     .max_parallel_connections(aConnections)
                     .handle_request_timeout(kHoldLimit)
                     .read_next_http_message_timelimit(kHoldLimit)
                     .acceptor_post_bind_hook([&](asio::ip::tcp::acceptor& aAcceptor) {
-                      std::cout << "listening on " << address << ':'
+                      std::cout << "listening on " << listen.first << ':'
                                 << aAcceptor.local_endpoint().port() << std::endl;
                     })
                     .request_handler(handle);
