Keep the expected run time free before a request's deadline

Cause: requests started just before the caller's timeout and ended after it; the slot time was lost.

Ruled out: keeping the whole estimate free. An estimate above the timeout would refuse every request and never be corrected, so at most half of the timeout is kept.

--- a/bench/AdmissionCluster.h
+++ b/bench/AdmissionCluster.h
@@ -161,15 +161,17 @@
     Entry& entry = m_entries[job.m_arrival.m_entry];
     const Millis declared = m_declared[job.m_arrival.m_service][job.m_arrival.m_tenant];
     const bool isFifo = m_policy.m_isBaseline;
+    const auto learned = FindRunTime(entry.m_estimate, service.m_name, TenantOf(job));
+    const Millis runMs = ExpectedRunMs(entry.m_estimate, service.m_name, TenantOf(job), declared);
+    const Millis longRunMs = learned ? static_cast<Millis>(learned->m_p90Ms) : declared;
     const QueuedRequest request{ aId,
                                  TenantOf(job),
                                  service.m_name,
                                  isFifo ? ServiceClass::Batch : service.m_class,
                                  QueueOf(service.m_pool),
                                  Ms(job.m_submitted),
-                                 Ms(job.m_submitted) + service.m_timeoutMs,
-                                 ExpectedRunMs(entry.m_estimate, service.m_name, TenantOf(job),
-                                               declared),
+                                 StartDeadline(Ms(job.m_submitted), service.m_timeoutMs, longRunMs),
+                                 runMs,
                                  service.m_idempotent };
     const TenantRule rule{ 1, isFifo ? std::numeric_limits<std::uint32_t>::max() : kTenantQueue };
     if (entry.m_admission.Enqueue(request, rule, m_simulation.NowMs())) {
--- a/include/pistachiostand/request/Admission.h
+++ b/include/pistachiostand/request/Admission.h
@@ -29,13 +29,19 @@
   ServiceClass m_class{};
   PoolName m_pool;
   Millis m_arrivalMs{};
-  Millis m_deadlineMs{};    ///< It must start before this time, or it is not run.
+  Millis m_deadlineMs{};    ///< It starts before this time or not at all; see StartDeadline.
   Millis m_expectedRunMs{}; ///< Learned run time; see RunTimeEstimate.h.
   bool m_idempotent{};
 
   friend auto operator<=>(const QueuedRequest&, const QueuedRequest&) = default;
 };
 
+/// \brief Last time at which a request can start and still end within its timeout. At most half of
+/// the timeout is kept for the run: with more, a wrong estimate would refuse every request, and
+/// would then never be corrected.
+[[nodiscard]] Millis StartDeadline(Millis aArrivalMs, Millis aTimeoutMs,
+                                   Millis aExpectedRunMs) noexcept;
+
 /// \brief Why a request was not queued. None of them has run.
 enum class AdmissionRefusal : std::uint8_t
 {
@@ -80,8 +86,12 @@
 /// if (const auto refusal = admission.Enqueue(request, tenantRule, now)) {
 ///   return NotRun(*refusal);
 /// }
-/// while (const auto server = ChooseServer(servers, context, random)) {
-///   const auto next = admission.Take("lookups", now);
+/// while (const auto next = admission.Take("lookups", now)) {
+///   const auto server = ChooseServer(servers, { zone, now, next->m_idempotent, {} }, random);
+///   if (!server) {
+///     admission.PutBack(*next); // Try again after a response, or after some milliseconds.
+///     break;
+///   }
 ///   // Send it. Then PutBack(*next) when the server was full, else Finish(*next, ranMs).
 /// }
 /// \endcode
--- a/src/request/Admission.cpp
+++ b/src/request/Admission.cpp
@@ -98,6 +98,11 @@
   return "unknown";
 }
 
+Millis StartDeadline(Millis aArrivalMs, Millis aTimeoutMs, Millis aExpectedRunMs) noexcept
+{
+  return aArrivalMs + aTimeoutMs - std::min(std::max<Millis>(aExpectedRunMs, 0), aTimeoutMs / 2);
+}
+
 Admission::Admission(AdmissionOptions aOptions) noexcept
   : m_options(aOptions)
 {
--- a/tests/unit/AdmissionTest.cpp
+++ b/tests/unit/AdmissionTest.cpp
@@ -107,6 +107,14 @@
   EXPECT_FALSE(m_admission.Enqueue(Request("b", ServiceClass::Urgent, 100, 900), m_rule, 0));
 }
 
+// Guards against starting work that ends after its caller has gone, and against an estimate above
+// the timeout that refuses every request.
+TEST_F(AdmissionTest, StartDeadline_WithLongRun_KeepsHalfOfTheTimeout)
+{
+  EXPECT_EQ(StartDeadline(1'000, 800, 100), 1'700);
+  EXPECT_EQ(StartDeadline(1'000, 800, 9'000), 1'400);
+}
+
 // Guards against a tenant's overnight work using up the places of its urgent requests.
 TEST_F(AdmissionTest, Enqueue_WithFullOvernightQueue_StillAcceptsUrgent)
 {
