Order the reboot only after the list shows the drain

Cause: a drain order that was lost and repeated after the reboot marked the new boot as leaving, and the instance never returned. The planner now waits for the list to show the drain, or for the longest wait, and sends no drain after a reboot order. Ruled out: accepting a new boot that the list shows as leaving, since the platform may remove it. An instance whose new boot stays marked is retired and joins again when live.

--- /dev/null
+++ b/bench/FleetSimulation.h
@@ -0,0 +1,319 @@
+#pragma once
+
+#include "pistachiostand/process/FleetPlanner.h"
+#include "pistachiostand/process/Fold.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ctime>
+#include <deque>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+/// \file
+/// \brief Planner and fold against a small fake of the platform, in virtual time.
+
+namespace pistachiostand::bench {
+
+inline constexpr Millis kSecondMs = 1'000;
+inline constexpr Millis kMinuteMs = 60 * kSecondMs;
+inline constexpr Millis kHourMs = 60 * kMinuteMs;
+inline constexpr Millis kDayMs = 24 * kHourMs;
+inline constexpr Millis kStepMs = 10 * kSecondMs;
+inline constexpr Millis kStartMs = 100 * kDayMs;
+inline constexpr std::uint32_t kRackSize = 4;
+
+/// \brief A backend server as it really is; the list shows it later.
+struct Machine
+{
+  ListedInstance m_listed;
+  Epoch m_lastDrain{};    ///< Operation that was carried out; repeats do nothing.
+  Epoch m_lastReboot{};   ///< The same for reboots.
+  Millis m_downUntilMs{}; ///< Rebooting or failed until then.
+  Millis m_busyUntilMs{}; ///< Requests in flight until then, once it is drained.
+  std::uint32_t m_boots{ 1 };
+  bool m_failed{}; ///< Down for a reason that nobody planned.
+};
+
+struct Measures
+{
+  double m_reserveHours{}; ///< Instance-hours above need: pools above promise, spares above budget.
+  double m_waveHours{ -1 };   ///< Negative: not finished.
+  double m_changeHours{ -1 }; ///< Until every pool has its promised instances.
+  double m_plannedBelowMin{}; ///< Minutes of pools below budget that a drain caused.
+  double m_failureBelowMin{}; ///< Minutes of pools below budget that a failure caused.
+  std::uint32_t m_moves{};
+  std::uint32_t m_reboots{};
+  std::uint32_t m_refused{}; ///< Records that the fold refused, from the racing planner.
+  double m_planMs{};         ///< Mean CPU time of a call.
+  double m_maxPlanMs{};
+};
+
+struct Simulation
+{
+  FleetState m_state;
+  std::vector<Machine> m_machines;
+  std::unordered_map<InstanceId, std::size_t> m_byId;
+  std::deque<std::vector<ListedInstance>> m_lists; ///< Newest last.
+  PlannerMemory m_memory;
+  PlannerMemory m_racingMemory;
+  PlannerOptions m_options;
+  std::mt19937_64 m_random;
+  Millis m_nowMs{ kStartMs };
+  double m_failuresPerHour{}; ///< Single instances, over the whole fleet.
+  std::uint32_t m_plans{};
+  Measures m_measures;
+};
+
+inline double Uniform(Simulation& aSim, double aLow, double aHigh)
+{
+  return std::uniform_real_distribution<double>{ aLow, aHigh }(aSim.m_random);
+}
+
+inline bool Apply(Simulation& aSim, const RecordBody& aBody)
+{
+  const Offset offset = aSim.m_state.m_nextOffset;
+  return pistachiostand::Apply(aSim.m_state, offset, Record{ offset + 1, "bench", aBody })
+    .Accepted();
+}
+
+inline void AddMachine(Simulation& aSim, std::uint32_t aZones, const PoolName& aPool)
+{
+  const auto index = static_cast<std::uint32_t>(aSim.m_machines.size());
+  const std::uint32_t rack = index / kRackSize;
+  Machine machine;
+  machine.m_listed = { fmt::format("i-{:05}", index),
+                       fmt::format("10.0.{}.{}:80", index / 250, index % 250),
+                       fmt::format("z{}", rack % aZones),
+                       fmt::format("r{:04}", rack),
+                       "b1",
+                       aPool,
+                       false };
+  const auto& listed = machine.m_listed;
+  Apply(aSim, Join{ listed.m_id, listed.m_address, listed.m_zone, listed.m_rack, listed.m_bootId,
+                    listed.m_pool });
+  aSim.m_byId.emplace(listed.m_id, index);
+  aSim.m_machines.push_back(std::move(machine));
+}
+
+/// \brief Spreads the time since the last maintenance evenly between two ages in days.
+inline void SetAges(Simulation& aSim, double aLowDays, double aHighDays)
+{
+  for (auto& [id, instance] : aSim.m_state.m_instances) {
+    instance.m_maintainedMs =
+      aSim.m_nowMs - static_cast<Millis>(Uniform(aSim, aLowDays, aHighDays) * kDayMs);
+  }
+}
+
+inline bool IsUp(const Simulation& aSim, const Machine& aMachine) noexcept
+{
+  return aMachine.m_downUntilMs <= aSim.m_nowMs;
+}
+
+inline void FailMachine(Simulation& aSim, Machine& aMachine, Millis aForMs)
+{
+  aMachine.m_downUntilMs = std::max(aMachine.m_downUntilMs, aSim.m_nowMs + aForMs);
+  aMachine.m_failed = true;
+  aMachine.m_listed.m_bootId = fmt::format("b{}", ++aMachine.m_boots);
+  aMachine.m_listed.m_leaving = false;
+}
+
+/// \brief Fails the rack of the first serving machine that was not maintained yet, or its zone.
+inline void FailDomain(Simulation& aSim, Domain aDomain, Millis aForMs)
+{
+  const auto victim = std::ranges::find_if(aSim.m_state.m_instances, [](const auto& aEntry) {
+    return aEntry.second.m_phase == InstancePhase::Serving &&
+           aEntry.second.m_maintainedMs < kStartMs;
+  });
+  if (victim == aSim.m_state.m_instances.end()) {
+    return;
+  }
+  const auto& lost = victim->second;
+  for (auto& machine : aSim.m_machines) {
+    if (machine.m_listed.m_zone == lost.m_zone &&
+        (aDomain == Domain::Zone || machine.m_listed.m_rack == lost.m_rack)) {
+      FailMachine(aSim, machine, aForMs);
+    }
+  }
+}
+
+inline void FailSingles(Simulation& aSim)
+{
+  const double chance = aSim.m_failuresPerHour * kStepMs / kHourMs;
+  if (Uniform(aSim, 0, 1) < chance) {
+    auto& machine = aSim.m_machines[aSim.m_random() % aSim.m_machines.size()];
+    FailMachine(aSim, machine, static_cast<Millis>(Uniform(aSim, 10, 120) * kMinuteMs));
+  }
+}
+
+/// \brief Reboots take 3 to 6 minutes, one in 20 takes 20, and one in 100 takes 50.
+inline void RebootMachine(Simulation& aSim, const RebootOrder& aOrder)
+{
+  auto& machine = aSim.m_machines[aSim.m_byId.at(aOrder.m_instance)];
+  if (machine.m_lastReboot >= aOrder.m_epoch || !IsUp(aSim, machine)) {
+    return;
+  }
+  const double kind = Uniform(aSim, 0, 1);
+  const double slow = kind < 0.01 ? 50 : 20;
+  const double minutes = kind < 0.06 ? slow : Uniform(aSim, 3, 6);
+  machine.m_lastReboot = aOrder.m_epoch;
+  machine.m_downUntilMs = aSim.m_nowMs + static_cast<Millis>(minutes * kMinuteMs);
+  machine.m_listed.m_bootId = fmt::format("b{}", ++machine.m_boots);
+  machine.m_listed.m_pool = aOrder.m_pool;
+  machine.m_listed.m_leaving = false;
+}
+
+/// \brief One order in 20 is lost and has to be repeated.
+inline void CarryOut(Simulation& aSim, const PlannerDecision& aDecision)
+{
+  for (const auto& order : aDecision.m_drainOrders) {
+    auto& machine = aSim.m_machines[aSim.m_byId.at(order.m_instance)];
+    if (Uniform(aSim, 0, 1) > 0.05 && machine.m_lastDrain < order.m_epoch) {
+      machine.m_lastDrain = order.m_epoch;
+      machine.m_listed.m_leaving = true;
+    }
+  }
+  for (const auto& order : aDecision.m_reboots) {
+    if (Uniform(aSim, 0, 1) > 0.05) {
+      RebootMachine(aSim, order);
+    }
+  }
+}
+
+inline void PublishList(Simulation& aSim)
+{
+  std::vector<ListedInstance> list;
+  list.reserve(aSim.m_machines.size());
+  for (auto& machine : aSim.m_machines) {
+    if (IsUp(aSim, machine)) {
+      machine.m_failed = false;
+      list.push_back(machine.m_listed);
+    }
+  }
+  aSim.m_lists.push_back(std::move(list));
+  if (aSim.m_lists.size() > 4) {
+    aSim.m_lists.pop_front();
+  }
+}
+
+inline void CountDrain(Simulation& aSim, const Drain& aDrain)
+{
+  auto& machine = aSim.m_machines[aSim.m_byId.at(aDrain.m_instance)];
+  machine.m_busyUntilMs = aSim.m_nowMs + static_cast<Millis>(Uniform(aSim, 1, 30) * kSecondMs);
+  ++aSim.m_measures.m_reboots;
+  const auto& pool = aSim.m_state.m_instances.at(aDrain.m_instance).m_pool;
+  aSim.m_measures.m_moves += pool == aDrain.m_target ? 0 : 1;
+}
+
+inline void Append(Simulation& aSim, const PlannerDecision& aDecision)
+{
+  for (const auto& body : aDecision.m_records) {
+    const auto* drain = std::get_if<Drain>(&body);
+    if (!Apply(aSim, body)) {
+      ++aSim.m_measures.m_refused;
+    } else if (drain != nullptr) {
+      CountDrain(aSim, *drain);
+    }
+  }
+}
+
+/// \brief Plans with the list of `aLag` steps ago.
+inline PlannerDecision Plan(Simulation& aSim, std::size_t aLag, PlannerMemory& aMemory)
+{
+  const auto& list =
+    aSim.m_lists[aSim.m_lists.size() - 1 - std::min(aLag, aSim.m_lists.size() - 1)];
+  PlannerInput input{ aSim.m_state, list, {}, aSim.m_state.m_nextOffset, {}, aSim.m_nowMs };
+  for (const auto& machine : aSim.m_machines) {
+    if (machine.m_busyUntilMs > aSim.m_nowMs) {
+      input.m_inFlight[machine.m_listed.m_id] = 1;
+    }
+    if (machine.m_downUntilMs <= aSim.m_nowMs && !machine.m_listed.m_leaving) {
+      input.m_seenAlive.insert(machine.m_listed.m_id);
+    }
+  }
+  const auto start = std::clock();
+  auto decision = PlanFleet(input, aMemory, aSim.m_options);
+  const double ms = 1'000.0 * static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+  aSim.m_measures.m_planMs += ms;
+  aSim.m_measures.m_maxPlanMs = std::max(aSim.m_measures.m_maxPlanMs, ms);
+  ++aSim.m_plans;
+  return decision;
+}
+
+/// \brief Instances of a pool as callers find them.
+struct Truth
+{
+  std::uint32_t m_available{};
+  std::uint32_t m_failed{};
+};
+
+inline void AddMeasures(Simulation& aSim)
+{
+  std::map<PoolName, Truth> truth;
+  for (const auto& [id, instance] : aSim.m_state.m_instances) {
+    const auto& machine = aSim.m_machines[aSim.m_byId.at(id)];
+    const bool up = IsUp(aSim, machine) && instance.m_phase == InstancePhase::Serving;
+    truth[instance.m_pool].m_available += up ? 1 : 0;
+    truth[instance.m_pool].m_failed +=
+      !up && (machine.m_failed || instance.m_phase == InstancePhase::Failed) ? 1 : 0;
+  }
+  for (const auto& [id, retired] : aSim.m_state.m_retired) {
+    ++truth[retired.m_instance.m_pool].m_failed;
+  }
+  auto& measures = aSim.m_measures;
+  for (const auto& [name, rule] : aSim.m_state.m_rules->m_pools) {
+    const Truth& pool = truth[name];
+    const std::uint32_t need = rule.m_spare ? rule.m_minAvailable : rule.m_instances;
+    measures.m_reserveHours +=
+      pool.m_available > need ? (pool.m_available - need) * double{ kStepMs } / kHourMs : 0;
+    if (pool.m_available < rule.m_minAvailable) {
+      const bool failure = pool.m_available + pool.m_failed >= rule.m_minAvailable;
+      (failure ? measures.m_failureBelowMin : measures.m_plannedBelowMin) +=
+        double{ kStepMs } / kMinuteMs;
+    }
+  }
+}
+
+/// \brief One step: failures, list, two planners that may race, fold, measures.
+inline void Step(Simulation& aSim)
+{
+  aSim.m_nowMs += kStepMs;
+  Apply(aSim, Tick{ aSim.m_nowMs });
+  FailSingles(aSim);
+  PublishList(aSim);
+  const auto decision = Plan(aSim, aSim.m_random() % 2, aSim.m_memory);
+  const bool race = Uniform(aSim, 0, 1) < 0.1;
+  const auto racing = race ? Plan(aSim, 3, aSim.m_racingMemory) : PlannerDecision{};
+  CarryOut(aSim, decision);
+  CarryOut(aSim, racing);
+  Append(aSim, decision);
+  Append(aSim, racing);
+  AddMeasures(aSim);
+}
+
+/// \brief Instances in use whose last boot is older than the start of the run.
+inline std::size_t CountDue(const Simulation& aSim)
+{
+  return std::ranges::count_if(aSim.m_state.m_instances, [&aSim](const auto& aEntry) {
+    const auto& instance = aEntry.second;
+    const bool stuck = instance.m_phase == InstancePhase::Leaving &&
+                       aSim.m_nowMs - instance.m_phaseSinceMs > kStuckRebootMs;
+    return instance.m_phase != InstancePhase::Failed && !stuck &&
+           instance.m_maintainedMs < kStartMs;
+  });
+}
+
+inline bool IsAsPromised(const Simulation& aSim)
+{
+  std::map<PoolName, std::uint32_t> serving;
+  for (const auto& [id, instance] : aSim.m_state.m_instances) {
+    serving[instance.m_pool] += instance.m_phase == InstancePhase::Serving ? 1 : 0;
+  }
+  return std::ranges::all_of(aSim.m_state.m_rules->m_pools, [&serving](const auto& aPool) {
+    return aPool.second.m_spare || serving[aPool.first] >= aPool.second.m_instances;
+  });
+}
+
+} // namespace pistachiostand::bench
--- a/src/process/PlanMembership.cpp
+++ b/src/process/PlanMembership.cpp
@@ -29,18 +29,15 @@
   }
 }
 
-/// \brief True when the instance is unlisted, which it may be for a limited time only.
-bool PlanAbsent(const PlannerInput& aInput, const IndexedInstance& aInstance, Millis aLimitMs,
-                PlannerMemory& aMemory, PlannerDecision& aDecision)
+/// \brief Retires the instance once the list has shown it as gone for `aLimitMs`.
+void PlanGone(const PlannerInput& aInput, const IndexedInstance& aInstance, bool aGone,
+              Millis aLimitMs, PlannerMemory& aMemory, PlannerDecision& aDecision)
 {
-  if (aInstance.m_listed != nullptr) {
+  if (!aGone) {
     aMemory.m_absentSince.erase(*aInstance.m_id);
-    return false;
-  }
-  if (HeldFor(aMemory.m_absentSince, *aInstance.m_id, aInput.m_nowMs) >= aLimitMs) {
+  } else if (HeldFor(aMemory.m_absentSince, *aInstance.m_id, aInput.m_nowMs) >= aLimitMs) {
     aDecision.m_records.emplace_back(Retire{ *aInstance.m_id, aInstance.m_instance->m_epoch });
   }
-  return true;
 }
 
 Join MakeJoin(const ListedInstance& aListed)
@@ -52,8 +49,9 @@
 void PlanFailed(const PlannerInput& aInput, const IndexedInstance& aInstance,
                 PlannerMemory& aMemory, PlannerDecision& aDecision)
 {
-  if (!PlanAbsent(aInput, aInstance, kRetireFailedMs, aMemory, aDecision) &&
-      !aInstance.m_listed->m_leaving) {
+  const bool gone = aInstance.m_listed == nullptr || aInstance.m_listed->m_leaving;
+  PlanGone(aInput, aInstance, gone, kRetireFailedMs, aMemory, aDecision);
+  if (!gone) {
     aDecision.m_records.emplace_back(MakeJoin(*aInstance.m_listed));
   }
 }
@@ -87,28 +85,42 @@
   return none && aInput.m_readByAll >= aNote.m_offset;
 }
 
+/// \brief Drain first, and reboot once the list shows the drain. A drain order that arrives after
+/// the reboot would mark the new boot as leaving, so none is sent after the reboot order.
+void OrderSteps(const PlannerInput& aInput, const IndexedInstance& aInstance, LeavingNote& aNote,
+                PlannerDecision& aDecision)
+{
+  const Epoch epoch = aInstance.m_instance->m_epoch;
+  const bool drained = aInstance.m_listed->m_leaving;
+  if (!drained && !aNote.m_rebootOrderedMs &&
+      aInstance.m_listed->m_bootId == aInstance.m_instance->m_bootId &&
+      IsOrderTime(aNote.m_drainOrderedMs, aInput.m_nowMs)) {
+    aDecision.m_drainOrders.push_back({ *aInstance.m_id, epoch });
+  }
+  const bool waited = (drained && IsIdle(aInput, *aInstance.m_id, aNote)) ||
+                      aInput.m_nowMs - aNote.m_sinceMs >= LongestWaitMs(*aInput.m_state.m_rules);
+  if (waited && IsOrderTime(aNote.m_rebootOrderedMs, aInput.m_nowMs)) {
+    aDecision.m_reboots.push_back({ *aInstance.m_id, epoch, aInstance.m_instance->m_target });
+  }
+}
+
 void PlanLeaving(const PlannerInput& aInput, const IndexedInstance& aInstance,
                  PlannerMemory& aMemory, PlannerDecision& aDecision)
 {
   LeavingNote& note = NoteLeaving(aInput, aInstance, aMemory);
-  if (PlanAbsent(aInput, aInstance, kRetireLeavingMs, aMemory, aDecision)) {
-    return;
-  }
-  const ListedInstance& listed = *aInstance.m_listed;
+  const ListedInstance* listed = aInstance.m_listed;
   const Instance& instance = *aInstance.m_instance;
-  const bool rebooted = listed.m_bootId != instance.m_bootId;
-  if (rebooted && !listed.m_leaving && listed.m_pool == instance.m_target) {
-    aDecision.m_records.emplace_back(Return{ *aInstance.m_id, instance.m_epoch, listed.m_bootId });
+  const bool rebooted = listed != nullptr && listed->m_bootId != instance.m_bootId;
+  const bool gone = listed == nullptr || (rebooted && listed->m_leaving);
+  PlanGone(aInput, aInstance, gone, kRetireLeavingMs, aMemory, aDecision);
+  if (gone) {
     return;
   }
-  if (!rebooted && !listed.m_leaving && IsOrderTime(note.m_drainOrderedMs, aInput.m_nowMs)) {
-    aDecision.m_drainOrders.push_back({ *aInstance.m_id, instance.m_epoch });
-  }
-  const bool waited = IsIdle(aInput, *aInstance.m_id, note) ||
-                      aInput.m_nowMs - note.m_sinceMs >= LongestWaitMs(*aInput.m_state.m_rules);
-  if (waited && IsOrderTime(note.m_rebootOrderedMs, aInput.m_nowMs)) {
-    aDecision.m_reboots.push_back({ *aInstance.m_id, instance.m_epoch, instance.m_target });
+  if (rebooted && listed->m_pool == instance.m_target) {
+    aDecision.m_records.emplace_back(Return{ *aInstance.m_id, instance.m_epoch, listed->m_bootId });
+    return;
   }
+  OrderSteps(aInput, aInstance, note, aDecision);
 }
 
 void PlanJoins(const PlannerInput& aInput, PlannerDecision& aDecision)
--- a/src/process/PlanMoves.cpp
+++ b/src/process/PlanMoves.cpp
@@ -59,12 +59,13 @@
   }
 }
 
-/// \brief Pools that may give instances: those with a surplus, and the spare pool last.
-std::vector<PoolIndex> Givers(const FleetIndex& aIndex, PoolIndex aTarget)
+/// \brief Pools that may give instances: those with a surplus, and the spare pool.
+std::vector<PoolIndex> Givers(const FleetIndex& aIndex, PoolIndex aTarget,
+                              const PlannerOptions& aOptions)
 {
   std::vector<PoolIndex> givers;
   for (PoolIndex pool = 0; pool < aIndex.m_pools.size(); ++pool) {
-    const bool spare = pool == aIndex.m_spare;
+    const bool spare = pool == aIndex.m_spare && aOptions.m_replace;
     if (pool != aTarget && MayGive(aIndex.m_pools[pool]) &&
         (spare || IsSurplus(aIndex.m_pools[pool]))) {
       givers.push_back(pool);
@@ -93,7 +94,7 @@
 void FillPool(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
               PlannerDecision& aDecision)
 {
-  const auto givers = Givers(aIndex, aTarget);
+  const auto givers = Givers(aIndex, aTarget, aOptions);
   while (Have(aIndex.m_pools[aTarget]) < aIndex.m_pools[aTarget].m_want &&
          aDecision.m_records.size() < kMaxPlannedRecords) {
     const Choice best = ChooseFor(aIndex, aTarget, givers, aOptions);
@@ -234,9 +235,7 @@
                PlannerDecision& aDecision)
 {
   for (const PoolIndex pool : ShortPools(aIndex)) {
-    if (aOptions.m_replace) {
-      FillPool(aIndex, pool, aOptions, aDecision);
-    }
+    FillPool(aIndex, pool, aOptions, aDecision);
     if (aOptions.m_lend) {
       LendTo(aIndex, pool, aOptions, aDecision);
     }
--- a/tests/unit/FleetPlannerMembershipTest.cpp
+++ b/tests/unit/FleetPlannerMembershipTest.cpp
@@ -94,6 +94,8 @@
   auto decision = Plan();
   EXPECT_EQ(decision.m_drainOrders.size(), 1U);
   EXPECT_TRUE(decision.m_reboots.empty());
+  Listed("web0").m_leaving = true;
+  EXPECT_TRUE(Plan().m_reboots.empty());
   m_inFlight["web0"] = 0;
   m_readByAll = 1;
   EXPECT_TRUE(Plan().m_reboots.empty());
@@ -114,11 +116,36 @@
   EXPECT_EQ(Plan(1).m_reboots.size(), 1U);
 }
 
+// Guards against a lost drain order that is repeated after the reboot and marks the new boot as
+// leaving: the experiment had instances that never returned.
+TEST_F(FleetPlannerMembershipTest, Drain_NotShownByList_HoldsRebootBackAndIsNotSentAfterIt)
+{
+  DrainWeb0();
+  Plan();
+  EXPECT_TRUE(Plan(LongestWaitMs(*m_state.m_rules) - 1).m_reboots.empty());
+  EXPECT_EQ(Plan(1).m_reboots.size(), 1U);
+  EXPECT_TRUE(Plan(kRepeatOrderMs).m_drainOrders.empty());
+}
+
+TEST_F(FleetPlannerMembershipTest, NewBoot_ShownAsLeavingForLong_IsRetired)
+{
+  DrainWeb0();
+  Listed("web0").m_leaving = true;
+  Listed("web0").m_bootId = "b2";
+  EXPECT_TRUE(Plan().m_records.empty());
+  EXPECT_EQ(Of<Retire>(PlanAndApply(kRetireLeavingMs)).size(), 1U);
+  EXPECT_TRUE(Plan().m_records.empty());
+  Listed("web0").m_leaving = false;
+  EXPECT_EQ(Of<Join>(PlanAndApply()).size(), 1U);
+}
+
 // A lost response is answered by the same order again, with the same operation id.
 TEST_F(FleetPlannerMembershipTest, Reboot_WithoutEffect_IsRepeatedWithSameEpoch)
 {
   DrainWeb0();
+  Listed("web0").m_leaving = true;
   const auto first = Plan().m_reboots;
+  EXPECT_EQ(first.size(), 1U);
   EXPECT_TRUE(Plan(kRepeatOrderMs - 1).m_reboots.empty());
   EXPECT_EQ(Plan(1).m_reboots, first);
 }
--- a/tests/unit/PlannerFixture.h
+++ b/tests/unit/PlannerFixture.h
@@ -57,13 +57,17 @@
     return decision;
   }
 
-  /// \brief Lets the platform carry out reboots at once.
+  /// \brief Lets the platform carry out drains and reboots at once.
   void Reboot(const PlannerDecision& aDecision)
   {
+    for (const auto& order : aDecision.m_drainOrders) {
+      Listed(order.m_instance).m_leaving = true;
+    }
     for (const auto& order : aDecision.m_reboots) {
       auto& listed = Listed(order.m_instance);
       listed.m_bootId = "b" + std::to_string(order.m_epoch + 100);
       listed.m_pool = order.m_pool;
+      listed.m_leaving = false;
     }
   }
 
@@ -73,7 +77,8 @@
     for (int round = 0; round < 50; ++round) {
       const auto decision = PlanAndApply(kRepeatOrderMs);
       Reboot(decision);
-      if (decision.m_records.empty() && decision.m_reboots.empty()) {
+      if (decision.m_records.empty() && decision.m_reboots.empty() &&
+          decision.m_drainOrders.empty()) {
         return;
       }
     }
