Give the baseline's spare pool one instance above its budget

Cause: the baseline's spare pool stood exactly at its budget, so that its two instances could never be maintained and no baseline wave finished within 16 h. That made the comparison unfair.

--- a/bench/fleet_experiment.cpp
+++ b/bench/fleet_experiment.cpp
@@ -212,8 +212,8 @@
   const std::uint32_t spares = SparesFor(aDeployment);
   const PlannerOptions none{ false, false, false, false, false, 0 };
   std::vector<Variant> variants{
-    { "baseline, reserve 2", none, 0, false },
-    { "baseline, reserve 4", none, 0, false },
+    { "baseline, reserve 2", none, 1, false },
+    { "baseline, reserve 4", none, 1, false },
     { "ours", {}, spares, true },
   };
   variants[0].m_options.m_reservePerPool = 2;
