Share the base64 decoder, and judge a publish on a future base anew

Cause: the CLI and the platform client each had a decoder, which did not link together. A publish whose base is above the current revision was remembered as refused, so that the same file stayed refused when that base became current.

Change: one decoder in base/. Such a publish is refused and forgotten.

--- a/src/cli/Replies.cpp
+++ b/src/cli/Replies.cpp
@@ -1,5 +1,7 @@
 #include "cli/Replies.h"
 
+#include "pistachiostand/base/Base64.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -216,34 +218,4 @@
                        .m_remedy = "check that --entry names an entry instance" });
 }
 
-std::optional<std::string> DecodeBase64(std::string_view aText)
-{
-  constexpr std::string_view kDigits =
-    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  if (aText.size() % 4 != 0) {
-    return std::nullopt;
-  }
-  const auto digits = aText.substr(0, aText.find('='));
-  if (aText.size() - digits.size() > 2 ||
-      aText.find_first_not_of('=', digits.size()) != std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::string bytes;
-  std::uint32_t bits = 0;
-  std::uint32_t bitCount = 0;
-  for (const char each : digits) {
-    const auto value = kDigits.find(each);
-    if (value == std::string_view::npos) {
-      return std::nullopt;
-    }
-    bits = (bits << 6U) | static_cast<std::uint32_t>(value);
-    bitCount += 6;
-    if (bitCount >= 8) {
-      bitCount -= 8;
-      bytes += static_cast<char>((bits >> bitCount) & 0xffU);
-    }
-  }
-  return bytes;
-}
-
 } // namespace pistachiostand
--- a/src/cli/Replies.h
+++ b/src/cli/Replies.h
@@ -124,7 +124,4 @@
 /// \brief Explanation of a reply that is not 200, as a refusal.
 [[nodiscard]] Failure ReadFailure(const HttpReply& aReply);
 
-/// \brief Decodes base64; nothing when the text is malformed.
-[[nodiscard]] std::optional<std::string> DecodeBase64(std::string_view aText);
-
 } // namespace pistachiostand
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -208,16 +208,17 @@
     return;
   }
   const PublishResult* result = FindPublish(m_runtime.State(), aId);
-  if (result == nullptr) {
+  if (result == nullptr && aResult != ProposalResult::Refused) {
     aRespond(ErrorResponse(504, "outcome-unknown", "the platform's log did not answer in time",
                            "publish the same file on the same base again; a repeat is harmless"));
     return;
   }
-  if (!result->m_refusal) {
+  if (result != nullptr && !result->m_refusal) {
     aRespond(JsonResponse(200, { { "revision", result->m_revision } }));
     return;
   }
-  aRespond(JsonResponse(409, { { "kind", ToString(*result->m_refusal) },
+  const Refusal refusal = result == nullptr ? Refusal::StaleBase : *result->m_refusal;
+  aRespond(JsonResponse(409, { { "kind", ToString(refusal) },
                                { "revision", m_runtime.State().m_revision },
                                { "cause", "the rules in force are at another revision" },
                                { "remedy", "compare with the rules in force and publish on their "
--- a/src/process/Fold.cpp
+++ b/src/process/Fold.cpp
@@ -53,6 +53,10 @@
   if (const auto* known = FindPublish(aState, aRecord.m_id)) {
     return { known->m_refusal };
   }
+  if (aPublish.m_baseRevision > aState.m_revision) {
+    // Not remembered: this base may still come, and then the same file is to be judged anew.
+    return Refuse(Refusal::StaleBase);
+  }
   PublishResult result{ aRecord.m_id, aState.m_revision, std::nullopt, aPublish.m_author,
                         aState.m_timeMs };
   Reasons reasons;
--- a/tests/unit/CliRepliesTest.cpp
+++ b/tests/unit/CliRepliesTest.cpp
@@ -1,5 +1,7 @@
 #include "cli/Replies.h"
+
 #include "cli/Report.h"
+#include "pistachiostand/base/Base64.h"
 
 #include <gtest/gtest.h>
 
