--- a/include/pistachiostand/process/FleetState.h
+++ b/include/pistachiostand/process/FleetState.h
@@ -65,8 +65,9 @@
   std::uint16_t m_status{};
   std::string m_body;
   bool m_bodyKept{};
-  Millis m_submittedMs{}; ///< Fold time.
-  Millis m_finishedMs{};  ///< Fold time; meaningful in a final phase.
+  Millis m_submittedMs{};                 ///< Fold time.
+  Millis m_finishedMs{};                  ///< Fold time; meaningful in a final phase.
+  std::vector<std::uint64_t> m_submitIds; ///< Records that submitted the job, also earlier ones.
 
   friend auto operator<=>(const Job&, const Job&) = default;
 };
--- a/src/process/Fields.h
+++ b/src/process/Fields.h
@@ -114,7 +114,7 @@
   aVisit(aValue.m_tenant, aValue.m_service, aValue.m_digest, aValue.m_payload, aValue.m_phase,
          aValue.m_attempt, aValue.m_claimant, aValue.m_target, aValue.m_cancelRequested,
          aValue.m_status, aValue.m_body, aValue.m_bodyKept, aValue.m_submittedMs,
-         aValue.m_finishedMs);
+         aValue.m_finishedMs, aValue.m_submitIds);
 }
 
 template<typename Visit>
--- a/src/process/FleetState.cpp
+++ b/src/process/FleetState.cpp
@@ -112,9 +112,19 @@
          GuaranteedAfterLeaving(aState, pool, aInstance) >= rule->second.m_minAvailable;
 }
 
+// Any text may be a tenant's name, so its slashes are escaped: tenant "a" with key "b/c" and tenant
+// "a/b" with key "c" must not share a job.
 JobKey ScopedKey(const TenantName& aTenant, std::string_view aKey)
 {
-  return aTenant + '/' + std::string{ aKey };
+  JobKey key;
+  for (const char letter : aTenant) {
+    if (letter == '/' || letter == '%') {
+      key += letter == '/' ? "%2F" : "%25";
+    } else {
+      key += letter;
+    }
+  }
+  return key + '/' + std::string{ aKey };
 }
 
 } // namespace pistachiostand
--- a/src/process/Fold.cpp
+++ b/src/process/Fold.cpp
@@ -77,11 +77,15 @@
 }
 
 /// \brief A retired instance with an unchanged boot id goes on where it was.
+///
+/// A leaving instance keeps its epoch, which names the reboot order. With a new epoch the order
+/// would be given twice, and the first one could arrive after the instance serves again.
 void ResumeRetired(FleetState& aState, const InstanceId& aId, const Instance& aKnown)
 {
   Instance resumed = aKnown;
-  const bool leaving = resumed.m_phase == InstancePhase::Leaving;
-  ChangePhase(aState, resumed, leaving ? InstancePhase::Leaving : InstancePhase::Serving);
+  if (resumed.m_phase != InstancePhase::Leaving) {
+    ChangePhase(aState, resumed, InstancePhase::Serving);
+  }
   aState.m_instances.emplace(aId, std::move(resumed));
 }
 
@@ -250,6 +254,11 @@
 {
   const auto known = aState.m_jobs.find(aSubmit.m_key);
   if (known != aState.m_jobs.end()) {
+    // A late copy of an append must not revive a job that was reported as not run.
+    if (std::ranges::find(known->second.m_submitIds, aRecord.m_id) !=
+        known->second.m_submitIds.end()) {
+      return Refuse(Refusal::DuplicateKey);
+    }
     if (known->second.m_digest != aSubmit.m_digest ||
         known->second.m_service != aSubmit.m_service) {
       return Refuse(Refusal::KeyConflict);
@@ -265,6 +274,8 @@
     return Refuse(Refusal::ServerUnavailable);
   }
   Job& job = aState.m_jobs[aSubmit.m_key];
+  auto submitIds = std::move(job.m_submitIds);
+  submitIds.push_back(aRecord.m_id);
   const auto attempt = job.m_attempt; // Attempts count on: servers remember stops of earlier ones.
   job = Job{};
   job.m_tenant = aSubmit.m_tenant;
@@ -272,6 +283,7 @@
   job.m_digest = aSubmit.m_digest;
   job.m_payload = aSubmit.m_payload;
   job.m_attempt = attempt;
+  job.m_submitIds = std::move(submitIds);
   job.m_submittedMs = aState.m_timeMs;
   if (aSubmit.m_claim) {
     StartAttempt(job, aRecord.m_author, *aSubmit.m_claim);
@@ -385,12 +397,34 @@
   return kAccepted;
 }
 
+/// \brief Dates what was recorded before the first tick to that tick, which sets the time.
+///
+/// Time 0 is decades before any tick, so the keys of jobs that ended then would expire at once.
+void DateEarlierRecords(FleetState& aState, Millis aTimeMs)
+{
+  for (auto& [key, job] : aState.m_jobs) {
+    job.m_submittedMs = aTimeMs;
+    job.m_finishedMs = IsFinal(job.m_phase) ? aTimeMs : 0;
+  }
+  for (auto& [id, instance] : aState.m_instances) {
+    instance.m_maintainedMs = aTimeMs;
+    instance.m_phaseSinceMs = aTimeMs;
+  }
+  for (auto& [id, retired] : aState.m_retired) {
+    retired.m_retiredMs = aTimeMs;
+    retired.m_instance.m_maintainedMs = aTimeMs;
+    retired.m_instance.m_phaseSinceMs = aTimeMs;
+  }
+}
+
 Verdict ApplyBody(FleetState& aState, const Record& /*aRecord*/, const Tick& aTick)
 {
   if (aTick.m_timeMs <= aState.m_timeMs) {
     return Refuse(Refusal::TimeNotAdvanced);
   }
-  // The first tick sets the time; there is nothing yet that it could expire.
+  if (aState.m_timeMs == 0) {
+    DateEarlierRecords(aState, aTick.m_timeMs);
+  }
   aState.m_timeMs =
     aState.m_timeMs == 0 ? aTick.m_timeMs : std::min(aTick.m_timeMs, aState.m_timeMs + kMaxTickMs);
   const Millis horizon = aState.m_timeMs - kKeyRetentionMs;
