--- a/src/daemon/ServerTable.cpp
+++ b/src/daemon/ServerTable.cpp
@@ -20,7 +20,7 @@
 ServerTable::ServerTable(Runtime& aRuntime)
   : m_runtime(aRuntime)
   , m_random(Hash(aRuntime.m_process))
-  , m_pollTicker(aRuntime.m_loop, kPollIntervalMs, [this] { PollAll(); })
+  , m_pollTicker(aRuntime.m_loop, kPollIntervalMs, [this] { PollAll(false); })
 {
 }
 
@@ -64,7 +64,7 @@
     pool.m_info.push_back(std::move(info));
   }
   m_pools = std::move(pools);
-  RefreshLeaving();
+  PollAll(true);
 }
 
 std::optional<ServerRef> ServerTable::Choose(const PoolName& aPool, bool aMayProbe)
@@ -213,11 +213,12 @@
                pool->second.m_stats, [](const auto& aServer) { return !aServer.m_leaving; }));
 }
 
-void ServerTable::PollAll()
+void ServerTable::PollAll(bool aOnlyNew)
 {
   for (auto& [name, pool] : m_pools) {
     for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      if (!std::exchange(pool.m_info[i].m_polling, true)) {
+      const bool wanted = !aOnlyNew || !pool.m_info[i].m_clockOffsetMs;
+      if (wanted && !std::exchange(pool.m_info[i].m_polling, true)) {
         Poll(pool.m_stats[i].m_instance, pool.m_info[i].m_address, pool.m_info[i].m_bootId);
       }
     }
--- a/src/daemon/ServerTable.h
+++ b/src/daemon/ServerTable.h
@@ -93,7 +93,7 @@
   [[nodiscard]] std::optional<Position> Find(const InstanceId& aInstance);
   void Release(const InstanceId& aInstance);
   void RefreshLeaving();
-  void PollAll();
+  void PollAll(bool aOnlyNew);
   void Poll(const InstanceId& aInstance, const std::string& aAddress, const BootId& aBoot);
   void OnStatus(const InstanceId& aInstance, const BootId& aBoot, Millis aSentMs,
                 const std::optional<ServerStatus>& aStatus);
