--- a/include/pistachiostand/connection/PeerMesh.h
+++ b/include/pistachiostand/connection/PeerMesh.h
@@ -29,8 +29,9 @@
 public:
   /// \brief Listens, and dials every configured peer again whenever its connection ends.
   [[nodiscard]] static std::unique_ptr<PeerMesh> Create(asio::io_context& aLoop,
-                                                        const Settings& aSettings, Hello aSelf,
-                                                        PeerHandler aHandler, Reason& aReason);
+                                                        const Settings& aSettings,
+                                                        const Hello& aSelf, PeerHandler aHandler,
+                                                        Reason& aReason);
 
   PeerMesh(const PeerMesh&) = delete;
   PeerMesh& operator=(const PeerMesh&) = delete;
--- a/include/pistachiostand/process/Fold.h
+++ b/include/pistachiostand/process/Fold.h
@@ -11,7 +11,8 @@
 inline constexpr Millis kKeyRetentionMs = 24LL * 3600 * 1000;
 /// One tick moves the time no further, so that one wrong clock cannot expire every key at once.
 inline constexpr Millis kMaxTickMs = 60'000;
-inline constexpr std::size_t kRememberedPublishes = 64;
+/// At 3,000 changes a day a repeat after a lost response is recognized for 8 h.
+inline constexpr std::size_t kRememberedPublishes = 1'024;
 /// A job that has ended this many instances or attempts is not tried again.
 inline constexpr std::uint32_t kMaxAttempts = 5;
 
--- a/src/connection/BackendClient.cpp
+++ b/src/connection/BackendClient.cpp
@@ -210,7 +210,7 @@
                             std::function<void(std::optional<TaskOutcome>)> aDone)
 {
   m_http.Send(ControlRequest("GET", TaskUrl(aAddress, aKey), kControlTimeoutMs),
-              [aAttempt, done = std::move(aDone)](ClientResponse aResponse) {
+              [aAttempt, done = std::move(aDone)](const ClientResponse& aResponse) {
                 if (!aResponse.m_failure && aResponse.m_status == 404) {
                   done(TaskOutcome{ TaskState::NeverStarted, 0, {} });
                   return;
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -152,7 +152,9 @@
   static void SetHeaders(Transfer& aTransfer)
   {
     for (const auto& [name, value] : aTransfer.m_request.m_headers) {
-      const std::string line = value.empty() ? name + ';' : name + ": " + value;
+      std::string line = name;
+      line += value.empty() ? ";" : ": ";
+      line += value;
       aTransfer.m_headerList = curl_slist_append(aTransfer.m_headerList, line.c_str());
     }
     // Without this libcurl waits up to 1 s for a "100 Continue" before it sends a larger body.
--- a/src/connection/PeerMesh.cpp
+++ b/src/connection/PeerMesh.cpp
@@ -212,7 +212,8 @@
 class TcpPeerMesh final : public PeerMesh
 {
 public:
-  TcpPeerMesh(asio::io_context& aLoop, const Settings& aSettings, Hello aSelf, PeerHandler aHandler)
+  TcpPeerMesh(asio::io_context& aLoop, const Settings& aSettings, const Hello& aSelf,
+              PeerHandler aHandler)
     : m_acceptor(aLoop, ToTcp(aSettings.m_peerListen))
     , m_handler(std::move(aHandler))
   {
@@ -272,10 +273,11 @@
 } // namespace
 
 std::unique_ptr<PeerMesh> PeerMesh::Create(asio::io_context& aLoop, const Settings& aSettings,
-                                           Hello aSelf, PeerHandler aHandler, Reason& aReason)
+                                           const Hello& aSelf, PeerHandler aHandler,
+                                           Reason& aReason)
 {
   try {
-    return std::make_unique<TcpPeerMesh>(aLoop, aSettings, std::move(aSelf), std::move(aHandler));
+    return std::make_unique<TcpPeerMesh>(aLoop, aSettings, aSelf, std::move(aHandler));
   } catch (const std::exception& error) {
     aReason = { ReasonKind::Unreachable,
                 "cannot listen on " + ToString(aSettings.m_peerListen) + ": " + error.what(),
--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -122,6 +122,8 @@
   Json records = Json::array();
   std::ranges::transform(aRecords, std::back_inserter(records), EncodeBase64);
   auto request = MakeRequest("POST", "/log/append", 0);
+  // A hidden repeat would append records that the proposal queue believes to be appended once.
+  request.m_neverRepeat = true;
   request.m_headers.emplace("content-type", "application/json");
   request.m_body = Json{ { "records", std::move(records) } }.dump();
   m_http.Send(std::move(request), [done = std::move(aDone)](const ClientResponse& aResponse) {
--- a/src/daemon/JobCallers.cpp
+++ b/src/daemon/JobCallers.cpp
@@ -85,10 +85,10 @@
   // An empty body still has to be told from a job whose caller waits.
   const std::string payload = aRequest.m_body.empty() ? " " : aRequest.m_body;
   const Millis resolveBy = MonotonicMs() + kSubmitWaitMs;
+  pistachiostand::Submit body{ aRequest.m_key, aRequest.m_tenant, aRequest.m_service,
+                               digest,         payload,           std::nullopt };
   m_runtime.m_proposals.Propose(
-    pistachiostand::Submit{ aRequest.m_key, aRequest.m_tenant, aRequest.m_service, digest, payload,
-                            std::nullopt },
-    { false, resolveBy },
+    std::move(body), { false, resolveBy },
     [this, request = std::move(aRequest)](ProposalResult aResult, const Verdict& aVerdict) {
       const auto job = m_runtime.State().m_jobs.find(request.m_key);
       const bool known = aVerdict.Accepted() || aVerdict.m_refusal == Refusal::DuplicateKey;
@@ -136,8 +136,9 @@
     m_dispatcher.Cancel(active->second->m_queued.m_id);
     End(AttemptPtr{ active->second });
   }
+  pistachiostand::Cancel body{ aRequest.m_key };
   m_runtime.m_proposals.Propose(
-    pistachiostand::Cancel{ aRequest.m_key }, { false, MonotonicMs() + kSubmitWaitMs },
+    std::move(body), { false, MonotonicMs() + kSubmitWaitMs },
     [this, request = std::move(aRequest)](ProposalResult aResult, const Verdict&) {
       if (aResult == ProposalResult::NotAppended) {
         request.m_respond(
@@ -249,10 +250,12 @@
 {
   std::vector<CallerRequest> expired;
   for (auto& [key, waiters] : m_waiters) {
-    const auto late = std::ranges::partition(
-      waiters, [aNowMs](const CallerRequest& aRequest) { return aNowMs < aRequest.DeadlineMs(); });
-    std::ranges::move(late, std::back_inserter(expired));
-    waiters.erase(late.begin(), late.end());
+    const auto late =
+      std::partition(waiters.begin(), waiters.end(), [aNowMs](const CallerRequest& aRequest) {
+        return aNowMs < aRequest.DeadlineMs();
+      });
+    std::move(late, waiters.end(), std::back_inserter(expired));
+    waiters.erase(late, waiters.end());
   }
   std::erase_if(m_waiters, [](const auto& aEntry) { return aEntry.second.empty(); });
   std::ranges::for_each(expired, [this](const auto& aRequest) { RespondUnknown(aRequest); });
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -189,6 +189,9 @@
     return;
   }
   spdlog::info("http: Publish by {} on revision {}.", author, *base);
+  // Provenance takes the fold's time, so the time is brought up to date first.
+  m_runtime.m_proposals.Propose(Tick{ WallMs() }, { false, MonotonicMs() + kPublishWaitMs },
+                                [](ProposalResult, const Verdict&) {});
   m_runtime.m_proposals.Propose(
     std::move(publish), { false, MonotonicMs() + kPublishWaitMs },
     [this, id, aRespond, answered = false](ProposalResult aResult, const Verdict&) mutable {
--- a/src/process/SnapshotCodec.cpp
+++ b/src/process/SnapshotCodec.cpp
@@ -17,6 +17,14 @@
   return Hash(aBytes);
 }
 
+/// More parts than this hold no state that fits in memory; a corrupt record may name any number.
+constexpr std::uint32_t kMaxSnapshotParts = 4'096;
+
+bool IsPlausible(const Snapshot& aSnapshot)
+{
+  return aSnapshot.m_parts != 0 && aSnapshot.m_parts <= kMaxSnapshotParts;
+}
+
 /// \brief Joins the parts of one snapshot; empty when a part is missing or the digest differs.
 std::string JoinParts(std::span<const LogEntry> aEntries, const Snapshot& aLast)
 {
@@ -79,7 +87,7 @@
 {
   for (auto entry = aEntries.rbegin(); entry != aEntries.rend(); ++entry) {
     const auto* last = std::get_if<Snapshot>(&entry->m_record.m_body);
-    if (last == nullptr || last->m_parts == 0 || last->m_covered < aEntries.front().m_offset) {
+    if (last == nullptr || !IsPlausible(*last) || last->m_covered < aEntries.front().m_offset) {
       continue;
     }
     Reason reason;
