Name every dispatch uniquely, and pass headers by one policy

Cause: the id sent to a backend server was the caller's own. The headers passed on were a list made for the tests.

Change: each dispatch carries the caller's id with a suffix that is unique over all processes. End-to-end headers pass in both directions; those of a connection and our own do not.

Ruled out: refusing equal caller ids, which callers may reuse freely.

--- a/include/pistachiostand/request/Outcome.h
+++ b/include/pistachiostand/request/Outcome.h
@@ -42,10 +42,12 @@
 /// \brief The notice as a JSON response with `X-Outcome`, `Retry-After` and `Location`.
 [[nodiscard]] HttpResponse ToResponse(const OutcomeNotice& aNotice);
 
+/// \brief Header fields of a job's response, of which the log keeps only status and body.
+inline const HttpHeaders kJsonBody{ { "content-type", "application/json" } };
+
 /// \brief A backend server's response as the caller gets it.
 [[nodiscard]] HttpResponse CompletedResponse(std::uint16_t aStatus, std::string aBody,
-                                             std::string_view aContentType,
-                                             const std::string& aRequestId);
+                                             HttpHeaders aHeaders, const std::string& aRequestId);
 
 /// \brief True for a name of 1 to 128 characters out of letters, digits and `._:-`.
 [[nodiscard]] bool IsToken(std::string_view aText) noexcept;
--- a/src/connection/Outcome.cpp
+++ b/src/connection/Outcome.cpp
@@ -49,16 +49,12 @@
   return response;
 }
 
-HttpResponse CompletedResponse(std::uint16_t aStatus, std::string aBody,
-                               std::string_view aContentType, const std::string& aRequestId)
+HttpResponse CompletedResponse(std::uint16_t aStatus, std::string aBody, HttpHeaders aHeaders,
+                               const std::string& aRequestId)
 {
-  HttpResponse response;
-  response.m_status = aStatus;
-  SetHeader(response.m_headers, "content-type",
-            aContentType.empty() ? "application/octet-stream" : aContentType);
+  HttpResponse response{ aStatus, std::move(aHeaders), std::move(aBody) };
   SetHeader(response.m_headers, "x-outcome", ToString(OutcomeKind::Completed));
   SetHeader(response.m_headers, "x-request-id", aRequestId);
-  response.m_body = std::move(aBody);
   return response;
 }
 
--- a/src/daemon/CallerApi.cpp
+++ b/src/daemon/CallerApi.cpp
@@ -1,6 +1,7 @@
 #include "CallerApi.h"
 
 #include "pistachiostand/base/Clock.h"
+#include "pistachiostand/connection/HeaderPolicy.h"
 #include "pistachiostand/request/Outcome.h"
 
 #include <spdlog/spdlog.h>
@@ -13,10 +14,6 @@
 
 namespace {
 
-/// Headers of the caller that a service sees; all others are between caller and entry instance.
-constexpr std::string_view kPassedPrefix = "x-test-";
-constexpr std::string_view kContentType = "content-type";
-
 void Refuse(const CallerRequest& aCall, std::uint16_t aStatus, std::string aError,
             std::string aCause, std::string aRemedy)
 {
@@ -30,15 +27,6 @@
                                {} }));
 }
 
-HttpHeaders PassedHeaders(const HttpHeaders& aHeaders)
-{
-  HttpHeaders passed;
-  std::ranges::copy_if(aHeaders, std::inserter(passed, passed.end()), [](const auto& aField) {
-    return aField.first == kContentType || aField.first.starts_with(kPassedPrefix);
-  });
-  return passed;
-}
-
 } // namespace
 
 std::vector<std::string> SplitPath(std::string_view aPath)
@@ -98,7 +86,7 @@
     call.m_requestId = m_runtime.m_process + '-' + std::to_string(++m_lastRequest);
   }
   call.m_key = FindHeader(aRequest.m_headers, "idempotency-key");
-  call.m_passedHeaders = PassedHeaders(aRequest.m_headers);
+  call.m_passedHeaders = PassedToService(aRequest.m_headers);
   call.m_body = std::move(aRequest.m_body);
   call.m_respond = Observe(aRespond, call.m_tenant);
   return call;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -66,9 +66,9 @@
   , m_proposals(m_process)
   , m_membership(m_process, aSettings.m_zone, aSettings.m_limits.m_peerTimeoutMs)
   , m_histograms{ aSettings.m_limits.m_maxTenants, {}, {} }
-  , m_runtime{ aLoop,        m_settings,   m_process, m_replica,    m_proposals,
-               m_membership, m_platform,   m_backend, m_histograms, m_estimate,
-               m_counters,   std::nullopt, false }
+  , m_runtime{ aLoop,      m_settings, m_process,    m_replica,  m_proposals, m_membership,
+               m_platform, m_backend,  m_histograms, m_estimate, m_counters,  std::nullopt,
+               false,      0 }
   , m_servers(m_runtime)
   , m_dispatcher(m_runtime, m_servers)
   , m_jobs(m_runtime, m_dispatcher)
--- a/src/daemon/JobCallers.cpp
+++ b/src/daemon/JobCallers.cpp
@@ -219,15 +219,15 @@
 {
   if (aJob.m_bodyKept) {
     aRequest.m_respond(
-      CompletedResponse(aJob.m_status, aJob.m_body, "application/json", aRequest.m_requestId));
+      CompletedResponse(aJob.m_status, aJob.m_body, kJsonBody, aRequest.m_requestId));
     return;
   }
   m_runtime.m_backend.GetTask(
     AddressOf(aJob.m_target.m_server), aRequest.m_key, aJob.m_attempt,
     [request = aRequest](const auto& aTask) {
       if (aTask && aTask->m_state == TaskState::Completed) {
-        request.m_respond(CompletedResponse(aTask->m_status, aTask->m_body, "application/json",
-                                            request.m_requestId));
+        request.m_respond(
+          CompletedResponse(aTask->m_status, aTask->m_body, kJsonBody, request.m_requestId));
         return;
       }
       request.m_respond(ToResponse({ OutcomeKind::Completed, 410, "body-not-kept",
--- a/src/daemon/JobRunner.cpp
+++ b/src/daemon/JobRunner.cpp
@@ -175,7 +175,7 @@
     GiveBackAttempt(aAttempt, false, "the claim was read back too late");
     return;
   }
-  RunRequest run = ToRun(aAttempt->m_request, *aAttempt->m_server);
+  RunRequest run = ToRun(m_runtime, aAttempt->m_request, *aAttempt->m_server);
   const Millis startBefore = aAttempt->m_claimedMs + window;
   run.m_job = JobDispatch{ aAttempt->m_request.m_key, aAttempt->m_attempt,
                            fenced ? startBefore + *offset : -1 };
@@ -240,7 +240,7 @@
   if (aKind == FinishKind::Completed) {
     // The response is whole and belongs to this request, so the caller need not wait for the log.
     aAttempt->m_request.m_respond(
-      CompletedResponse(aStatus, aBody, "application/json", aAttempt->m_request.m_requestId));
+      CompletedResponse(aStatus, aBody, kJsonBody, aAttempt->m_request.m_requestId));
     return;
   }
   aAttempt->m_request.m_respond(
--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -1,6 +1,7 @@
 #include "PlainCall.h"
 
 #include "pistachiostand/base/Clock.h"
+#include "pistachiostand/connection/HeaderPolicy.h"
 #include "pistachiostand/request/Outcome.h"
 
 #include <spdlog/spdlog.h>
@@ -62,7 +63,7 @@
   void Send(const ServerRef& aServer)
   {
     const Millis now = MonotonicMs();
-    RunRequest run = ToRun(m_request, aServer);
+    RunRequest run = ToRun(m_runtime, m_request, aServer);
     run.m_timeoutMs = std::max<Millis>(1, m_request.DeadlineMs() - now);
     m_runtime.m_backend.Run(run, [self = shared_from_this(), aServer, now](RunOutcome aOutcome) {
       self->OnOutcome(aServer, std::move(aOutcome), MonotonicMs() - now);
@@ -81,7 +82,7 @@
       Learn(m_runtime.m_estimate, m_request.m_service, m_request.m_tenant, aTookMs);
       ++m_runtime.m_counters.m_completed;
       m_request.m_respond(CompletedResponse(aOutcome.m_status, std::move(aOutcome.m_body),
-                                            FindHeader(aOutcome.m_headers, "content-type"),
+                                            PassedToCaller(aOutcome.m_headers),
                                             m_request.m_requestId));
       return;
     }
@@ -188,10 +189,11 @@
            rule.m_idempotent };
 }
 
-RunRequest ToRun(const CallerRequest& aRequest, const ServerRef& aServer)
+RunRequest ToRun(Runtime& aRuntime, const CallerRequest& aRequest, const ServerRef& aServer)
 {
   RunRequest run;
-  run.m_requestId = aRequest.m_requestId;
+  // Callers may choose equal ids, which would hide that two responses were swapped.
+  run.m_requestId = aRequest.m_requestId + '~' + aRuntime.NextRunId();
   run.m_tenant = aRequest.m_tenant;
   run.m_service = aRequest.m_service;
   run.m_pool = aServer.m_pool;
--- a/src/daemon/PlainCall.h
+++ b/src/daemon/PlainCall.h
@@ -47,7 +47,8 @@
 [[nodiscard]] QueuedRequest ToQueued(const Runtime& aRuntime, const CallerRequest& aRequest,
                                      std::uint64_t aId);
 
-/// \brief The part of a run request that does not depend on the attempt.
-[[nodiscard]] RunRequest ToRun(const CallerRequest& aRequest, const ServerRef& aServer);
+/// \brief A run request with an id that no other attempt of any process has.
+[[nodiscard]] RunRequest ToRun(Runtime& aRuntime, const CallerRequest& aRequest,
+                               const ServerRef& aServer);
 
 } // namespace pistachiostand
--- a/src/daemon/Runtime.h
+++ b/src/daemon/Runtime.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 
 /// \file
 /// \brief What the parts of the daemon share. It lives as long as the process.
@@ -49,6 +50,10 @@
   Counters& m_counters;
   std::optional<Millis> m_confirmedMs; ///< When this process last read the log's end.
   bool m_draining{};
+  std::uint64_t m_lastRun{};
+
+  /// \brief Names one dispatch; unique over all processes.
+  [[nodiscard]] std::string NextRunId() { return m_process + '-' + std::to_string(++m_lastRun); }
 
   [[nodiscard]] const FleetState& State() const noexcept { return m_replica.State(); }
   [[nodiscard]] const Rules& CurrentRules() const noexcept { return *State().m_rules; }
--- /dev/null
+++ b/tests/unit/HeaderPolicyTest.cpp
@@ -0,0 +1,31 @@
+#include "pistachiostand/connection/HeaderPolicy.h"
+
+#include <gtest/gtest.h>
+
+namespace pistachiostand {
+namespace {
+
+// Guards against a caller that names its own attempt, pool or start time to a backend server (I5).
+TEST(HeaderPolicyTest, Caller_NamingAnAttempt_IsNotPassedOn)
+{
+  const HttpHeaders passed = PassedToService({ { "accept", "text/html" },
+                                               { "x-job-key", "other/key" },
+                                               { "x-attempt", "7" },
+                                               { "x-start-before-ms", "99999999" },
+                                               { "x-boot-id", "b" },
+                                               { "x-pool", "p" } });
+  EXPECT_EQ(passed, (HttpHeaders{ { "accept", "text/html" } }));
+}
+
+// Guards against the length or framing of one connection being applied to the next.
+TEST(HeaderPolicyTest, Response_WithConnectionFields_KeepsOnlyItsOwn)
+{
+  const HttpHeaders passed = PassedToCaller({ { "content-length", "7" },
+                                              { "transfer-encoding", "chunked" },
+                                              { "content-type", "text/plain" },
+                                              { "etag", "\"1\"" } });
+  EXPECT_EQ(passed, (HttpHeaders{ { "content-type", "text/plain" }, { "etag", "\"1\"" } }));
+}
+
+} // namespace
+} // namespace pistachiostand
