--- a/src/daemon/LogTail.cpp
+++ b/src/daemon/LogTail.cpp
@@ -53,12 +53,7 @@
     if (!std::exchange(m_loggedAway, true)) {
       spdlog::warn("log: The platform's log cannot be read. Reading is repeated.");
     }
-    m_retry.expires_after(kReadRetryDelay);
-    m_retry.async_wait([this](const std::error_code& aError) {
-      if (!aError) {
-        ReadNext();
-      }
-    });
+    ReadLater();
     return;
   }
   if (std::exchange(m_loggedAway, false)) {
@@ -67,10 +62,25 @@
   m_platformReachable = true;
   m_lastReadMs = MonotonicMs();
   m_runtime.m_replica.Feed(aResult->m_first, aResult->m_records);
-  if (m_runtime.m_replica.NextOffset() >= aResult->m_next) {
+  const bool atEnd = m_runtime.m_replica.NextOffset() >= aResult->m_next;
+  if (atEnd) {
     ReachEnd();
   }
-  ReadNext();
+  if (atEnd && !m_ready) {
+    ReadLater(); // Reads do not wait before the process is ready.
+  } else {
+    ReadNext();
+  }
+}
+
+void LogTail::ReadLater()
+{
+  m_retry.expires_after(kReadRetryDelay);
+  m_retry.async_wait([this](const std::error_code& aError) {
+    if (!aError) {
+      ReadNext();
+    }
+  });
 }
 
 void LogTail::ReachEnd()
--- a/src/daemon/LogTail.h
+++ b/src/daemon/LogTail.h
@@ -26,6 +26,7 @@
 
 private:
   void ReadNext();
+  void ReadLater();
   void OnRead(const std::optional<ReadResult>& aResult);
   void ReachEnd();
   void AppendBatch();
