--- a/src/process/Fold.cpp
+++ b/src/process/Fold.cpp
@@ -1,5 +1,7 @@
 #include "pistachiostand/process/Fold.h"
 
+#include "FoldJobs.h"
+
 #include "pistachiostand/base/Hash.h"
 #include "pistachiostand/version/RuleParser.h"
 
@@ -10,13 +12,6 @@
 
 namespace {
 
-constexpr Verdict kAccepted{};
-
-Verdict Refuse(Refusal aRefusal)
-{
-  return { aRefusal };
-}
-
 /// \brief Sets the phase and invalidates every proposal made from the previous one.
 void ChangePhase(FleetState& aState, Instance& aInstance, InstancePhase aPhase)
 {
@@ -228,196 +223,6 @@
   return kAccepted;
 }
 
-/// \brief True when the service's pool holds the server, serving, with the boot id of the claim.
-bool IsClaimable(const FleetState& aState, const ServiceName& aService, const ClaimTarget& aTarget)
-{
-  const auto service = aState.m_rules->m_services.find(aService);
-  const auto instance = aState.m_instances.find(aTarget.m_server);
-  return service != aState.m_rules->m_services.end() && instance != aState.m_instances.end() &&
-         instance->second.m_phase == InstancePhase::Serving &&
-         instance->second.m_pool == service->second.m_pool &&
-         instance->second.m_bootId == aTarget.m_bootId;
-}
-
-void StartAttempt(Job& aJob, const EntryId& aClaimant, const ClaimTarget& aTarget)
-{
-  aJob.m_phase = JobPhase::Claimed;
-  ++aJob.m_attempt;
-  aJob.m_claimant = aClaimant;
-  aJob.m_target = aTarget;
-}
-
-void End(FleetState& aState, Job& aJob, JobPhase aPhase)
-{
-  aJob.m_phase = aPhase;
-  aJob.m_finishedMs = aState.m_timeMs;
-  aJob.m_payload.clear();
-}
-
-Verdict ApplyBody(FleetState& aState, const Record& aRecord, const Submit& aSubmit)
-{
-  const auto known = aState.m_jobs.find(aSubmit.m_key);
-  if (known != aState.m_jobs.end()) {
-    // A late copy of an append must not revive a job that was reported as not run.
-    if (std::ranges::find(known->second.m_submitIds, aRecord.m_id) !=
-        known->second.m_submitIds.end()) {
-      return Refuse(Refusal::DuplicateKey);
-    }
-    if (known->second.m_digest != aSubmit.m_digest ||
-        known->second.m_service != aSubmit.m_service) {
-      return Refuse(Refusal::KeyConflict);
-    }
-    if (known->second.m_phase != JobPhase::NotRun) {
-      return Refuse(Refusal::DuplicateKey);
-    }
-  }
-  if (!aState.m_rules->m_services.contains(aSubmit.m_service)) {
-    return Refuse(Refusal::UnknownPool);
-  }
-  if (aSubmit.m_claim && !IsClaimable(aState, aSubmit.m_service, *aSubmit.m_claim)) {
-    return Refuse(Refusal::ServerUnavailable);
-  }
-  Job& job = aState.m_jobs[aSubmit.m_key];
-  auto submitIds = std::move(job.m_submitIds);
-  submitIds.push_back(aRecord.m_id);
-  const auto attempt = job.m_attempt; // Attempts count on: servers remember stops of earlier ones.
-  job = Job{};
-  job.m_tenant = aSubmit.m_tenant;
-  job.m_service = aSubmit.m_service;
-  job.m_digest = aSubmit.m_digest;
-  job.m_payload = aSubmit.m_payload;
-  job.m_attempt = attempt;
-  job.m_submitIds = std::move(submitIds);
-  job.m_submittedMs = aState.m_timeMs;
-  if (aSubmit.m_claim) {
-    StartAttempt(job, aRecord.m_author, *aSubmit.m_claim);
-  }
-  return kAccepted;
-}
-
-Verdict ApplyBody(FleetState& aState, const Record& aRecord, const Claim& aClaim)
-{
-  const auto found = aState.m_jobs.find(aClaim.m_key);
-  if (found == aState.m_jobs.end()) {
-    return Refuse(Refusal::UnknownJob);
-  }
-  Job& job = found->second;
-  if (job.m_phase != JobPhase::Queued) {
-    return Refuse(Refusal::WrongPhase);
-  }
-  if (aClaim.m_attempt != job.m_attempt + 1) {
-    return Refuse(Refusal::StaleAttempt);
-  }
-  if (!IsClaimable(aState, job.m_service, aClaim.m_target)) {
-    return Refuse(Refusal::ServerUnavailable);
-  }
-  StartAttempt(job, aRecord.m_author, aClaim.m_target);
-  return kAccepted;
-}
-
-/// \brief The job if it is claimed with this attempt; otherwise sets the refusal.
-Job* FindClaimed(FleetState& aState, const JobKey& aKey, std::uint32_t aAttempt, Verdict& aVerdict)
-{
-  const auto found = aState.m_jobs.find(aKey);
-  if (found == aState.m_jobs.end()) {
-    aVerdict = Refuse(Refusal::UnknownJob);
-    return nullptr;
-  }
-  if (found->second.m_attempt != aAttempt) {
-    aVerdict = Refuse(Refusal::StaleAttempt);
-    return nullptr;
-  }
-  if (found->second.m_phase != JobPhase::Claimed) {
-    aVerdict = Refuse(Refusal::WrongPhase);
-    return nullptr;
-  }
-  return &found->second;
-}
-
-bool IsIdempotent(const FleetState& aState, const ServiceName& aService)
-{
-  const auto service = aState.m_rules->m_services.find(aService);
-  return service != aState.m_rules->m_services.end() && service->second.m_idempotent;
-}
-
-/// \brief True when the service's servers remember stops, so that a fence can be relied on.
-bool HasTaskControl(const FleetState& aState, const ServiceName& aService)
-{
-  const auto service = aState.m_rules->m_services.find(aService);
-  if (service == aState.m_rules->m_services.end()) {
-    return false;
-  }
-  const auto pool = aState.m_rules->m_pools.find(service->second.m_pool);
-  return pool != aState.m_rules->m_pools.end() && pool->second.m_taskControl == TaskControl::Full;
-}
-
-/// \brief True unless the claimant or a fence vouches that the attempt never started.
-bool MayHaveRun(const FleetState& aState, const Job& aJob, const EntryId& aAuthor,
-                const GiveBack& aGiveBack)
-{
-  const bool fenced = aGiveBack.m_fenced && HasTaskControl(aState, aJob.m_service);
-  return aGiveBack.m_mayHaveRun || (aAuthor != aJob.m_claimant && !fenced);
-}
-
-/// \brief Ends a job without an outcome; it is `NotRun` only if no attempt can have started.
-void EndWithoutOutcome(FleetState& aState, Job& aJob)
-{
-  End(aState, aJob, aJob.m_mayHaveRun ? JobPhase::Stopped : JobPhase::NotRun);
-}
-
-Verdict ApplyBody(FleetState& aState, const Record& aRecord, const GiveBack& aGiveBack)
-{
-  Verdict verdict;
-  Job* job = FindClaimed(aState, aGiveBack.m_key, aGiveBack.m_attempt, verdict);
-  if (job == nullptr) {
-    return verdict;
-  }
-  const bool mayHaveRun = MayHaveRun(aState, *job, aRecord.m_author, aGiveBack);
-  if (mayHaveRun && !IsIdempotent(aState, job->m_service)) {
-    return Refuse(Refusal::NotClaimant);
-  }
-  job->m_mayHaveRun = job->m_mayHaveRun || mayHaveRun;
-  const bool again = !job->m_payload.empty() && !job->m_cancelRequested;
-  if (again && (job->m_attempt < kMaxAttempts || !job->m_mayHaveRun)) {
-    job->m_phase = JobPhase::Queued;
-  } else {
-    EndWithoutOutcome(aState, *job);
-  }
-  return kAccepted;
-}
-
-Verdict ApplyBody(FleetState& aState, const Record& /*aRecord*/, const Finish& aFinish)
-{
-  Verdict verdict;
-  Job* job = FindClaimed(aState, aFinish.m_key, aFinish.m_attempt, verdict);
-  if (job == nullptr) {
-    return verdict;
-  }
-  job->m_status = aFinish.m_status;
-  job->m_bodyKept = aFinish.m_bodyKept && aFinish.m_body.size() <= kMaxKeptBodyBytes;
-  job->m_body = job->m_bodyKept ? aFinish.m_body : std::string{};
-  End(aState, *job,
-      aFinish.m_kind == FinishKind::Completed ? JobPhase::Completed : JobPhase::Stopped);
-  return kAccepted;
-}
-
-Verdict ApplyBody(FleetState& aState, const Record& /*aRecord*/, const Cancel& aCancel)
-{
-  const auto found = aState.m_jobs.find(aCancel.m_key);
-  if (found == aState.m_jobs.end()) {
-    return Refuse(Refusal::UnknownJob);
-  }
-  Job& job = found->second;
-  if (IsFinal(job.m_phase)) {
-    return Refuse(Refusal::WrongPhase);
-  }
-  job.m_cancelRequested = true;
-  if (job.m_phase == JobPhase::Queued) {
-    EndWithoutOutcome(aState, job);
-  }
-  return kAccepted;
-}
-
 /// \brief Dates what was recorded before the first tick to that tick, which sets the time.
 ///
 /// Time 0 is decades before any tick, so the keys of jobs that ended then would expire at once.
