Return an instance only after the reboot that we ordered

Cause: the planner took any new boot id with the target's pool as the end of a drain.

The platform's list now reports the operation id that caused each boot (boot_op). Return needs the id of this instance and epoch; until then the order is repeated. OperationId is shared by planner and PlatformClient.

Ruled out: waiting without end. If a crash follows the ordered boot before the lagging list shows it, a repeat of the order does nothing, and the drain would never end. Such an instance is retired after kRetireLeavingMs and joins anew, like one that the list has dropped.

Return_AfterRestartThatNobodyOrdered_WaitsForOwnReboot failed before and passes now.

--- a/bench/FleetSimulation.h
+++ b/bench/FleetSimulation.h
@@ -90,7 +90,8 @@
                        fmt::format("r{:04}", rack),
                        "b1",
                        aPool,
-                       false };
+                       false,
+                       {} };
   const auto& listed = machine.m_listed;
   Apply(aSim, Join{ listed.m_id, listed.m_address, listed.m_zone, listed.m_rack, listed.m_bootId,
                     listed.m_pool });
@@ -117,6 +118,7 @@
   aMachine.m_downUntilMs = std::max(aMachine.m_downUntilMs, aSim.m_nowMs + aForMs);
   aMachine.m_failed = true;
   aMachine.m_listed.m_bootId = fmt::format("b{}", ++aMachine.m_boots);
+  aMachine.m_listed.m_bootOp.clear();
   aMachine.m_listed.m_leaving = false;
 }
 
@@ -161,6 +163,7 @@
   machine.m_lastReboot = aOrder.m_epoch;
   machine.m_downUntilMs = aSim.m_nowMs + static_cast<Millis>(minutes * kMinuteMs);
   machine.m_listed.m_bootId = fmt::format("b{}", ++machine.m_boots);
+  machine.m_listed.m_bootOp = OperationId(aOrder.m_instance, aOrder.m_epoch);
   machine.m_listed.m_pool = aOrder.m_pool;
   machine.m_listed.m_leaving = false;
 }
--- a/include/pistachiostand/process/FleetPlanner.h
+++ b/include/pistachiostand/process/FleetPlanner.h
@@ -37,6 +37,7 @@
   BootId m_bootId;
   PoolName m_pool; ///< Pool whose service this boot was started with.
   bool m_leaving{};
+  std::string m_bootOp{}; ///< Operation that caused this boot; empty when nobody ordered it.
 
   friend auto operator<=>(const ListedInstance&, const ListedInstance&) = default;
 };
@@ -89,7 +90,11 @@
   friend auto operator<=>(const PlannerOptions&, const PlannerOptions&) = default;
 };
 
-/// \brief Drain order for the platform; its operation id is made of instance and epoch.
+/// \brief Id under which the platform carries out an order once. Drains and reboots have separate
+/// ids: a drain and a reboot with the same id are two operations.
+[[nodiscard]] std::string OperationId(const InstanceId& aInstance, Epoch aEpoch);
+
+/// \brief Drain order for the platform, with an `OperationId`.
 struct DrainOrder
 {
   InstanceId m_instance;
@@ -98,7 +103,7 @@
   friend auto operator<=>(const DrainOrder&, const DrainOrder&) = default;
 };
 
-/// \brief Reboot order for the platform; its operation id is made of instance and epoch.
+/// \brief Reboot order for the platform, with an `OperationId`.
 struct RebootOrder
 {
   InstanceId m_instance;
--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -45,7 +45,8 @@
            aJson.value("rack", std::string{}),
            aJson.value("boot_id", std::string{}),
            aJson.value("pool", std::string{}),
-           aJson.value("state", std::string{}) == "leaving" };
+           aJson.value("state", std::string{}) == "leaving",
+           aJson.value("boot_op", std::string{}) };
 }
 
 std::optional<InstanceList> ParseList(const std::string& aBody)
@@ -91,9 +92,9 @@
   return refused ? AppendResult::NotAppended : AppendResult::Unknown;
 }
 
-std::string OperationId(const InstanceId& aInstance, Epoch aEpoch)
+std::string OperationParameter(const InstanceId& aInstance, Epoch aEpoch)
 {
-  return PercentEncode(aInstance + '-' + std::to_string(aEpoch));
+  return "?op=" + PercentEncode(OperationId(aInstance, aEpoch));
 }
 
 } // namespace
@@ -154,14 +155,15 @@
 
 void PlatformClient::OrderDrain(const DrainOrder& aOrder)
 {
-  Order("/instances/" + PercentEncode(aOrder.m_instance) +
-        "/drain?op=" + OperationId(aOrder.m_instance, aOrder.m_epoch));
+  Order("/instances/" + PercentEncode(aOrder.m_instance) + "/drain" +
+        OperationParameter(aOrder.m_instance, aOrder.m_epoch));
 }
 
 void PlatformClient::OrderReboot(const RebootOrder& aOrder)
 {
-  Order("/instances/" + PercentEncode(aOrder.m_instance) + "/reboot?op=" +
-        OperationId(aOrder.m_instance, aOrder.m_epoch) + "&pool=" + PercentEncode(aOrder.m_pool));
+  Order("/instances/" + PercentEncode(aOrder.m_instance) + "/reboot" +
+        OperationParameter(aOrder.m_instance, aOrder.m_epoch) +
+        "&pool=" + PercentEncode(aOrder.m_pool));
 }
 
 void PlatformClient::Order(const std::string& aTarget)
--- a/src/process/FleetPlanner.cpp
+++ b/src/process/FleetPlanner.cpp
@@ -67,6 +67,11 @@
   return kStaleViewMs + longest;
 }
 
+std::string OperationId(const InstanceId& aInstance, Epoch aEpoch)
+{
+  return aInstance + '-' + std::to_string(aEpoch);
+}
+
 PlannerDecision PlanFleet(const PlannerInput& aInput, PlannerMemory& aMemory,
                           const PlannerOptions& aOptions)
 {
--- a/src/process/PlanMembership.cpp
+++ b/src/process/PlanMembership.cpp
@@ -104,23 +104,34 @@
   }
 }
 
+/// \brief True when the list shows the boot that the reboot order of this epoch caused. A crash
+/// also gives a new boot id, but starts the old pool's service and leaves the order under way.
+bool IsOrderedBoot(const IndexedInstance& aInstance)
+{
+  const ListedInstance* listed = aInstance.m_listed;
+  const Instance& instance = *aInstance.m_instance;
+  return listed != nullptr && listed->m_bootId != instance.m_bootId &&
+         listed->m_bootOp == OperationId(*aInstance.m_id, instance.m_epoch) &&
+         listed->m_pool == instance.m_target;
+}
+
 void PlanLeaving(const PlannerInput& aInput, const IndexedInstance& aInstance,
                  PlannerMemory& aMemory, PlannerDecision& aDecision)
 {
   LeavingNote& note = NoteLeaving(aInput, aInstance, aMemory);
   const ListedInstance* listed = aInstance.m_listed;
   const Instance& instance = *aInstance.m_instance;
-  const bool rebooted = listed != nullptr && listed->m_bootId != instance.m_bootId;
-  const bool gone = listed == nullptr || (rebooted && listed->m_leaving);
+  const bool ordered = IsOrderedBoot(aInstance);
+  const bool returned = ordered && !listed->m_leaving;
+  // A crash may hide the ordered boot before the list shows it, and a repeat of the order then does
+  // nothing; such an instance ends its drain like one that the list has dropped.
+  const bool gone = listed == nullptr || (listed->m_bootId != instance.m_bootId && !returned);
   PlanGone(aInput, aInstance, gone, kRetireLeavingMs, aMemory, aDecision);
-  if (gone) {
-    return;
-  }
-  if (rebooted && listed->m_pool == instance.m_target) {
+  if (returned) {
     aDecision.m_records.emplace_back(Return{ *aInstance.m_id, instance.m_epoch, listed->m_bootId });
-    return;
+  } else if (listed != nullptr && !ordered) {
+    OrderSteps(aInput, aInstance, note, aDecision);
   }
-  OrderSteps(aInput, aInstance, note, aDecision);
 }
 
 void PlanJoins(const PlannerInput& aInput, PlannerDecision& aDecision)
--- a/tests/process/StandinsTest.cpp
+++ b/tests/process/StandinsTest.cpp
@@ -138,6 +138,7 @@
   const HttpRequest drain{ "POST", m_platform.m_address, "/instances/b1/drain?op=1" };
   EXPECT_EQ(SendRequest(drain).m_status, 200);
   EXPECT_EQ(FirstInstance().at("state"), "leaving");
+  EXPECT_EQ(FirstInstance().at("boot_op"), "");
   Control(m_platform, "lose-reboot?count=1");
   EXPECT_EQ(OrderReboot("b1-1").m_status, 0);
   EXPECT_EQ(OrderReboot("b1-1").m_status, 200);
@@ -146,6 +147,7 @@
   EXPECT_EQ(status.at("pool"), "quotes");
   EXPECT_EQ(status.at("boot_id"), FirstInstance().at("boot_id"));
   EXPECT_NE(status.at("boot_id"), "b1-boot-0");
+  EXPECT_EQ(FirstInstance().at("boot_op"), "b1-1");
   EXPECT_EQ(PlatformStats().at("reboots").at("b1"), 1);
   EXPECT_EQ(StartedCount("r1"), 1U);
 }
--- a/tests/standins/InstanceList.h
+++ b/tests/standins/InstanceList.h
@@ -26,7 +26,9 @@
   {
     for (const auto& instance : aInstances.is_array() ? aInstances : Json::array({ aInstances })) {
       auto& entry = m_current[instance.at("id").get<std::string>()];
-      entry = { { "zone", "" }, { "rack", "" }, { "boot_id", "" }, { "pool", "" } };
+      entry = {
+        { "zone", "" }, { "rack", "" }, { "boot_id", "" }, { "boot_op", "" }, { "pool", "" }
+      };
       entry["state"] = "live";
       entry.update(instance);
     }
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -115,11 +115,17 @@
 struct RebootOrder
 {
   std::string m_instance;
-  std::string m_operation;
+  std::string m_operation; ///< As the caller has named it.
   std::string m_pool;
   std::string m_bootId;
 };
 
+/// \brief Key that keeps a reboot apart from a drain with the same operation id.
+std::string RebootKey(const std::string& aOperation)
+{
+  return "reboot " + aOperation;
+}
+
 void FinishReboot(Platform& aPlatform, const RebootOrder& aOrder)
 {
   const auto instance = aPlatform.m_instances.Find(aOrder.m_instance);
@@ -127,22 +133,24 @@
     return;
   }
   const auto target = "/control/boot?boot_id=" + aOrder.m_bootId + "&pool=" + aOrder.m_pool;
-  PostWithoutBody(
-    aPlatform.m_context, instance->at("address").get<std::string>(), target,
-    [&aPlatform, aOrder](bool aDone) {
-      if (!aDone) {
-        // A server that is down now is booted as soon as it can be reached.
-        constexpr Millis kRetry{ 200 };
-        After(aPlatform.m_context, kRetry,
-              [&aPlatform, aOrder] { FinishReboot(aPlatform, aOrder); });
-        return;
-      }
-      aPlatform.m_reboots.m_operations[aOrder.m_operation] = { { "state", "done" },
-                                                               { "boot_id", aOrder.m_bootId } };
-      aPlatform.m_instances.Update(
-        aOrder.m_instance,
-        { { "state", "live" }, { "pool", aOrder.m_pool }, { "boot_id", aOrder.m_bootId } });
-    });
+  PostWithoutBody(aPlatform.m_context, instance->at("address").get<std::string>(), target,
+                  [&aPlatform, aOrder](bool aDone) {
+                    if (!aDone) {
+                      // A server that is down now is booted as soon as it can be reached.
+                      constexpr Millis kRetry{ 200 };
+                      After(aPlatform.m_context, kRetry,
+                            [&aPlatform, aOrder] { FinishReboot(aPlatform, aOrder); });
+                      return;
+                    }
+                    aPlatform.m_reboots.m_operations[RebootKey(aOrder.m_operation)] = {
+                      { "state", "done" }, { "boot_id", aOrder.m_bootId }
+                    };
+                    aPlatform.m_instances.Update(aOrder.m_instance,
+                                                 { { "state", "live" },
+                                                   { "pool", aOrder.m_pool },
+                                                   { "boot_id", aOrder.m_bootId },
+                                                   { "boot_op", aOrder.m_operation } });
+                  });
 }
 
 void StartReboot(Platform& aPlatform, const CallPtr& aCall, const Json& aInstance)
@@ -150,10 +158,10 @@
   const auto id = aInstance.at("id").get<std::string>();
   auto& reboots = aPlatform.m_reboots;
   ++reboots.m_started[id];
-  const RebootOrder order{ id, "reboot " + aCall->Query("op"),
+  const RebootOrder order{ id, aCall->Query("op"),
                            aCall->Query("pool", aInstance.value("pool", "")),
                            id + "-boot-" + std::to_string(++reboots.m_boots[id]) };
-  reboots.m_operations[order.m_operation] = { { "state", "rebooting" } };
+  reboots.m_operations[RebootKey(order.m_operation)] = { { "state", "rebooting" } };
   aPlatform.m_instances.Update(id, { { "state", "leaving" } });
   After(aPlatform.m_context, aPlatform.m_rebootTime,
         [&aPlatform, order] { FinishReboot(aPlatform, order); });
@@ -165,7 +173,7 @@
   if (!instance) {
     return Answer(aPlatform, aCall, ErrorReply(404, "unknown instance"));
   }
-  const auto operation = "reboot " + aCall->Query("op");
+  const auto operation = RebootKey(aCall->Query("op"));
   if (!aPlatform.m_reboots.m_operations.contains(operation)) {
     StartReboot(aPlatform, aCall, *instance);
   }
--- a/tests/unit/FleetPlannerMembershipTest.cpp
+++ b/tests/unit/FleetPlannerMembershipTest.cpp
@@ -150,17 +150,55 @@
   EXPECT_EQ(Plan(1).m_reboots, first);
 }
 
-TEST_F(FleetPlannerMembershipTest, Return_NeedsNewBootWithTargetPool)
+TEST_F(FleetPlannerMembershipTest, Return_NeedsOwnRebootWithTargetPool)
 {
   ASSERT_TRUE(Apply(Drain{ "web0", 1, "admin" }).Accepted());
   Plan();
   Listed("web0").m_bootId = "b2"; // Restarted by itself, still with the old service.
   EXPECT_TRUE(Of<Return>(Plan()).empty());
+  Listed("web0").m_bootOp = OperationId("web0", 2);
+  EXPECT_TRUE(Of<Return>(Plan()).empty());
   Listed("web0").m_pool = "admin";
   EXPECT_EQ(Of<Return>(PlanAndApply()).size(), 1U);
   EXPECT_EQ(m_state.m_instances.at("web0").m_pool, "admin");
 }
 
+// Guards against a reboot order that is still on its way when the instance serves again: a crash
+// during the drain starts the same service with a new boot id, and only our order ends the drain.
+TEST_F(FleetPlannerMembershipTest, Return_AfterRestartThatNobodyOrdered_WaitsForOwnReboot)
+{
+  DrainWeb0();
+  Listed("web0").m_leaving = true;
+  const auto first = Plan().m_reboots;
+  ASSERT_EQ(first.size(), 1U);
+  Listed("web0").m_leaving = false;
+  Listed("web0").m_bootId = "b2";
+  for (const auto* other : { "", "web0-1", "web0-3", "web1-2" }) {
+    Listed("web0").m_bootOp = other;
+    const auto decision = PlanAndApply(kRepeatOrderMs);
+    EXPECT_TRUE(Of<Return>(decision).empty()) << other;
+    EXPECT_TRUE(decision.m_drainOrders.empty()) << other;
+    EXPECT_EQ(decision.m_reboots, first) << other;
+  }
+  Listed("web0").m_bootId = "b3";
+  Listed("web0").m_bootOp = OperationId("web0", 2);
+  EXPECT_EQ(Of<Return>(PlanAndApply()).size(), 1U);
+}
+
+// Guards against a drain without end: a crash right after the ordered boot hides that boot from the
+// lagging list, and the platform carries out a repeat of the order only once.
+TEST_F(FleetPlannerMembershipTest, LeavingInstance_WithUnorderedBootForLong_IsRetiredAndJoins)
+{
+  DrainWeb0();
+  Plan();
+  Listed("web0").m_bootId = "b3";
+  EXPECT_TRUE(PlanAndApply().m_records.empty());
+  EXPECT_TRUE(PlanAndApply(kRetireLeavingMs - 1).m_records.empty());
+  EXPECT_EQ(Of<Retire>(PlanAndApply(1)).size(), 1U);
+  EXPECT_EQ(Of<Join>(PlanAndApply()).size(), 1U);
+  EXPECT_EQ(m_state.m_instances.at("web0").m_phase, InstancePhase::Serving);
+}
+
 TEST_F(FleetPlannerMembershipTest, LeavingInstance_Unlisted_IsRetiredLate)
 {
   DrainWeb0();
--- a/tests/unit/PlannerFixture.h
+++ b/tests/unit/PlannerFixture.h
@@ -66,6 +66,7 @@
     for (const auto& order : aDecision.m_reboots) {
       auto& listed = Listed(order.m_instance);
       listed.m_bootId = "b" + std::to_string(order.m_epoch + 100);
+      listed.m_bootOp = OperationId(order.m_instance, order.m_epoch);
       listed.m_pool = order.m_pool;
       listed.m_leaving = false;
     }
