Give Join an epoch, so that a late copy of it is refused

Cause: Join named no state. A copy of an instance's first Join that arrives after its failure found the phase Failed and put it back into service with its old boot id. A racing planner with an older list did the same.

Join now carries the epoch that the proposer saw in the instance or its retired entry, 0 for an unknown one; the fold refuses any other. Zone and rack are updated with the address when the boot id is new, because domain budgets count by them. The record format becomes 2: records of format 1 have no epoch and are refused.

Ruled out: refusing a Join with the known boot id. An instance that the list has lost for a while returns with the same boot.

--- a/bench/FleetSimulation.h
+++ b/bench/FleetSimulation.h
@@ -94,7 +94,7 @@
                        {} };
   const auto& listed = machine.m_listed;
   Apply(aSim, Join{ listed.m_id, listed.m_address, listed.m_zone, listed.m_rack, listed.m_bootId,
-                    listed.m_pool });
+                    listed.m_pool, 0 });
   aSim.m_byId.emplace(listed.m_id, index);
   aSim.m_machines.push_back(std::move(machine));
 }
--- a/bench/fold_benchmark.cpp
+++ b/bench/fold_benchmark.cpp
@@ -74,7 +74,8 @@
                                                "zone-" + std::to_string(aIndex % 11),
                                                "rack-" + std::to_string(aIndex / 44),
                                                "boot-1",
-                                               poolOf(aIndex) };
+                                               poolOf(aIndex),
+                                               0 };
                                 }));
   const std::size_t fleetBytes = EncodeState(state).size();
   const std::uint32_t drains = std::min(aInstances, 400U);
--- a/include/pistachiostand/process/FleetState.h
+++ b/include/pistachiostand/process/FleetState.h
@@ -162,6 +162,9 @@
   friend auto operator<=>(const PoolCounts&, const PoolCounts&) = default;
 };
 
+/// \brief Epoch of the instance or of its retired entry, or 0 for an unknown one.
+[[nodiscard]] Epoch EpochOf(const FleetState& aState, const InstanceId& aInstance);
+
 [[nodiscard]] PoolCounts CountPool(const FleetState& aState, const PoolName& aPool);
 
 /// \brief Name of an instance's failure domain; racks are unique only inside their zone.
--- a/include/pistachiostand/process/Record.h
+++ b/include/pistachiostand/process/Record.h
@@ -34,6 +34,7 @@
   RackName m_rack;
   BootId m_bootId;
   PoolName m_pool; ///< Pool whose service the instance was started with.
+  Epoch m_epoch{}; ///< `EpochOf` the instance in the proposer's state; refuses a late copy.
 
   friend auto operator<=>(const Join&, const Join&) = default;
 };
--- a/src/process/Fields.h
+++ b/src/process/Fields.h
@@ -17,7 +17,7 @@
 void Fields(Join& aValue, Visit&& aVisit)
 {
   aVisit(aValue.m_instance, aValue.m_address, aValue.m_zone, aValue.m_rack, aValue.m_bootId,
-         aValue.m_pool);
+         aValue.m_pool, aValue.m_epoch);
 }
 
 template<typename Visit>
--- a/src/process/FleetState.cpp
+++ b/src/process/FleetState.cpp
@@ -51,6 +51,16 @@
   return Fields(aLeft) == Fields(aRight);
 }
 
+Epoch EpochOf(const FleetState& aState, const InstanceId& aInstance)
+{
+  const auto found = aState.m_instances.find(aInstance);
+  if (found != aState.m_instances.end()) {
+    return found->second.m_epoch;
+  }
+  const auto retired = aState.m_retired.find(aInstance);
+  return retired == aState.m_retired.end() ? 0 : retired->second.m_instance.m_epoch;
+}
+
 PoolCounts CountPool(const FleetState& aState, const PoolName& aPool)
 {
   PoolCounts counts;
--- a/src/process/Fold.cpp
+++ b/src/process/Fold.cpp
@@ -119,6 +119,10 @@
   if (aState.m_rules->m_pools.empty()) {
     return Refuse(Refusal::UnknownPool);
   }
+  // A late copy of an old record must not put an instance that failed since back into service.
+  if (aJoin.m_epoch != EpochOf(aState, aJoin.m_instance)) {
+    return Refuse(Refusal::StaleEpoch);
+  }
   const auto found = aState.m_instances.find(aJoin.m_instance);
   if (found == aState.m_instances.end()) {
     return JoinNew(aState, aJoin);
@@ -130,6 +134,8 @@
   if (instance.m_bootId != aJoin.m_bootId) {
     instance.m_bootId = aJoin.m_bootId;
     instance.m_address = aJoin.m_address;
+    instance.m_zone = aJoin.m_zone;
+    instance.m_rack = aJoin.m_rack;
     instance.m_maintainedMs = aState.m_timeMs;
   }
   ChangePhase(aState, instance, InstancePhase::Serving);
--- a/src/process/PlanMembership.cpp
+++ b/src/process/PlanMembership.cpp
@@ -40,10 +40,15 @@
   }
 }
 
-Join MakeJoin(const ListedInstance& aListed)
+Join MakeJoin(const FleetState& aState, const ListedInstance& aListed)
 {
-  return { aListed.m_id,   aListed.m_address, aListed.m_zone,
-           aListed.m_rack, aListed.m_bootId,  aListed.m_pool };
+  return { aListed.m_id,
+           aListed.m_address,
+           aListed.m_zone,
+           aListed.m_rack,
+           aListed.m_bootId,
+           aListed.m_pool,
+           EpochOf(aState, aListed.m_id) };
 }
 
 void PlanFailed(const PlannerInput& aInput, const IndexedInstance& aInstance,
@@ -52,7 +57,7 @@
   const bool gone = aInstance.m_listed == nullptr || aInstance.m_listed->m_leaving;
   PlanGone(aInput, aInstance, gone, kRetireFailedMs, aMemory, aDecision);
   if (!gone) {
-    aDecision.m_records.emplace_back(MakeJoin(*aInstance.m_listed));
+    aDecision.m_records.emplace_back(MakeJoin(aInput.m_state, *aInstance.m_listed));
   }
 }
 
@@ -138,7 +143,7 @@
 {
   for (const auto& listed : aInput.m_listed) {
     if (!listed.m_leaving && !aInput.m_state.m_instances.contains(listed.m_id)) {
-      aDecision.m_records.emplace_back(MakeJoin(listed));
+      aDecision.m_records.emplace_back(MakeJoin(aInput.m_state, listed));
     }
   }
 }
--- a/src/process/RecordCodec.cpp
+++ b/src/process/RecordCodec.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// \brief Format of the stored record; readers refuse what they do not know.
-constexpr std::uint8_t kFormat = 1;
+constexpr std::uint8_t kFormat = 2;
 
 std::optional<Record> TryDecode(std::string_view aBytes)
 {
--- a/tests/unit/FoldPropertyTest.cpp
+++ b/tests/unit/FoldPropertyTest.cpp
@@ -62,7 +62,13 @@
     case 4:
       return Return{ id, epoch, Name("b", 3) };
     default:
-      return Join{ id, "127.0.0.1:1", "z", Name("r", 3), Name("b", 3), pool };
+      return Join{ id,
+                   "127.0.0.1:1",
+                   "z",
+                   Name("r", 3),
+                   Name("b", 3),
+                   pool,
+                   static_cast<Epoch>(*rc::gen::inRange(0, 5)) };
   }
 }
 
@@ -143,6 +149,10 @@
       RC_ASSERT(old->second.m_bootId != instance.m_bootId);
     }
   }
+  const auto* join = std::get_if<Join>(&aRecord.m_body);
+  if (join != nullptr && aAccepted) {
+    RC_ASSERT(join->m_epoch == EpochOf(aBefore, join->m_instance));
+  }
   const auto* drain = std::get_if<Drain>(&aRecord.m_body);
   if (drain != nullptr && aAccepted) {
     const auto& pool = aAfter.m_instances.at(drain->m_instance).m_pool;
--- a/tests/unit/FoldTest.cpp
+++ b/tests/unit/FoldTest.cpp
@@ -47,7 +47,7 @@
   std::optional<Refusal> JoinAs(const InstanceId& aId, const BootId& aBoot = "b1",
                                 const PoolName& aPool = "web")
   {
-    return Do(Join{ aId, "127.0.0.1:1", "z1", "r-" + aId, aBoot, aPool });
+    return Do(Join{ aId, "127.0.0.1:1", "z1", "r-" + aId, aBoot, aPool, EpochOf(m_state, aId) });
   }
 
   void Advance(Millis aMs)
--- a/tests/unit/PlannerFixture.h
+++ b/tests/unit/PlannerFixture.h
@@ -36,7 +36,7 @@
       const auto rack = "r" + std::to_string(i / aZones % 2);
       m_listed.push_back({ aPool + std::to_string(i), "10.0.0.1:80", zone, rack, "b1", aPool });
       const auto& added = m_listed.back();
-      ASSERT_TRUE(Apply(Join{ added.m_id, "10.0.0.1:80", zone, rack, "b1", aPool }).Accepted());
+      ASSERT_TRUE(Apply(Join{ added.m_id, "10.0.0.1:80", zone, rack, "b1", aPool, 0 }).Accepted());
     }
   }
 
