Give short pools one instance at a time, the shortest one first

Cause, from a trace of the zone loss in Cotton Row: a short pool was filled up to its promise before the next one got anything.

Now the pool with the largest shortage gets one instance, and the shortage is judged anew; a pool below its budget comes first, as before.

--- a/src/process/PlanMoves.cpp
+++ b/src/process/PlanMoves.cpp
@@ -79,9 +79,7 @@
 {
   Choice best;
   for (const PoolIndex giver : aGivers) {
-    // An earlier choice of this call may have taken the last one.
-    if ((giver != aIndex.m_spare && !IsSurplus(aIndex.m_pools[giver])) ||
-        !MayGive(aIndex.m_pools[giver])) {
+    if (!MayGive(aIndex.m_pools[giver])) {
       continue;
     }
     for (const auto member : aIndex.m_pools[giver].m_members) {
@@ -91,17 +89,11 @@
   return best;
 }
 
-void FillPool(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
-              PlannerDecision& aDecision)
+bool FillOne(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
+             PlannerDecision& aDecision)
 {
-  const auto givers = Givers(aIndex, aTarget, aOptions);
-  while (Have(aIndex.m_pools[aTarget]) < aIndex.m_pools[aTarget].m_want &&
-         aDecision.m_records.size() < kMaxPlannedRecords) {
-    const Choice best = ChooseFor(aIndex, aTarget, givers, aOptions);
-    if (!best.m_instance || !ProposeDrain(aIndex, *best.m_instance, aTarget, aDecision)) {
-      return;
-    }
-  }
+  const Choice best = ChooseFor(aIndex, aTarget, Givers(aIndex, aTarget, aOptions), aOptions);
+  return best.m_instance && ProposeDrain(aIndex, *best.m_instance, aTarget, aDecision);
 }
 
 std::uint32_t Budget(const IndexedPool& aPool) noexcept
@@ -109,21 +101,28 @@
   return aPool.m_rule == nullptr ? 0 : aPool.m_rule->m_minAvailable;
 }
 
-/// \brief Pools short of instances: below budget first, then by the missing share. The spare pool
-/// comes last, since all others are filled from it.
+/// \brief Order in which short pools get an instance: below budget first, then by the missing
+/// share. The spare pool comes last, since all others are filled from it.
+std::tuple<bool, bool, double, PoolIndex> ShortageRank(const FleetIndex& aIndex, PoolIndex aPool)
+{
+  const IndexedPool& pool = aIndex.m_pools[aPool];
+  const double filled = static_cast<double>(Have(pool)) / pool.m_want;
+  return { aPool == aIndex.m_spare, Have(pool) >= Budget(pool), filled, aPool };
+}
+
+bool IsShort(const IndexedPool& aPool) noexcept
+{
+  return Have(aPool) < aPool.m_want;
+}
+
 std::vector<PoolIndex> ShortPools(const FleetIndex& aIndex)
 {
   std::vector<PoolIndex> pools;
   for (PoolIndex pool = 0; pool < aIndex.m_pools.size(); ++pool) {
-    if (Have(aIndex.m_pools[pool]) < aIndex.m_pools[pool].m_want) {
+    if (IsShort(aIndex.m_pools[pool])) {
       pools.push_back(pool);
     }
   }
-  std::ranges::sort(pools, {}, [&aIndex](PoolIndex aEach) {
-    const IndexedPool& pool = aIndex.m_pools[aEach];
-    const double filled = static_cast<double>(Have(pool)) / pool.m_want;
-    return std::tuple{ aEach == aIndex.m_spare, Have(pool) >= Budget(pool), filled, aEach };
-  });
   return pools;
 }
 
@@ -158,12 +157,26 @@
 }
 
 /// \brief A pool with instances above its budget helps one below; the promise is the lesser harm.
-void LendTo(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
-            PlannerDecision& aDecision)
+bool HelpPool(FleetIndex& aIndex, PoolIndex aTarget, const PlannerOptions& aOptions,
+              PlannerDecision& aDecision)
 {
-  while (Have(aIndex.m_pools[aTarget]) < Budget(aIndex.m_pools[aTarget]) &&
-         aDecision.m_records.size() < kMaxPlannedRecords &&
-         LendOne(aIndex, aTarget, aOptions, aDecision)) {
+  const IndexedPool& pool = aIndex.m_pools[aTarget];
+  return FillOne(aIndex, aTarget, aOptions, aDecision) ||
+         (aOptions.m_lend && Have(pool) < Budget(pool) &&
+          LendOne(aIndex, aTarget, aOptions, aDecision));
+}
+
+/// \brief Gives the pool with the largest shortage one instance at a time. Filling one pool to its
+/// promise first would use up the spare instances while another one is below its budget.
+void FillPools(FleetIndex& aIndex, const PlannerOptions& aOptions, PlannerDecision& aDecision)
+{
+  auto pools = ShortPools(aIndex);
+  while (!pools.empty() && aDecision.m_records.size() < kMaxPlannedRecords) {
+    const auto next = std::ranges::min_element(
+      pools, {}, [&aIndex](PoolIndex aEach) { return ShortageRank(aIndex, aEach); });
+    if (!HelpPool(aIndex, *next, aOptions, aDecision) || !IsShort(aIndex.m_pools[*next])) {
+      pools.erase(next);
+    }
   }
 }
 
@@ -234,12 +247,7 @@
 void PlanMoves(const FleetState& aState, const PlannerOptions& aOptions, FleetIndex& aIndex,
                PlannerDecision& aDecision)
 {
-  for (const PoolIndex pool : ShortPools(aIndex)) {
-    FillPool(aIndex, pool, aOptions, aDecision);
-    if (aOptions.m_lend) {
-      LendTo(aIndex, pool, aOptions, aDecision);
-    }
-  }
+  FillPools(aIndex, aOptions, aDecision);
   EmptyRemovedPools(aIndex, aDecision);
   RepairServices(aIndex, aDecision);
   const PlacementWeights& weights = aState.m_rules->m_weights;
