Hold spares for pools that are below budget now

While a pool serves less than its budget, as many spares as it lacks are not used to raise pools that have their budget.

--- a/src/process/FleetIndex.cpp
+++ b/src/process/FleetIndex.cpp
@@ -179,6 +179,18 @@
   return aPool.m_serving - lost >= aPool.m_rule->m_minAvailable;
 }
 
+std::uint32_t SpareHeld(const FleetIndex& aIndex)
+{
+  if (aIndex.m_spare == kNoPool) {
+    return 0;
+  }
+  const IndexedPool& pool = aIndex.m_pools[aIndex.m_spare];
+  const std::uint32_t lost =
+    pool.m_rule->m_tolerate == Domain::None ? 0 : LargestCount(pool.m_servingBy);
+  const std::uint32_t bound = pool.m_rule->m_minAvailable + lost;
+  return pool.m_serving > bound ? pool.m_serving - bound : 0;
+}
+
 bool IsMovable(const IndexedInstance& aInstance)
 {
   return aInstance.m_phase == InstancePhase::Serving && aInstance.m_listed != nullptr &&
--- a/src/process/FleetIndex.h
+++ b/src/process/FleetIndex.h
@@ -68,6 +68,9 @@
 /// \brief False when no instance of the pool may leave; quicker than asking for each of them.
 [[nodiscard]] bool MayGive(const IndexedPool& aPool);
 
+/// \brief Spare instances that could leave the spare pool now within its budget.
+[[nodiscard]] std::uint32_t SpareHeld(const FleetIndex& aIndex);
+
 /// \brief Serving, and listed as live with the boot that the fold knows.
 [[nodiscard]] bool IsMovable(const IndexedInstance& aInstance);
 
--- a/src/process/FleetPlanner.cpp
+++ b/src/process/FleetPlanner.cpp
@@ -9,19 +9,6 @@
 
 namespace {
 
-/// \brief Spare instances that could leave the spare pool now within its budget.
-std::uint32_t SpareHeld(const FleetIndex& aIndex)
-{
-  if (aIndex.m_spare == kNoPool) {
-    return 0;
-  }
-  const IndexedPool& pool = aIndex.m_pools[aIndex.m_spare];
-  const std::uint32_t lost =
-    pool.m_rule->m_tolerate == Domain::None ? 0 : LargestCount(pool.m_servingBy);
-  const std::uint32_t bound = pool.m_rule->m_minAvailable + lost;
-  return pool.m_serving > bound ? pool.m_serving - bound : 0;
-}
-
 std::uint32_t LargestRack(const FleetState& aState, const PoolName& aSpare)
 {
   std::map<std::pair<std::string_view, std::string_view>, std::uint32_t> racks;
--- a/src/process/PlanMoves.cpp
+++ b/src/process/PlanMoves.cpp
@@ -166,14 +166,30 @@
           LendOne(aIndex, aTarget, aOptions, aDecision));
 }
 
+/// \brief Spare instances for pools that are below budget now. Their inbound instances may not
+/// return from the reboot, so these spares are not used to raise other pools above their budget.
+std::uint32_t HeldForBudgets(const FleetIndex& aIndex)
+{
+  std::uint32_t held = 0;
+  for (const auto& pool : aIndex.m_pools) {
+    held += Budget(pool) > pool.m_serving ? Budget(pool) - pool.m_serving : 0;
+  }
+  return held;
+}
+
 /// \brief Gives the pool with the largest shortage one instance at a time. Filling one pool to its
 /// promise first would use up the spare instances while another one is below its budget.
 void FillPools(FleetIndex& aIndex, const PlannerOptions& aOptions, PlannerDecision& aDecision)
 {
   auto pools = ShortPools(aIndex);
+  const std::uint32_t held = HeldForBudgets(aIndex);
   while (!pools.empty() && aDecision.m_records.size() < kMaxPlannedRecords) {
     const auto next = std::ranges::min_element(
       pools, {}, [&aIndex](PoolIndex aEach) { return ShortageRank(aIndex, aEach); });
+    if (held > 0 && Have(aIndex.m_pools[*next]) >= Budget(aIndex.m_pools[*next]) &&
+        SpareHeld(aIndex) <= held) {
+      return;
+    }
     if (!HelpPool(aIndex, *next, aOptions, aDecision) || !IsShort(aIndex.m_pools[*next])) {
       pools.erase(next);
     }
