Help a pool below its budget after 10 min of a reboot

A pool that serves less than its budget now counts such an instance for 10 min only (kLateRebootMs). Most reboots take 3 to 6 min. The wave and the retirement still use kStuckRebootMs.

Ruled out: this change without the spares held.

--- a/include/pistachiostand/process/FleetPlanner.h
+++ b/include/pistachiostand/process/FleetPlanner.h
@@ -20,6 +20,8 @@
 inline constexpr Millis kRetireLeavingMs = 40LL * 60 * 1000;
 /// A reboot that takes longer counts as failed: the instance is replaced and leaves the wave.
 inline constexpr Millis kStuckRebootMs = 30LL * 60 * 1000;
+/// A pool below its budget is helped after this time, although the instance may still return.
+inline constexpr Millis kLateRebootMs = 10LL * 60 * 1000;
 /// An entry instance with an unconfirmed view may still send requests for this long.
 inline constexpr Millis kStaleViewMs = 15'000;
 /// Orders to the platform are repeated at this interval until the list shows their effect.
--- a/src/process/FleetIndex.cpp
+++ b/src/process/FleetIndex.cpp
@@ -68,10 +68,10 @@
   aPool.m_placedBy[DomainNumber(aInstance, Spread(aPool))] += aChange;
 }
 
-void CountInbound(IndexedPool& aPool, const IndexedInstance& aInstance)
+void CountInbound(IndexedPool& aPool, const IndexedInstance& aInstance, std::int32_t aChange)
 {
-  ++aPool.m_inbound;
-  ++aPool.m_placedBy[DomainNumber(aInstance, Spread(aPool))];
+  aPool.m_inbound += aChange;
+  aPool.m_placedBy[DomainNumber(aInstance, Spread(aPool))] += aChange;
 }
 
 void Count(FleetIndex& aIndex, const IndexedInstance& aInstance)
@@ -79,7 +79,22 @@
   if (aInstance.m_phase == InstancePhase::Serving) {
     CountServing(aIndex.m_pools[aInstance.m_pool], aInstance, 1);
   } else if (aInstance.m_phase == InstancePhase::Leaving && !aInstance.m_stuck) {
-    CountInbound(aIndex.m_pools[aInstance.m_target], aInstance);
+    CountInbound(aIndex.m_pools[aInstance.m_target], aInstance, 1);
+  }
+}
+
+/// \brief A pool below its budget does not wait for reboots that take longer than most.
+void DiscountLateInbound(FleetIndex& aIndex)
+{
+  for (const auto& instance : aIndex.m_instances) {
+    if (instance.m_phase != InstancePhase::Leaving || instance.m_stuck ||
+        aIndex.m_timeMs - instance.m_phaseSinceMs <= kLateRebootMs) {
+      continue;
+    }
+    IndexedPool& target = aIndex.m_pools[instance.m_target];
+    if (target.m_rule != nullptr && target.m_serving < target.m_rule->m_minAvailable) {
+      CountInbound(target, instance, -1);
+    }
   }
 }
 
@@ -123,6 +138,7 @@
   for (const auto& [id, instance] : aInput.m_state.m_instances) {
     AddInstance(index, numbers, id, instance);
   }
+  DiscountLateInbound(index);
   return index;
 }
 
@@ -208,7 +224,7 @@
   aDecision.m_records.emplace_back(
     Drain{ *instance.m_id, instance.m_instance->m_epoch, aIndex.m_pools[aTarget].m_name });
   CountServing(aIndex.m_pools[instance.m_pool], instance, -1);
-  CountInbound(aIndex.m_pools[aTarget], instance);
+  CountInbound(aIndex.m_pools[aTarget], instance, 1);
   instance.m_phase = InstancePhase::Leaving;
   instance.m_phaseSinceMs = aIndex.m_timeMs;
   instance.m_target = aTarget;
--- a/tests/unit/FleetPlannerMovesTest.cpp
+++ b/tests/unit/FleetPlannerMovesTest.cpp
@@ -23,6 +23,12 @@
     AddInstances("admin", 6);
   }
 
+  void Lose(const InstanceId& aId)
+  {
+    ASSERT_TRUE(Apply(Fail{ aId, 1 }).Accepted());
+    std::erase_if(m_listed, [&aId](const auto& aEach) { return aEach.m_id == aId; });
+  }
+
   std::map<ZoneName, int> Zones(const PoolName& aPool) const
   {
     std::map<ZoneName, int> zones;
@@ -117,6 +123,40 @@
   EXPECT_EQ(drains[0], (Drain{ "web1", 1, "web" }));
 }
 
+// Guards against a pool that is filled to its promise while another one stays below its budget.
+TEST_F(FleetPlannerMovesTest, Spares_WithTwoPoolsBelowBudget_AreSharedByShortage)
+{
+  PublishRules("pool.admin = { instances = 6, min_available = 3, spare = true } # A: x\n" +
+               std::string{ kWeb } + std::string{ kJobs });
+  for (const char* id : { "web0", "web1", "web2", "web3", "jobs0", "jobs1" }) {
+    Lose(id);
+  }
+  std::map<PoolName, int> targets;
+  for (const auto& drain : Of<Drain>(PlanAndApply())) {
+    ++targets[drain.m_target];
+  }
+  EXPECT_EQ(targets, (std::map<PoolName, int>{ { "jobs", 1 }, { "web", 2 } }));
+}
+
+// Guards against spares that raise one pool above its budget while another one waits, below its
+// budget, for a reboot that never ends.
+TEST_F(FleetPlannerMovesTest, Spares_WhileAPoolWaitsForALateReboot_AreHeldForIt)
+{
+  PublishRules("pool.admin = { instances = 6, min_available = 5, spare = true } # A: x\n" +
+               std::string{ kWeb } + std::string{ kJobs });
+  ASSERT_TRUE(Apply(Drain{ "web0", 1, "web" }).Accepted());
+  for (const char* id : { "web1", "web2", "jobs0" }) {
+    Lose(id);
+  }
+  EXPECT_TRUE(Of<Drain>(PlanAndApply()).empty());
+  AdvanceFold(kLateRebootMs);
+  EXPECT_TRUE(Of<Drain>(PlanAndApply()).empty());
+  AdvanceFold(1);
+  const auto drains = Of<Drain>(PlanAndApply());
+  ASSERT_EQ(drains.size(), 1U);
+  EXPECT_EQ(drains[0].m_target, "web");
+}
+
 TEST_F(FleetPlannerMovesTest, Zone_WhenLost_KeepsBudgetsByReplacementAndLending)
 {
   DropZone("z0");
