--- a/include/pistachiostand/process/FleetPlanner.h
+++ b/include/pistachiostand/process/FleetPlanner.h
@@ -20,6 +20,8 @@
 inline constexpr Millis kRetireLeavingMs = 40LL * 60 * 1000;
 /// A reboot that takes longer counts as failed: the instance is replaced and leaves the wave.
 inline constexpr Millis kStuckRebootMs = 30LL * 60 * 1000;
+/// A pool below its budget is helped after this time, although the instance may still return.
+inline constexpr Millis kLateRebootMs = 10LL * 60 * 1000;
 /// An entry instance with an unconfirmed view may still send requests for this long.
 inline constexpr Millis kStaleViewMs = 15'000;
 /// Orders to the platform are repeated at this interval until the list shows their effect.
@@ -37,6 +39,7 @@
   BootId m_bootId;
   PoolName m_pool; ///< Pool whose service this boot was started with.
   bool m_leaving{};
+  std::string m_bootOp{}; ///< Operation that caused this boot; empty when nobody ordered it.
 
   friend auto operator<=>(const ListedInstance&, const ListedInstance&) = default;
 };
@@ -89,7 +92,11 @@
   friend auto operator<=>(const PlannerOptions&, const PlannerOptions&) = default;
 };
 
-/// \brief Drain order for the platform; its operation id is made of instance and epoch.
+/// \brief Id under which the platform carries out an order once. Drains and reboots have separate
+/// ids: a drain and a reboot with the same id are two operations.
+[[nodiscard]] std::string OperationId(const InstanceId& aInstance, Epoch aEpoch);
+
+/// \brief Drain order for the platform, with an `OperationId`.
 struct DrainOrder
 {
   InstanceId m_instance;
@@ -98,7 +105,7 @@
   friend auto operator<=>(const DrainOrder&, const DrainOrder&) = default;
 };
 
-/// \brief Reboot order for the platform; its operation id is made of instance and epoch.
+/// \brief Reboot order for the platform, with an `OperationId`.
 struct RebootOrder
 {
   InstanceId m_instance;
--- a/src/process/PlanMembership.cpp
+++ b/src/process/PlanMembership.cpp
@@ -40,10 +40,15 @@
   }
 }
 
-Join MakeJoin(const ListedInstance& aListed)
+Join MakeJoin(const FleetState& aState, const ListedInstance& aListed)
 {
-  return { aListed.m_id,   aListed.m_address, aListed.m_zone,
-           aListed.m_rack, aListed.m_bootId,  aListed.m_pool };
+  return { aListed.m_id,
+           aListed.m_address,
+           aListed.m_zone,
+           aListed.m_rack,
+           aListed.m_bootId,
+           aListed.m_pool,
+           EpochOf(aState, aListed.m_id) };
 }
 
 void PlanFailed(const PlannerInput& aInput, const IndexedInstance& aInstance,
@@ -52,7 +57,7 @@
   const bool gone = aInstance.m_listed == nullptr || aInstance.m_listed->m_leaving;
   PlanGone(aInput, aInstance, gone, kRetireFailedMs, aMemory, aDecision);
   if (!gone) {
-    aDecision.m_records.emplace_back(MakeJoin(*aInstance.m_listed));
+    aDecision.m_records.emplace_back(MakeJoin(aInput.m_state, *aInstance.m_listed));
   }
 }
 
@@ -104,30 +109,53 @@
   }
 }
 
+/// \brief True when the list shows the boot that the reboot order of this epoch caused. A crash
+/// also gives a new boot id, but starts the old pool's service and leaves the order under way.
+bool IsOrderedBoot(const IndexedInstance& aInstance)
+{
+  const ListedInstance* listed = aInstance.m_listed;
+  const Instance& instance = *aInstance.m_instance;
+  return listed != nullptr && listed->m_bootId != instance.m_bootId &&
+         listed->m_bootOp == OperationId(*aInstance.m_id, instance.m_epoch) &&
+         listed->m_pool == instance.m_target;
+}
+
 void PlanLeaving(const PlannerInput& aInput, const IndexedInstance& aInstance,
                  PlannerMemory& aMemory, PlannerDecision& aDecision)
 {
   LeavingNote& note = NoteLeaving(aInput, aInstance, aMemory);
   const ListedInstance* listed = aInstance.m_listed;
   const Instance& instance = *aInstance.m_instance;
-  const bool rebooted = listed != nullptr && listed->m_bootId != instance.m_bootId;
-  const bool gone = listed == nullptr || (rebooted && listed->m_leaving);
+  const bool ordered = IsOrderedBoot(aInstance);
+  const bool returned = ordered && !listed->m_leaving;
+  // A crash may hide the ordered boot before the list shows it, and a repeat of the order then does
+  // nothing; such an instance ends its drain like one that the list has dropped.
+  const bool gone = listed == nullptr || (listed->m_bootId != instance.m_bootId && !returned);
   PlanGone(aInput, aInstance, gone, kRetireLeavingMs, aMemory, aDecision);
-  if (gone) {
-    return;
-  }
-  if (rebooted && listed->m_pool == instance.m_target) {
+  if (returned) {
     aDecision.m_records.emplace_back(Return{ *aInstance.m_id, instance.m_epoch, listed->m_bootId });
-    return;
+  } else if (listed != nullptr && !ordered && !(gone && aInstance.m_stuck)) {
+    // Orders end 10 min or more before the instance is retired and may serve again.
+    OrderSteps(aInput, aInstance, note, aDecision);
   }
-  OrderSteps(aInput, aInstance, note, aDecision);
+}
+
+/// \brief A drained instance that was retired while the list lacked it goes on leaving; without a
+/// reboot the platform would show it as leaving for good.
+bool ResumesDrain(const FleetState& aState, const ListedInstance& aListed)
+{
+  const auto retired = aState.m_retired.find(aListed.m_id);
+  return retired != aState.m_retired.end() &&
+         retired->second.m_instance.m_phase == InstancePhase::Leaving &&
+         retired->second.m_instance.m_bootId == aListed.m_bootId;
 }
 
 void PlanJoins(const PlannerInput& aInput, PlannerDecision& aDecision)
 {
   for (const auto& listed : aInput.m_listed) {
-    if (!listed.m_leaving && !aInput.m_state.m_instances.contains(listed.m_id)) {
-      aDecision.m_records.emplace_back(MakeJoin(listed));
+    if (!aInput.m_state.m_instances.contains(listed.m_id) &&
+        (!listed.m_leaving || ResumesDrain(aInput.m_state, listed))) {
+      aDecision.m_records.emplace_back(MakeJoin(aInput.m_state, listed));
     }
   }
 }
--- a/tests/unit/PlannerFixture.h
+++ b/tests/unit/PlannerFixture.h
@@ -36,7 +36,7 @@
       const auto rack = "r" + std::to_string(i / aZones % 2);
       m_listed.push_back({ aPool + std::to_string(i), "10.0.0.1:80", zone, rack, "b1", aPool });
       const auto& added = m_listed.back();
-      ASSERT_TRUE(Apply(Join{ added.m_id, "10.0.0.1:80", zone, rack, "b1", aPool }).Accepted());
+      ASSERT_TRUE(Apply(Join{ added.m_id, "10.0.0.1:80", zone, rack, "b1", aPool, 0 }).Accepted());
     }
   }
 
@@ -66,6 +66,7 @@
     for (const auto& order : aDecision.m_reboots) {
       auto& listed = Listed(order.m_instance);
       listed.m_bootId = "b" + std::to_string(order.m_epoch + 100);
+      listed.m_bootOp = OperationId(order.m_instance, order.m_epoch);
       listed.m_pool = order.m_pool;
       listed.m_leaving = false;
     }
