--- a/include/pistachiostand/process/LogReplica.h
+++ b/include/pistachiostand/process/LogReplica.h
@@ -58,13 +58,14 @@
   /// \brief Records that could not be decoded and were skipped by every reader.
   [[nodiscard]] std::uint64_t CorruptRecords() const noexcept { return m_corruptRecords; }
 
-  /// \brief Offset covered by the newest snapshot seen in the log; 0 when there is none.
+  /// \brief Offset covered by the newest complete snapshot in the log; 0 when there is none.
   [[nodiscard]] Offset SnapshotCovered() const noexcept { return m_snapshotCovered; }
 
 private:
   void FeedOne(Offset aOffset, const std::string& aBytes);
   void ApplyEntry(const LogEntry& aEntry);
   void CheckSnapshot(const Snapshot& aSnapshot);
+  void NotePart(const Snapshot& aSnapshot);
   void Keep(Offset aOffset, const std::string& aBytes);
   void DropKept();
 
@@ -78,6 +79,8 @@
   std::uint64_t m_digestMismatches{};
   std::uint64_t m_corruptRecords{};
   Offset m_snapshotCovered{};
+  Offset m_openCovered{};      ///< Covered offset of the snapshot whose parts arrive now.
+  std::uint32_t m_openParts{}; ///< Number of its parts seen so far.
   Offset m_pendingNext{};
 };
 
--- a/src/process/LogReplica.cpp
+++ b/src/process/LogReplica.cpp
@@ -77,7 +77,21 @@
       Hash(EncodeState(m_state)) != aSnapshot.m_digest) {
     ++m_digestMismatches;
   }
-  if (aSnapshot.m_parts != 0 && aSnapshot.m_part + 1 == aSnapshot.m_parts) {
+  NotePart(aSnapshot);
+}
+
+/// \brief Counts a snapshot once all its parts were seen in order.
+void LogReplica::NotePart(const Snapshot& aSnapshot)
+{
+  if (aSnapshot.m_part == 0) {
+    m_openCovered = aSnapshot.m_covered;
+    m_openParts = 0;
+  }
+  if (aSnapshot.m_covered != m_openCovered || aSnapshot.m_part != m_openParts) {
+    return;
+  }
+  ++m_openParts;
+  if (m_openParts == aSnapshot.m_parts) {
     m_snapshotCovered = std::max(m_snapshotCovered, aSnapshot.m_covered);
   }
 }
--- a/tests/unit/LogReplicaTest.cpp
+++ b/tests/unit/LogReplicaTest.cpp
@@ -270,5 +270,13 @@
   EXPECT_EQ(m_replica.DigestMismatches(), 0U);
 }
 
+// Guards against a next snapshot that is put off because of one that nobody can load.
+TEST_F(LogReplicaTest, SnapshotCovered_OfIncompleteSnapshot_StaysBehind)
+{
+  m_replica.Feed(0, Ticks(0, 5));
+  m_replica.Feed(5, { PartsOf(StateAt(5)).back() });
+  EXPECT_EQ(m_replica.SnapshotCovered(), 0U);
+}
+
 } // namespace
 } // namespace pistachiostand
