--- a/src/process/SnapshotCodec.cpp
+++ b/src/process/SnapshotCodec.cpp
@@ -91,7 +91,9 @@
       continue;
     }
     Reason reason;
-    if (auto state = DecodeState(JoinParts(aEntries, *last), reason)) {
+    auto state = DecodeState(JoinParts(aEntries, *last), reason);
+    // The digest protects the state, but not the covered offset that the record names.
+    if (state && state->m_nextOffset == last->m_covered) {
       return state;
     }
   }
--- a/tests/unit/LogReplicaTest.cpp
+++ b/tests/unit/LogReplicaTest.cpp
@@ -132,6 +132,16 @@
   EXPECT_EQ(m_replica.State().m_timeMs, 10'000);
 }
 
+// Guards against a snapshot that is trusted although its covered offset is not that of its state.
+TEST_F(LogReplicaTest, ReachEnd_WithSnapshotOfAnotherOffset_StaysUnloaded)
+{
+  auto parts = MakeSnapshot(StateAt(5));
+  ASSERT_EQ(parts.size(), 1U);
+  parts.front().m_covered = 10;
+  m_replica.Feed(10, { Encoded(parts.front()) });
+  EXPECT_FALSE(m_replica.ReachEnd());
+}
+
 // Guards against a reader that goes on over a gap, and against one that forgets its state there.
 TEST_F(LogReplicaTest, Feed_WithGap_KeepsStateUntilASnapshotCoversIt)
 {
