Answer every caller of a repeated proposal

Cause: a publish carries an id derived from base, author and text. When an operator repeated it while the first one was under way, the queue replaced the first callback, and the first HTTP request got no answer until the connection timed out. When the first one had been reported as unresolved, the repeat took over that mark and was never reported itself. Ruled out: the fold, which returns the first verdict for a repeat.

Each repeat is now kept as a waiter with its own time limit. An id that waits twice is appended once.

Before: Propose_OfIdUnderWay_AnswersBothCallers and Propose_OfIdReportedUnresolved_IsAppendedAndReportedAgain failed, each with one callback that was never called. Now they pass.

--- a/include/pistachiostand/process/ProposalQueue.h
+++ b/include/pistachiostand/process/ProposalQueue.h
@@ -28,7 +28,7 @@
   Accepted,
   Refused,     ///< The fold refused it; see the verdict.
   NotAppended, ///< It is not in the log and will not be.
-  Unresolved,  ///< Not seen in time. If it is seen later, the callback is called once more.
+  Unresolved,  ///< Not known in time. If it becomes known, the callback is called once more.
 };
 
 using ProposalCallback = std::function<void(ProposalResult, const Verdict&)>;
@@ -54,6 +54,8 @@
   explicit ProposalQueue(EntryId aAuthor);
 
   /// \brief Queues a record under an id of its own, or `aId` when it is not 0.
+  ///
+  /// A proposal with a known `aId` repeats the same record; each callback gets its own answer.
   void Propose(RecordBody aBody, ProposalOptions aOptions, ProposalCallback aCallback,
                std::uint64_t aId = 0);
 
@@ -81,23 +83,39 @@
   [[nodiscard]] std::size_t OpenCount() const;
 
 private:
+  struct Waiter
+  {
+    ProposalCallback m_callback;
+    Millis m_resolveByMs{};
+    bool m_reported{}; ///< Unresolved was reported.
+
+    [[nodiscard]] bool IsDue(Millis aNowMs) const noexcept
+    {
+      return m_resolveByMs != 0 && aNowMs >= m_resolveByMs;
+    }
+  };
+
   struct Proposal
   {
     std::string m_bytes;
-    ProposalOptions m_options;
-    ProposalCallback m_callback;
+    std::vector<Waiter> m_waiters; ///< More than one when the proposal was repeated.
+    bool m_durable{};
     Millis m_appendedMs{};
     bool m_waiting{};    ///< In m_waitingIds.
     bool m_underWay{};   ///< In the current append.
     bool m_maybeInLog{}; ///< Some append of it may have taken effect.
-    bool m_reported{};   ///< Unresolved was reported.
+
+    [[nodiscard]] bool IsOpen() const;
   };
 
   using Reports = std::vector<std::pair<ProposalResult, ProposalCallback>>;
 
+  static void Answer(const std::vector<Waiter>& aWaiters, ProposalResult aResult,
+                     const Verdict& aVerdict);
   void Queue(std::uint64_t aId, Proposal& aProposal);
   /// \brief Returns true when the proposal is to be forgotten.
   bool ExpireOne(std::uint64_t aId, Proposal& aProposal, Millis aNowMs, Reports& aReports);
+  static void ReportDue(Proposal& aProposal, Millis aNowMs, Reports& aReports);
   void FinishBatch(Millis aNowMs);
 
   EntryId m_author;
--- a/src/process/ProposalQueue.cpp
+++ b/src/process/ProposalQueue.cpp
@@ -23,22 +23,38 @@
 void ProposalQueue::Propose(RecordBody aBody, ProposalOptions aOptions, ProposalCallback aCallback,
                             std::uint64_t aId)
 {
-  if (m_proposals.size() >= kMaxProposals) {
+  if (m_proposals.size() >= kMaxProposals && !m_proposals.contains(aId)) {
     aCallback(ProposalResult::NotAppended, {});
     return;
   }
   const std::uint64_t id = aId != 0 ? aId : Hash(std::to_string(++m_counter), Hash(m_author));
-  Proposal& proposal = m_proposals[id];
-  proposal.m_bytes = EncodeRecord({ id, m_author, std::move(aBody) });
-  proposal.m_options = aOptions;
-  proposal.m_callback = std::move(aCallback);
+  const auto [entry, isNew] = m_proposals.try_emplace(id);
+  Proposal& proposal = entry->second;
+  if (isNew) {
+    proposal.m_bytes = EncodeRecord({ id, m_author, std::move(aBody) });
+  }
+  proposal.m_durable = proposal.m_durable || aOptions.m_durable;
+  proposal.m_waiters.push_back({ std::move(aCallback), aOptions.m_resolveByMs, false });
   Queue(id, proposal);
 }
 
+bool ProposalQueue::Proposal::IsOpen() const
+{
+  return !std::ranges::all_of(m_waiters, &Waiter::m_reported);
+}
+
 std::size_t ProposalQueue::OpenCount() const
 {
-  return static_cast<std::size_t>(std::ranges::count_if(
-    m_proposals, [](const auto& aEntry) { return !aEntry.second.m_reported; }));
+  return static_cast<std::size_t>(
+    std::ranges::count_if(m_proposals, [](const auto& aEntry) { return aEntry.second.IsOpen(); }));
+}
+
+void ProposalQueue::Answer(const std::vector<Waiter>& aWaiters, ProposalResult aResult,
+                           const Verdict& aVerdict)
+{
+  for (const auto& waiter : aWaiters) {
+    waiter.m_callback(aResult, aVerdict);
+  }
 }
 
 void ProposalQueue::Queue(std::uint64_t aId, Proposal& aProposal)
@@ -60,7 +76,7 @@
     const std::uint64_t id = m_waitingIds.front();
     m_waitingIds.pop_front();
     const auto found = m_proposals.find(id);
-    if (found == m_proposals.end()) {
+    if (found == m_proposals.end() || !found->second.m_waiting) {
       continue; // Resolved while it waited for another append.
     }
     found->second.m_waiting = false;
@@ -105,10 +121,10 @@
     Proposal& proposal = found->second;
     proposal.m_underWay = false;
     proposal.m_appendedMs = aNowMs;
-    if (!proposal.m_options.m_durable && !proposal.m_maybeInLog) {
-      const auto callback = std::move(proposal.m_callback);
+    if (!proposal.m_durable && !proposal.m_maybeInLog) {
+      const auto waiters = std::move(proposal.m_waiters);
       m_proposals.erase(found);
-      callback(ProposalResult::NotAppended, {});
+      Answer(waiters, ProposalResult::NotAppended, {});
     }
   }
 }
@@ -119,30 +135,40 @@
   if (found == m_proposals.end()) {
     return;
   }
-  const auto callback = std::move(found->second.m_callback);
+  const auto waiters = std::move(found->second.m_waiters);
   m_proposals.erase(found);
-  callback(aVerdict.Accepted() ? ProposalResult::Accepted : ProposalResult::Refused, aVerdict);
+  Answer(waiters, aVerdict.Accepted() ? ProposalResult::Accepted : ProposalResult::Refused,
+         aVerdict);
+}
+
+void ProposalQueue::ReportDue(Proposal& aProposal, Millis aNowMs, Reports& aReports)
+{
+  for (auto& waiter : aProposal.m_waiters) {
+    if (waiter.IsDue(aNowMs) && !std::exchange(waiter.m_reported, true)) {
+      aReports.emplace_back(ProposalResult::Unresolved, waiter.m_callback);
+    }
+  }
 }
 
 bool ProposalQueue::ExpireOne(std::uint64_t aId, Proposal& aProposal, Millis aNowMs,
                               Reports& aReports)
 {
   const bool idle = !aProposal.m_waiting && !aProposal.m_underWay;
-  if (aProposal.m_options.m_durable && idle && aNowMs - aProposal.m_appendedMs >= kReappendMs) {
+  if (aProposal.m_durable && idle && aNowMs - aProposal.m_appendedMs >= kReappendMs) {
     Queue(aId, aProposal);
   }
-  const Millis resolveBy = aProposal.m_options.m_resolveByMs;
-  if (resolveBy == 0 || aNowMs < resolveBy) {
-    return false;
-  }
-  if (aProposal.m_waiting && !aProposal.m_maybeInLog) {
-    aReports.emplace_back(ProposalResult::NotAppended, std::move(aProposal.m_callback));
+  const bool allDue = std::ranges::all_of(
+    aProposal.m_waiters, [aNowMs](const Waiter& aWaiter) { return aWaiter.IsDue(aNowMs); });
+  if (allDue && aProposal.m_waiting && !aProposal.m_maybeInLog) {
+    for (auto& waiter : aProposal.m_waiters) {
+      aReports.emplace_back(ProposalResult::NotAppended, std::move(waiter.m_callback));
+    }
     return true;
   }
-  if (!std::exchange(aProposal.m_reported, true)) {
-    aReports.emplace_back(ProposalResult::Unresolved, aProposal.m_callback);
-  }
-  return !aProposal.m_options.m_durable && aNowMs >= resolveBy + kForgetReportedMs;
+  ReportDue(aProposal, aNowMs, aReports);
+  return !aProposal.m_durable && std::ranges::all_of(aProposal.m_waiters, [&](const auto& aWaiter) {
+    return aWaiter.IsDue(aNowMs - kForgetReportedMs);
+  });
 }
 
 void ProposalQueue::Expire(Millis aNowMs)
--- a/tests/unit/ProposalQueueTest.cpp
+++ b/tests/unit/ProposalQueueTest.cpp
@@ -221,6 +221,35 @@
   EXPECT_EQ(m_queue.size(), kMaxProposals);
 }
 
+// Guards against a first caller that never gets an answer when a publish is repeated under way.
+TEST_F(ProposalQueueTest, Propose_OfIdUnderWay_AnswersBothCallers)
+{
+  Results second;
+  Propose({ false, 1'000 }, 7);
+  const auto batch = m_queue.TakeBatch(0);
+  m_queue.Propose(Tick{ 1 }, { false, 2'000 }, Note(second), 7);
+  m_queue.OnAppended(1);
+  EXPECT_TRUE(m_queue.TakeBatch(2).empty());
+  m_queue.OnApplied(Decoded(batch[0]), {});
+  EXPECT_EQ(m_results, Results{ ProposalResult::Accepted });
+  EXPECT_EQ(second, Results{ ProposalResult::Accepted });
+}
+
+// Guards against a repeat that never gets an answer because the first one was already reported.
+TEST_F(ProposalQueueTest, Propose_OfIdReportedUnresolved_IsAppendedAndReportedAgain)
+{
+  Results second;
+  Propose({ false, 1'000 }, 7);
+  AppendUnknown(0);
+  m_queue.Expire(1'000);
+  m_queue.Propose(Tick{ 1 }, { false, 3'000 }, Note(second), 7);
+  EXPECT_EQ(m_queue.OpenCount(), 1U);
+  AppendUnknown(1'500);
+  m_queue.Expire(3'000);
+  EXPECT_EQ(m_results, Results{ ProposalResult::Unresolved });
+  EXPECT_EQ(second, Results{ ProposalResult::Unresolved });
+}
+
 // Guards against an interval that lets all entry instances together exceed the platform's rate.
 TEST_F(ProposalQueueTest, BatchInterval_OfNineEntries_KeepsTheRate)
 {
