Let reported proposals make room in a full queue

Cause: a proposal that was reported as unresolved stays for 10 minutes, so that a late appearance still reaches its callback, and it counted against the bound of 8,192. After an outage in which responses to appends were lost, the queue could be full of such entries, and every new record was refused as not appended until they were 10 minutes old. Ruled out: the loss of a late claim. A claim of this process that nobody runs is resolved at the server (JobTakeover), also without the callback.

Before: Propose_WhenFullOfReportedProposals_DropsTheOldest failed, as the proposal was refused. Now it passes. Durable and open proposals are never dropped (Propose_BeyondTheBound_IsRefused).

--- a/include/pistachiostand/process/ProposalQueue.h
+++ b/include/pistachiostand/process/ProposalQueue.h
@@ -106,12 +106,15 @@
     bool m_maybeInLog{}; ///< Some append of it may have taken effect.
 
     [[nodiscard]] bool IsOpen() const;
+    [[nodiscard]] bool IsIdle() const noexcept { return !m_waiting && !m_underWay; }
   };
 
   using Reports = std::vector<std::pair<ProposalResult, ProposalCallback>>;
 
   static void Answer(const std::vector<Waiter>& aWaiters, ProposalResult aResult,
                      const Verdict& aVerdict);
+  /// \brief Drops the oldest proposal whose waiters have all been told; false when there is none.
+  bool DropReported();
   void Queue(std::uint64_t aId, Proposal& aProposal);
   /// \brief Returns true when the proposal is to be forgotten.
   bool ExpireOne(std::uint64_t aId, Proposal& aProposal, Millis aNowMs, Reports& aReports);
--- a/src/process/ProposalQueue.cpp
+++ b/src/process/ProposalQueue.cpp
@@ -23,7 +23,7 @@
 void ProposalQueue::Propose(RecordBody aBody, ProposalOptions aOptions, ProposalCallback aCallback,
                             std::uint64_t aId)
 {
-  if (m_proposals.size() >= kMaxProposals && !m_proposals.contains(aId)) {
+  if (m_proposals.size() >= kMaxProposals && !m_proposals.contains(aId) && !DropReported()) {
     aCallback(ProposalResult::NotAppended, {});
     return;
   }
@@ -57,6 +57,24 @@
   }
 }
 
+bool ProposalQueue::DropReported()
+{
+  auto oldest = m_proposals.end();
+  for (auto each = m_proposals.begin(); each != m_proposals.end(); ++each) {
+    const Proposal& proposal = each->second;
+    const bool droppable = !proposal.m_durable && proposal.IsIdle() && !proposal.IsOpen();
+    if (droppable &&
+        (oldest == m_proposals.end() || proposal.m_appendedMs < oldest->second.m_appendedMs)) {
+      oldest = each;
+    }
+  }
+  if (oldest == m_proposals.end()) {
+    return false;
+  }
+  m_proposals.erase(oldest);
+  return true;
+}
+
 void ProposalQueue::Queue(std::uint64_t aId, Proposal& aProposal)
 {
   if (!aProposal.m_waiting && !aProposal.m_underWay) {
@@ -153,8 +171,7 @@
 bool ProposalQueue::ExpireOne(std::uint64_t aId, Proposal& aProposal, Millis aNowMs,
                               Reports& aReports)
 {
-  const bool idle = !aProposal.m_waiting && !aProposal.m_underWay;
-  if (aProposal.m_durable && idle && aNowMs - aProposal.m_appendedMs >= kReappendMs) {
+  if (aProposal.m_durable && aProposal.IsIdle() && aNowMs - aProposal.m_appendedMs >= kReappendMs) {
     Queue(aId, aProposal);
   }
   const bool allDue = std::ranges::all_of(
--- a/tests/unit/ProposalQueueTest.cpp
+++ b/tests/unit/ProposalQueueTest.cpp
@@ -221,6 +221,23 @@
   EXPECT_EQ(m_queue.size(), kMaxProposals);
 }
 
+// Guards against a queue that refuses work after an outage, full of what was reported long ago.
+TEST_F(ProposalQueueTest, Propose_WhenFullOfReportedProposals_DropsTheOldest)
+{
+  for (std::size_t i = 0; i < kMaxProposals; ++i) {
+    Propose({ false, 1'000 });
+  }
+  for (std::size_t i = 0; i < kMaxProposals; i += kMaxBatchRecords) {
+    AppendUnknown(static_cast<Millis>(i));
+  }
+  m_queue.Expire(10'000);
+  m_results.clear();
+  Propose();
+  EXPECT_TRUE(m_results.empty());
+  EXPECT_EQ(m_queue.TakeBatch(10'000).size(), 1U);
+  EXPECT_EQ(m_queue.size(), kMaxProposals);
+}
+
 // Guards against a first caller that never gets an answer when a publish is repeated under way.
 TEST_F(ProposalQueueTest, Propose_OfIdUnderWay_AnswersBothCallers)
 {
