Forget proposals without a time limit that were lost

Cause: a proposal that is not durable and has no time limit, such as the outcome that a successor records (JobTakeover), stayed in the queue for ever when its append was lost: it was neither appended again nor expired. The entries added up against the bound of 8,192, and kept the process from stopping before the end of the grace period. Ruled out: refused appends, which end such a proposal at once (OnNotAppended_OfPlainProposal_ReportsItAtOnce passed before).

Every proposal that is not durable is now forgotten 10 minutes after its append, and reported as unresolved if it was still open. For those with a time limit the 10 minutes now count from the append, not from the limit.

Before: Expire_OfLostProposalWithoutLimit_ForgetsIt failed with 1 proposal left. Now it passes.

--- a/include/pistachiostand/process/ProposalQueue.h
+++ b/include/pistachiostand/process/ProposalQueue.h
@@ -118,7 +118,7 @@
   void Queue(std::uint64_t aId, Proposal& aProposal);
   /// \brief Returns true when the proposal is to be forgotten.
   bool ExpireOne(std::uint64_t aId, Proposal& aProposal, Millis aNowMs, Reports& aReports);
-  static void ReportDue(Proposal& aProposal, Millis aNowMs, Reports& aReports);
+  static void ReportDue(Proposal& aProposal, Millis aNowMs, bool aLost, Reports& aReports);
   void FinishBatch(Millis aNowMs);
 
   EntryId m_author;
--- a/src/process/ProposalQueue.cpp
+++ b/src/process/ProposalQueue.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Reported proposals are kept this long, so that a late appearance still reaches the callback.
-constexpr Millis kForgetReportedMs = 600'000;
+/// Kept this long after the append, so that a late appearance still reaches the callback.
+constexpr Millis kForgetMs = 600'000;
 
 } // namespace
 
@@ -159,10 +159,10 @@
          aVerdict);
 }
 
-void ProposalQueue::ReportDue(Proposal& aProposal, Millis aNowMs, Reports& aReports)
+void ProposalQueue::ReportDue(Proposal& aProposal, Millis aNowMs, bool aLost, Reports& aReports)
 {
   for (auto& waiter : aProposal.m_waiters) {
-    if (waiter.IsDue(aNowMs) && !std::exchange(waiter.m_reported, true)) {
+    if ((aLost || waiter.IsDue(aNowMs)) && !std::exchange(waiter.m_reported, true)) {
       aReports.emplace_back(ProposalResult::Unresolved, waiter.m_callback);
     }
   }
@@ -182,10 +182,10 @@
     }
     return true;
   }
-  ReportDue(aProposal, aNowMs, aReports);
-  return !aProposal.m_durable && std::ranges::all_of(aProposal.m_waiters, [&](const auto& aWaiter) {
-    return aWaiter.IsDue(aNowMs - kForgetReportedMs);
-  });
+  const bool lost =
+    !aProposal.m_durable && aProposal.IsIdle() && aNowMs - aProposal.m_appendedMs >= kForgetMs;
+  ReportDue(aProposal, aNowMs, lost, aReports);
+  return lost;
 }
 
 void ProposalQueue::Expire(Millis aNowMs)
--- a/tests/unit/ProposalQueueTest.cpp
+++ b/tests/unit/ProposalQueueTest.cpp
@@ -238,6 +238,18 @@
   EXPECT_EQ(m_queue.size(), kMaxProposals);
 }
 
+// Guards against proposals without a time limit that stay for ever after a lost append.
+TEST_F(ProposalQueueTest, Expire_OfLostProposalWithoutLimit_ForgetsIt)
+{
+  Propose();
+  AppendUnknown(0);
+  m_queue.Expire(599'999);
+  EXPECT_EQ(m_queue.size(), 1U);
+  m_queue.Expire(600'000);
+  EXPECT_EQ(m_queue.size(), 0U);
+  EXPECT_EQ(m_results, Results{ ProposalResult::Unresolved });
+}
+
 // Guards against a first caller that never gets an answer when a publish is repeated under way.
 TEST_F(ProposalQueueTest, Propose_OfIdUnderWay_AnswersBothCallers)
 {
