Keep one PercentEncode, and one HttpRequest for each name

Cause: the command line and the connection module each defined pistachiostand::PercentEncode and a struct pistachiostand::HttpRequest with other members. No program linked both, but the unit tests link both libraries; the linker reported the function as soon as a test used a backend client, and would have merged the two destructors of HttpRequest without a word.

PercentCoding is now in base, and the command line's struct is CommandRequest. Before: the link of unit_tests failed with a multiple definition. Now it links, and the tests of the command line pass.

--- a/include/pistachiostand/connection/HttpMessage.h
+++ b/include/pistachiostand/connection/HttpMessage.h
@@ -39,13 +39,7 @@
 /// \brief Standard reason phrase of a status code.
 [[nodiscard]] std::string_view StatusText(std::uint16_t aStatus) noexcept;
 
-/// \brief Percent-encodes everything but unreserved characters.
-[[nodiscard]] std::string PercentEncode(std::string_view aText);
-
-/// \brief Decodes percent sequences; returns nothing for a malformed one.
-[[nodiscard]] std::optional<std::string> PercentDecode(std::string_view aText);
-
-/// \brief Splits a request target into path and query; returns nothing when it is malformed.
+/// \brief Splits a request target into path and query; returns false when it is malformed.
 [[nodiscard]] bool ParseTarget(std::string_view aTarget, HttpRequest& aRequest);
 
 } // namespace pistachiostand
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -51,7 +51,7 @@
 /// \brief Runs a request that changes nothing and prints its reply.
 template<typename Reply>
 CommandResult Query(const Arguments& aArguments, const Environment& aEnvironment,
-                    const HttpRequest& aRequest, std::optional<Reply> (*aRead)(const HttpReply&),
+                    const CommandRequest& aRequest, std::optional<Reply> (*aRead)(const HttpReply&),
                     std::string (*aText)(const Reply&))
 {
   const auto result = Fetch(aEnvironment, aArguments.m_entries, aRequest, aArguments.m_timeoutMs,
--- a/src/cli/CurlTransport.cpp
+++ b/src/cli/CurlTransport.cpp
@@ -52,7 +52,7 @@
   return line.size();
 }
 
-HeaderList MakeHeaders(const HttpRequest& aRequest)
+HeaderList MakeHeaders(const CommandRequest& aRequest)
 {
   // Without this header libcurl waits a second for "100 Continue" before it sends a large body.
   HeaderList list{ curl_slist_append(nullptr, "Expect:") };
@@ -62,7 +62,8 @@
   return list;
 }
 
-void Prepare(CURL* aHandle, const HttpRequest& aRequest, const std::string& aUrl, Millis aTimeoutMs)
+void Prepare(CURL* aHandle, const CommandRequest& aRequest, const std::string& aUrl,
+             Millis aTimeoutMs)
 {
   curl_easy_setopt(aHandle, CURLOPT_URL, aUrl.c_str());
   curl_easy_setopt(aHandle, CURLOPT_PATH_AS_IS, 1L);
@@ -87,7 +88,7 @@
 
 } // namespace
 
-TransportResult Exchange(const Endpoint& aEntry, const HttpRequest& aRequest, Millis aTimeoutMs)
+TransportResult Exchange(const Endpoint& aEntry, const CommandRequest& aRequest, Millis aTimeoutMs)
 {
   const Handle handle{ curl_easy_init() };
   if (!handle) {
--- a/src/cli/CurlTransport.h
+++ b/src/cli/CurlTransport.h
@@ -5,7 +5,7 @@
 namespace pistachiostand {
 
 /// \brief Performs one exchange with libcurl; blocks for at most `aTimeoutMs`.
-[[nodiscard]] TransportResult Exchange(const Endpoint& aEntry, const HttpRequest& aRequest,
+[[nodiscard]] TransportResult Exchange(const Endpoint& aEntry, const CommandRequest& aRequest,
                                        Millis aTimeoutMs);
 
 } // namespace pistachiostand
--- a/src/cli/Fetch.cpp
+++ b/src/cli/Fetch.cpp
@@ -69,7 +69,7 @@
 } // namespace
 
 FetchResult Fetch(const Environment& aEnvironment, const std::vector<Endpoint>& aEntries,
-                  const HttpRequest& aRequest, Millis aTimeoutMs, const ReplyCheck& aIsComplete)
+                  const CommandRequest& aRequest, Millis aTimeoutMs, const ReplyCheck& aIsComplete)
 {
   const Millis deadline = aEnvironment.m_nowMs() + aTimeoutMs;
   std::string cause = "the time is over";
@@ -93,7 +93,7 @@
 }
 
 FetchResult SendPublish(const Environment& aEnvironment, const std::vector<Endpoint>& aEntries,
-                        const HttpRequest& aRequest, Millis aTimeoutMs)
+                        const CommandRequest& aRequest, Millis aTimeoutMs)
 {
   const Millis deadline = aEnvironment.m_nowMs() + aTimeoutMs;
   const auto isComplete = [](const HttpReply& aReply) { return ReadPublish(aReply).has_value(); };
--- a/src/cli/Fetch.h
+++ b/src/cli/Fetch.h
@@ -19,8 +19,9 @@
 ///
 /// A lost, incomplete or 5xx reply moves on to the next; any other reply is final.
 [[nodiscard]] FetchResult Fetch(const Environment& aEnvironment,
-                                const std::vector<Endpoint>& aEntries, const HttpRequest& aRequest,
-                                Millis aTimeoutMs, const ReplyCheck& aIsComplete);
+                                const std::vector<Endpoint>& aEntries,
+                                const CommandRequest& aRequest, Millis aTimeoutMs,
+                                const ReplyCheck& aIsComplete);
 
 /// \brief Sends a publish, and repeats it unchanged until its outcome is known or the time is over.
 ///
@@ -28,6 +29,6 @@
 /// verdict of the first.
 [[nodiscard]] FetchResult SendPublish(const Environment& aEnvironment,
                                       const std::vector<Endpoint>& aEntries,
-                                      const HttpRequest& aRequest, Millis aTimeoutMs);
+                                      const CommandRequest& aRequest, Millis aTimeoutMs);
 
 } // namespace pistachiostand
--- a/src/cli/Http.h
+++ b/src/cli/Http.h
@@ -15,7 +15,7 @@
 
 namespace pistachiostand {
 
-struct HttpRequest
+struct CommandRequest
 {
   std::string m_method;
   std::string m_path; ///< With the query; encoded.
@@ -38,7 +38,7 @@
 };
 
 using TransportResult = std::variant<HttpReply, TransportError>;
-using Transport = std::function<TransportResult(const Endpoint&, const HttpRequest&, Millis)>;
+using Transport = std::function<TransportResult(const Endpoint&, const CommandRequest&, Millis)>;
 
 /// \brief What a command needs of the outside: HTTP, a monotonic clock and a pause.
 struct Environment
@@ -48,14 +48,11 @@
   std::function<void(Millis)> m_sleep;
 };
 
-/// \brief Percent-encodes all bytes but the unreserved ones of RFC 3986.
-[[nodiscard]] std::string PercentEncode(std::string_view aText);
-
-[[nodiscard]] HttpRequest PublishRequest(Revision aBase, std::string_view aAuthor,
-                                         std::string_view aRules);
-[[nodiscard]] HttpRequest RulesRequest();
-[[nodiscard]] HttpRequest ProvenanceRequest(std::string_view aRule);
-[[nodiscard]] HttpRequest StatusRequest();
-[[nodiscard]] HttpRequest JobRequest(std::string_view aKey, std::string_view aTenant);
+[[nodiscard]] CommandRequest PublishRequest(Revision aBase, std::string_view aAuthor,
+                                            std::string_view aRules);
+[[nodiscard]] CommandRequest RulesRequest();
+[[nodiscard]] CommandRequest ProvenanceRequest(std::string_view aRule);
+[[nodiscard]] CommandRequest StatusRequest();
+[[nodiscard]] CommandRequest JobRequest(std::string_view aKey, std::string_view aTenant);
 
 } // namespace pistachiostand
--- a/src/connection/BackendClient.cpp
+++ b/src/connection/BackendClient.cpp
@@ -1,5 +1,7 @@
 #include "pistachiostand/connection/BackendClient.h"
 
+#include "pistachiostand/base/PercentCoding.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -1,6 +1,7 @@
 #include "pistachiostand/connection/PlatformClient.h"
 
 #include "pistachiostand/base/Base64.h"
+#include "pistachiostand/base/PercentCoding.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
--- a/tests/unit/CliCommandsTest.cpp
+++ b/tests/unit/CliCommandsTest.cpp
@@ -14,7 +14,7 @@
 
   Environment MakeEnvironment()
   {
-    return { [this](const Endpoint&, const HttpRequest& aRequest, Millis) {
+    return { [this](const Endpoint&, const CommandRequest& aRequest, Millis) {
               m_requests.push_back(aRequest);
               return m_answer;
             },
@@ -34,7 +34,7 @@
   }
 
   TransportResult m_answer = TransportError{ false, "connection refused" };
-  std::vector<HttpRequest> m_requests;
+  std::vector<CommandRequest> m_requests;
   Millis m_now{};
 };
 
--- a/tests/unit/CliFetchTest.cpp
+++ b/tests/unit/CliFetchTest.cpp
@@ -21,7 +21,7 @@
 protected:
   Environment MakeEnvironment()
   {
-    return { [this](const Endpoint& aEntry, const HttpRequest& aRequest, Millis aTimeoutMs) {
+    return { [this](const Endpoint& aEntry, const CommandRequest& aRequest, Millis aTimeoutMs) {
               m_asked.push_back(aEntry.m_port);
               m_paths.push_back(aRequest.m_path + '\n' + aRequest.m_body);
               m_timeouts.push_back(aTimeoutMs);
