--- a/include/pistachiostand/connection/BackendClient.h
+++ b/include/pistachiostand/connection/BackendClient.h
@@ -113,4 +113,15 @@
 /// \brief Classifies a response to Run().
 [[nodiscard]] RunOutcome ClassifyRun(const RunRequest& aRequest, ClientResponse aResponse);
 
+/// \brief Reads a response to Stop(); nothing when it proves nothing.
+[[nodiscard]] std::optional<TaskOutcome> ParseStop(const ClientResponse& aResponse,
+                                                   const BootId& aBoot);
+
+/// \brief Reads a response to GetTask(); nothing when it is unusable.
+[[nodiscard]] std::optional<TaskOutcome> ParseTaskOf(const ClientResponse& aResponse,
+                                                     std::uint32_t aAttempt);
+
+/// \brief Reads a response to GetStatus(); nothing when it is unusable.
+[[nodiscard]] std::optional<ServerStatus> ParseStatus(const ClientResponse& aResponse);
+
 } // namespace pistachiostand
--- a/include/pistachiostand/connection/PlatformClient.h
+++ b/include/pistachiostand/connection/PlatformClient.h
@@ -71,4 +71,13 @@
   PlatformIdentity m_identity;
 };
 
+/// \brief What a response to Append() proves.
+[[nodiscard]] AppendResult ClassifyAppend(const ClientResponse& aResponse);
+
+/// \brief Reads a response to Read(); nothing when it is unusable.
+[[nodiscard]] std::optional<ReadResult> ParseRead(const ClientResponse& aResponse);
+
+/// \brief Reads a response to ListInstances(); nothing when it is unusable.
+[[nodiscard]] std::optional<InstanceList> ParseInstanceList(const ClientResponse& aResponse);
+
 } // namespace pistachiostand
--- a/src/connection/BackendClient.cpp
+++ b/src/connection/BackendClient.cpp
@@ -1,9 +1,8 @@
 #include "pistachiostand/connection/BackendClient.h"
 
+#include "JsonResponse.h"
 #include "pistachiostand/base/PercentCoding.h"
 
-#include <nlohmann/json.hpp>
-
 #include <array>
 #include <charconv>
 #include <utility>
@@ -65,20 +64,6 @@
   return aResponse.m_status >= 500 ? RunResult::Failed : RunResult::Completed;
 }
 
-/// \brief JSON accessors throw on values of another type; such a response is unusable.
-template<typename Parse>
-auto ParseOrNothing(const ClientResponse& aResponse, Parse aParse) -> decltype(aParse(Json{}))
-{
-  if (aResponse.m_failure || aResponse.m_status != 200) {
-    return std::nullopt;
-  }
-  try {
-    return aParse(Json::parse(aResponse.m_body));
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 std::optional<TaskOutcome> ParseTask(const Json& aJson)
 {
   const auto state = aJson.at("state").get<std::string>();
@@ -98,24 +83,6 @@
   return std::nullopt;
 }
 
-std::optional<TaskOutcome> ParseStop(const Json& aJson, const BootId& aBoot)
-{
-  if (aJson.at("boot_id").get<std::string>() != aBoot) {
-    return TaskOutcome{ TaskState::OtherBoot, 0, {} };
-  }
-  const auto outcome = ParseTask(aJson);
-  return outcome && outcome->m_state != TaskState::Running ? outcome : std::nullopt;
-}
-
-/// \brief A task of another attempt says only that this one did not start there.
-std::optional<TaskOutcome> ParseTaskOf(const Json& aJson, std::uint32_t aAttempt)
-{
-  if (aJson.value("attempt", std::string{}) != std::to_string(aAttempt)) {
-    return TaskOutcome{ TaskState::NeverStarted, 0, {} };
-  }
-  return ParseTask(aJson);
-}
-
 std::string TaskUrl(const std::string& aAddress, const JobKey& aKey)
 {
   return "http://" + aAddress + "/tasks/" + PercentEncode(aKey);
@@ -182,6 +149,43 @@
   return outcome;
 }
 
+std::optional<TaskOutcome> ParseStop(const ClientResponse& aResponse, const BootId& aBoot)
+{
+  return internal::ParseJsonResponse(
+    aResponse, [&aBoot](const Json& aJson) -> std::optional<TaskOutcome> {
+      if (aJson.at("boot_id").get<std::string>() != aBoot) {
+        return TaskOutcome{ TaskState::OtherBoot, 0, {} };
+      }
+      const auto outcome = ParseTask(aJson);
+      return outcome && outcome->m_state != TaskState::Running ? outcome : std::nullopt;
+    });
+}
+
+std::optional<TaskOutcome> ParseTaskOf(const ClientResponse& aResponse, std::uint32_t aAttempt)
+{
+  if (!aResponse.m_failure && aResponse.m_status == 404) {
+    return TaskOutcome{ TaskState::NeverStarted, 0, {} };
+  }
+  return internal::ParseJsonResponse(
+    aResponse, [aAttempt](const Json& aJson) -> std::optional<TaskOutcome> {
+      // A task of another attempt says only that this one did not start there.
+      if (aJson.value("attempt", std::string{}) != std::to_string(aAttempt)) {
+        return TaskOutcome{ TaskState::NeverStarted, 0, {} };
+      }
+      return ParseTask(aJson);
+    });
+}
+
+std::optional<ServerStatus> ParseStatus(const ClientResponse& aResponse)
+{
+  return internal::ParseJsonResponse(aResponse, [](const Json& aJson) {
+    return std::optional{ ServerStatus{
+      aJson.value("pool", std::string{}), aJson.value("boot_id", std::string{}),
+      aJson.value("slots", 8U), aJson.value("used", 0U), aJson.value("leaving", false),
+      aJson.value("now_ms", Millis{}) } };
+  });
+}
+
 BackendClient::BackendClient(HttpClient& aHttp) noexcept
   : m_http(aHttp)
 {
@@ -201,11 +205,10 @@
   auto request =
     ControlRequest("POST", TaskUrl(aAddress, aKey) + "/stop?attempt=" + std::to_string(aAttempt),
                    kControlTimeoutMs);
-  m_http.Send(
-    std::move(request), [aBoot, done = std::move(aDone)](const ClientResponse& aResponse) {
-      done(
-        ParseOrNothing(aResponse, [&aBoot](const Json& aJson) { return ParseStop(aJson, aBoot); }));
-    });
+  m_http.Send(std::move(request),
+              [aBoot, done = std::move(aDone)](const ClientResponse& aResponse) {
+                done(ParseStop(aResponse, aBoot));
+              });
 }
 
 void BackendClient::GetTask(const std::string& aAddress, const JobKey& aKey, std::uint32_t aAttempt,
@@ -213,28 +216,16 @@
 {
   m_http.Send(ControlRequest("GET", TaskUrl(aAddress, aKey), kControlTimeoutMs),
               [aAttempt, done = std::move(aDone)](const ClientResponse& aResponse) {
-                if (!aResponse.m_failure && aResponse.m_status == 404) {
-                  done(TaskOutcome{ TaskState::NeverStarted, 0, {} });
-                  return;
-                }
-                done(ParseOrNothing(aResponse, [aAttempt](const Json& aJson) {
-                  return ParseTaskOf(aJson, aAttempt);
-                }));
+                done(ParseTaskOf(aResponse, aAttempt));
               });
 }
 
 void BackendClient::GetStatus(const std::string& aAddress, Millis aTimeoutMs,
                               std::function<void(std::optional<ServerStatus>)> aDone)
 {
-  m_http.Send(ControlRequest("GET", "http://" + aAddress + "/status", aTimeoutMs),
-              [done = std::move(aDone)](const ClientResponse& aResponse) {
-                done(ParseOrNothing(aResponse, [](const Json& aJson) {
-                  return std::optional{ ServerStatus{
-                    aJson.value("pool", std::string{}), aJson.value("boot_id", std::string{}),
-                    aJson.value("slots", 8U), aJson.value("used", 0U),
-                    aJson.value("leaving", false), aJson.value("now_ms", Millis{}) } };
-                }));
-              });
+  m_http.Send(
+    ControlRequest("GET", "http://" + aAddress + "/status", aTimeoutMs),
+    [done = std::move(aDone)](const ClientResponse& aResponse) { done(ParseStatus(aResponse)); });
 }
 
 } // namespace pistachiostand
--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -1,9 +1,9 @@
 #include "pistachiostand/connection/PlatformClient.h"
 
+#include "JsonResponse.h"
 #include "pistachiostand/base/Base64.h"
 #include "pistachiostand/base/PercentCoding.h"
 
-#include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -15,16 +15,12 @@
 
 using Json = nlohmann::json;
 
-std::optional<ReadResult> ParseRead(const std::string& aBody)
+std::optional<ReadResult> ReadFrom(const Json& aJson)
 {
-  const Json json = Json::parse(aBody, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
   ReadResult result;
-  result.m_oldest = json.value("oldest", Offset{});
-  result.m_next = json.value("next", Offset{});
-  const Json records = json.value("records", Json::array());
+  result.m_oldest = aJson.value("oldest", Offset{});
+  result.m_next = aJson.value("next", Offset{});
+  const Json records = aJson.value("records", Json::array());
   result.m_first = records.empty() ? result.m_next : records.front().value("offset", Offset{});
   for (const auto& record : records) {
     auto bytes = DecodeBase64(record.value("data", std::string{}));
@@ -38,7 +34,7 @@
   return result;
 }
 
-ListedInstance ParseInstance(const Json& aJson)
+ListedInstance InstanceFrom(const Json& aJson)
 {
   return { aJson.value("id", std::string{}),
            aJson.value("address", std::string{}),
@@ -49,35 +45,33 @@
            aJson.value("state", std::string{}) == "leaving" };
 }
 
-std::optional<InstanceList> ParseList(const std::string& aBody)
+std::optional<InstanceList> ListFrom(const Json& aJson)
 {
-  const Json json = Json::parse(aBody, nullptr, false);
-  if (!json.is_object() || !json.contains("instances")) {
-    return std::nullopt;
-  }
   InstanceList list;
-  list.m_version = json.value("version", std::uint64_t{});
-  std::ranges::transform(json["instances"], std::back_inserter(list.m_instances), ParseInstance);
+  list.m_version = aJson.value("version", std::uint64_t{});
+  std::ranges::transform(aJson.at("instances"), std::back_inserter(list.m_instances), InstanceFrom);
   return list;
 }
 
-/// \brief JSON accessors throw on values of another type; such a response is unusable.
+/// \brief A complete response of status 200 that cannot be read is worth a line in the log.
 template<typename Parse>
-auto ParseOrNothing(const ClientResponse& aResponse, Parse aParse)
-  -> decltype(aParse(aResponse.m_body))
+auto ParseOrWarn(const ClientResponse& aResponse, Parse aParse)
 {
-  if (aResponse.m_failure || aResponse.m_status != 200) {
-    return std::nullopt;
-  }
-  try {
-    return aParse(aResponse.m_body);
-  } catch (const Json::exception& error) {
-    spdlog::warn("log: Unusable response from the platform: {}.", error.what());
-    return std::nullopt;
+  auto result = internal::ParseJsonResponse(aResponse, aParse);
+  if (!result && !aResponse.m_failure && aResponse.m_status == 200) {
+    spdlog::warn("log: Unusable response of {} bytes from the platform.", aResponse.m_body.size());
   }
+  return result;
+}
+
+std::string OperationId(const InstanceId& aInstance, Epoch aEpoch)
+{
+  return PercentEncode(aInstance + '-' + std::to_string(aEpoch));
 }
 
-AppendResult ResultOf(const ClientResponse& aResponse)
+} // namespace
+
+AppendResult ClassifyAppend(const ClientResponse& aResponse)
 {
   if (aResponse.m_failure) {
     return *aResponse.m_failure == TransferFailure::NotSent ? AppendResult::NotAppended
@@ -92,12 +86,15 @@
   return refused ? AppendResult::NotAppended : AppendResult::Unknown;
 }
 
-std::string OperationId(const InstanceId& aInstance, Epoch aEpoch)
+std::optional<ReadResult> ParseRead(const ClientResponse& aResponse)
 {
-  return PercentEncode(aInstance + '-' + std::to_string(aEpoch));
+  return ParseOrWarn(aResponse, ReadFrom);
 }
 
-} // namespace
+std::optional<InstanceList> ParseInstanceList(const ClientResponse& aResponse)
+{
+  return ParseOrWarn(aResponse, ListFrom);
+}
 
 PlatformClient::PlatformClient(HttpClient& aHttp, PlatformIdentity aIdentity)
   : m_http(aHttp)
@@ -128,7 +125,7 @@
   request.m_headers.emplace("content-type", "application/json");
   request.m_body = Json{ { "records", std::move(records) } }.dump();
   m_http.Send(std::move(request), [done = std::move(aDone)](const ClientResponse& aResponse) {
-    done(ResultOf(aResponse));
+    done(ClassifyAppend(aResponse));
   });
 }
 
@@ -141,7 +138,7 @@
                   "&wait_ms=" + std::to_string(aWaitMs),
                 aWaitMs);
   m_http.Send(std::move(request), [done = std::move(aDone)](const ClientResponse& aResponse) {
-    done(ParseOrNothing(aResponse, ParseRead));
+    done(ParseRead(aResponse));
   });
 }
 
@@ -149,7 +146,7 @@
 {
   m_http.Send(MakeRequest("GET", "/instances", 0),
               [done = std::move(aDone)](const ClientResponse& aResponse) {
-                done(ParseOrNothing(aResponse, ParseList));
+                done(ParseInstanceList(aResponse));
               });
 }
 
