Take a refusal as not run only in the form of the protocol

Cause: any response with X-Not-Run counted as refused before the start, whatever its status and reason. Ruled out: a crossed response, which the request id catches first.

A refusal needs status 409 or 503 and one of the five reasons; any other response with the header proves nothing and is broken.

Before: ClassifyRun_OfRefusalWithAnotherStatus_IsBroken (200, 404, 500) and ClassifyRun_OfRefusalWithUnknownReason_IsBroken failed with full and refused. Now they pass.

--- a/src/connection/BackendClient.cpp
+++ b/src/connection/BackendClient.cpp
@@ -3,6 +3,7 @@
 #include "JsonResponse.h"
 #include "pistachiostand/base/PercentCoding.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -56,10 +57,24 @@
   return id.empty() ? aRequest.m_taskControl == TaskControl::Full : id != aRequest.m_requestId;
 }
 
+/// \brief A refusal counts as "not run" only in the form of the protocol.
+RunResult RefusalOf(std::uint16_t aStatus, std::string_view aNotRun)
+{
+  constexpr std::array<std::string_view, 4> kReasons{ "stale", "late", "stopped", "leaving" };
+  if (aStatus != 409 && aStatus != 503) {
+    return RunResult::Broken;
+  }
+  if (aNotRun == "full") {
+    return RunResult::Full;
+  }
+  return std::ranges::find(kReasons, aNotRun) != kReasons.end() ? RunResult::Refused
+                                                                : RunResult::Broken;
+}
+
 RunResult ResultOf(const ClientResponse& aResponse, std::string_view aNotRun)
 {
   if (!aNotRun.empty()) {
-    return aNotRun == "full" ? RunResult::Full : RunResult::Refused;
+    return RefusalOf(aResponse.m_status, aNotRun);
   }
   return aResponse.m_status >= 500 ? RunResult::Failed : RunResult::Completed;
 }
@@ -139,8 +154,12 @@
     return Failure(RunResult::Broken, "the response belongs to another request");
   }
   const std::string notRun{ FindHeader(aResponse.m_headers, "x-not-run") };
+  const RunResult result = ResultOf(aResponse, notRun);
+  if (result == RunResult::Broken) {
+    return Failure(result, "the response is not a valid refusal");
+  }
   RunOutcome outcome;
-  outcome.m_result = ResultOf(aResponse, notRun);
+  outcome.m_result = result;
   outcome.m_detail = notRun;
   outcome.m_status = aResponse.m_status;
   outcome.m_usedSlots = ParseUsed(FindHeader(aResponse.m_headers, "x-load"));
--- a/tests/unit/BackendClientTest.cpp
+++ b/tests/unit/BackendClientTest.cpp
@@ -100,6 +100,23 @@
   }
 }
 
+// Guards against "not run" for a request whose response contradicts itself.
+TEST_F(BackendClientTest, ClassifyRun_OfRefusalWithAnotherStatus_IsBroken)
+{
+  for (const std::uint16_t status : { 200, 404, 500 }) {
+    EXPECT_EQ(Classify(Response(status, { { "x-request-id", "r-1" }, { "x-not-run", "full" } })),
+              RunResult::Broken)
+      << status;
+  }
+}
+
+// Guards against "not run" on the strength of a reason that the protocol does not know.
+TEST_F(BackendClientTest, ClassifyRun_OfRefusalWithUnknownReason_IsBroken)
+{
+  EXPECT_EQ(Classify(Response(503, { { "x-request-id", "r-1" }, { "x-not-run", "perhaps" } })),
+            RunResult::Broken);
+}
+
 // Guards against a failed run that counts as completed or as not run.
 TEST_F(BackendClientTest, ClassifyRun_OfServerError_IsFailed)
 {
