Ignore an X-Load header that is not a number before the slash

Cause: the end of the number was not compared with the slash, so that "3x/8" counted as 3. Found by ClassifyRun_WithMalformedLoad_ReportsNone, which failed with 3 and now passes. Ruled out: negative and too large numbers, which were refused before.

--- a/src/connection/BackendClient.cpp
+++ b/src/connection/BackendClient.cpp
@@ -21,10 +21,12 @@
 {
   std::uint32_t used = 0;
   const auto slash = aLoad.find('/');
-  const auto parsed =
-    std::from_chars(aLoad.data(), aLoad.data() + std::min(slash, aLoad.size()), used);
-  return slash != std::string_view::npos && parsed.ec == std::errc{} ? std::optional{ used }
-                                                                     : std::nullopt;
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto parsed = std::from_chars(aLoad.data(), aLoad.data() + slash, used);
+  const bool valid = parsed.ec == std::errc{} && parsed.ptr == aLoad.data() + slash;
+  return valid ? std::optional{ used } : std::nullopt;
 }
 
 RunOutcome Failure(RunResult aResult, std::string_view aDetail)
--- a/tests/unit/BackendClientTest.cpp
+++ b/tests/unit/BackendClientTest.cpp
@@ -126,6 +126,17 @@
   EXPECT_EQ(Classify(Response(499, headers)), RunResult::Completed);
 }
 
+// Guards against a load that is guessed out of a malformed header.
+TEST_F(BackendClientTest, ClassifyRun_WithMalformedLoad_ReportsNone)
+{
+  for (const char* load : { "", "3", "x/8", "/8", "3x/8", "-1/8", "99999999999/8" }) {
+    const auto outcome =
+      ClassifyRun(m_request, Response(200, { { "x-request-id", "r-1" }, { "x-load", load } }));
+    EXPECT_EQ(outcome.m_result, RunResult::Completed) << load;
+    EXPECT_EQ(outcome.m_usedSlots, std::nullopt) << load;
+  }
+}
+
 // Guards against a job that is given back because of a stop that proves nothing.
 TEST_F(BackendClientTest, ParseStop_OfEachState_SaysWhatIsProved)
 {
