Refuse a log response without offsets

Cause: missing fields of the response to a read defaulted to 0. A response of status 200 such as {"error":"busy"} was read as an empty log: a new process became ready without rules, and a running one confirmed its view without having read anything. A record without an offset was taken for offset 0. Negative and fractional offsets were converted without an error. Ruled out: responses with another status or of another JSON type, which were refused before.

Before: ParseRead_WithoutOffsets_IsNothing failed for 8 bodies and ParseRead_WithEndBeforeItsRecords_IsNothing for 1. Now they pass.

--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -15,23 +15,43 @@
 
 using Json = nlohmann::json;
 
+/// \brief An offset; nothing for a missing, negative or fractional number, which the JSON library
+/// would convert silently.
+std::optional<Offset> OffsetAt(const Json& aJson, const char* aName)
+{
+  const Json& value = aJson.at(aName);
+  return value.is_number_unsigned() ? std::optional{ value.get<Offset>() } : std::nullopt;
+}
+
+/// \brief Appends a record when it is the next one.
+bool AddRecord(const Json& aJson, ReadResult& aResult)
+{
+  const auto offset = OffsetAt(aJson, "offset");
+  auto bytes = DecodeBase64(aJson.at("data").get<std::string>());
+  if (!bytes || offset != aResult.m_first + aResult.m_records.size()) {
+    return false;
+  }
+  aResult.m_records.push_back(std::move(*bytes));
+  return true;
+}
+
 std::optional<ReadResult> ReadFrom(const Json& aJson)
 {
-  ReadResult result;
-  result.m_oldest = aJson.value("oldest", Offset{});
-  result.m_next = aJson.value("next", Offset{});
-  const Json records = aJson.value("records", Json::array());
-  result.m_first = records.empty() ? result.m_next : records.front().value("offset", Offset{});
-  for (const auto& record : records) {
-    auto bytes = DecodeBase64(record.value("data", std::string{}));
-    const bool consecutive =
-      record.value("offset", Offset{}) == result.m_first + result.m_records.size();
-    if (!bytes || !consecutive) {
-      return std::nullopt;
-    }
-    result.m_records.push_back(std::move(*bytes));
+  const auto oldest = OffsetAt(aJson, "oldest");
+  const auto next = OffsetAt(aJson, "next");
+  const Json& records = aJson.at("records");
+  if (!oldest || !next || !records.is_array()) {
+    return std::nullopt;
   }
-  return result;
+  const auto first = records.empty() ? next : OffsetAt(records.front(), "offset");
+  if (!first) {
+    return std::nullopt;
+  }
+  ReadResult result{ *oldest, *next, *first, {} };
+  const bool valid = std::ranges::all_of(
+    records, [&result](const Json& aRecord) { return AddRecord(aRecord, result); });
+  return valid && *first + records.size() <= *next ? std::optional{ std::move(result) }
+                                                   : std::nullopt;
 }
 
 ListedInstance InstanceFrom(const Json& aJson)
--- a/tests/unit/PlatformClientTest.cpp
+++ b/tests/unit/PlatformClientTest.cpp
@@ -84,6 +84,25 @@
   }
 }
 
+// Guards against a new process that takes an answer without offsets for an empty log, and is ready
+// without any rules.
+TEST_F(PlatformClientTest, ParseRead_WithoutOffsets_IsNothing)
+{
+  for (const char* body :
+       { "{}", R"({"error":"busy"})", R"({"oldest":0,"records":[]})", R"({"oldest":0,"next":9})",
+         R"({"oldest":0,"next":-1,"records":[]})", R"({"oldest":0,"next":1.5,"records":[]})",
+         R"({"oldest":0,"next":9,"records":[{"data":""}]})",
+         R"({"oldest":0,"next":9,"records":[{"offset":0}]})" }) {
+    EXPECT_FALSE(ParseRead(Response(body))) << body;
+  }
+}
+
+// Guards against an end of the log that lies before its own records.
+TEST_F(PlatformClientTest, ParseRead_WithEndBeforeItsRecords_IsNothing)
+{
+  EXPECT_FALSE(ParseRead(Response(R"({"oldest":0,"next":5,"records":[{"offset":5,"data":""}]})")));
+}
+
 // Guards against fields that get lost between the platform and the planner.
 TEST_F(PlatformClientTest, ParseInstanceList_OfInstances_ReadsAllFields)
 {
