Refuse an instance list that is no list, or has incomplete entries

Cause: {"instances":null} and {"instances":{}} were read as an empty fleet, after which the planner fails and retires instances; an entry without id, address, boot id or state became an instance with an empty name or counted as live. Ruled out: numbers and text in the place of the list, which were refused before.

Before: ParseInstanceList_OfUnusableResponse_IsNothing failed for 2 bodies and ParseInstanceList_OfIncompleteInstance_IsNothing for 4. Now they pass.

--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -54,22 +54,27 @@
                                                    : std::nullopt;
 }
 
+/// \brief Throws when a field is missing without which the instance cannot be used.
 ListedInstance InstanceFrom(const Json& aJson)
 {
-  return { aJson.value("id", std::string{}),
-           aJson.value("address", std::string{}),
+  return { aJson.at("id").get<std::string>(),
+           aJson.at("address").get<std::string>(),
            aJson.value("zone", std::string{}),
            aJson.value("rack", std::string{}),
-           aJson.value("boot_id", std::string{}),
+           aJson.at("boot_id").get<std::string>(),
            aJson.value("pool", std::string{}),
-           aJson.value("state", std::string{}) == "leaving" };
+           aJson.at("state").get<std::string>() == "leaving" };
 }
 
 std::optional<InstanceList> ListFrom(const Json& aJson)
 {
+  const Json& instances = aJson.at("instances");
+  if (!instances.is_array()) {
+    return std::nullopt;
+  }
   InstanceList list;
   list.m_version = aJson.value("version", std::uint64_t{});
-  std::ranges::transform(aJson.at("instances"), std::back_inserter(list.m_instances), InstanceFrom);
+  std::ranges::transform(instances, std::back_inserter(list.m_instances), InstanceFrom);
   return list;
 }
 
--- a/tests/unit/PlatformClientTest.cpp
+++ b/tests/unit/PlatformClientTest.cpp
@@ -122,5 +122,28 @@
   EXPECT_TRUE(instance.m_leaving);
 }
 
+// Guards against a fleet that is retired because of an answer without a list.
+TEST_F(PlatformClientTest, ParseInstanceList_OfUnusableResponse_IsNothing)
+{
+  for (const char* body : { "", "[]", "{}", R"({"instances":7})", R"({"instances":null})",
+                            R"({"instances":{}})", R"({"instances":[7]})" }) {
+    EXPECT_FALSE(ParseInstanceList(Response(body))) << body;
+  }
+  EXPECT_FALSE(ParseInstanceList(Response(R"({"instances":[]})", 500)));
+}
+
+// Guards against an instance without name, address or boot id that joins the fleet.
+TEST_F(PlatformClientTest, ParseInstanceList_OfIncompleteInstance_IsNothing)
+{
+  for (const char* instance : { R"({"address":"127.0.0.1:1","boot_id":"b","state":"live"})",
+                                R"({"id":"i1","boot_id":"b","state":"live"})",
+                                R"({"id":"i1","address":"127.0.0.1:1","state":"live"})",
+                                R"({"id":"i1","address":"127.0.0.1:1","boot_id":"b"})" }) {
+    EXPECT_FALSE(
+      ParseInstanceList(Response(std::string{ R"({"version":1,"instances":[)" } + instance + "]}")))
+      << instance;
+  }
+}
+
 } // namespace
 } // namespace pistachiostand
