--- /dev/null
+++ b/tests/unit/CodecPropertyTest.cpp
@@ -0,0 +1,219 @@
+#include "Property.h"
+
+#include "pistachiostand/connection/PeerMessage.h"
+#include "pistachiostand/process/RecordCodec.h"
+#include "pistachiostand/process/SnapshotCodec.h"
+
+namespace pistachiostand {
+namespace {
+
+std::string Text()
+{
+  return *rc::gen::arbitrary<std::string>();
+}
+
+std::uint64_t Number()
+{
+  return *rc::gen::arbitrary<std::uint64_t>();
+}
+
+std::uint32_t Small()
+{
+  return *rc::gen::arbitrary<std::uint32_t>();
+}
+
+Millis Time()
+{
+  return *rc::gen::arbitrary<Millis>();
+}
+
+std::vector<std::string> Texts()
+{
+  return *rc::gen::arbitrary<std::vector<std::string>>();
+}
+
+RecordBody GenInstanceRecord()
+{
+  switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+      return Join{ Text(), Text(), Text(), Text(), Text(), Text() };
+    case 1:
+      return Fail{ Text(), Number() };
+    case 2:
+      return Retire{ Text(), Number() };
+    case 3:
+      return Drain{ Text(), Number(), Text() };
+    default:
+      return Return{ Text(), Number(), Text() };
+  }
+}
+
+RecordBody GenJobRecord()
+{
+  const auto claim =
+    *rc::gen::arbitrary<bool>() ? std::optional{ ClaimTarget{ Text(), Text() } } : std::nullopt;
+  switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+      return Submit{ Text(), Text(), Text(), Number(), Text(), claim };
+    case 1:
+      return Claim{ Text(), Small(), { Text(), Text() } };
+    case 2:
+      return GiveBack{ Text(), Small(), *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>() };
+    case 3:
+      return Finish{ Text(), Small(), FinishKind::Stopped, 502, Text(), true };
+    default:
+      return Cancel{ Text() };
+  }
+}
+
+RecordBody GenBody()
+{
+  switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+      return Publish{ Number(), Text(), Text() };
+    case 1:
+      return Tick{ Time() };
+    case 2:
+      return Snapshot{ Number(), Small(), Small(), Number(), Text() };
+    case 3:
+      return GenInstanceRecord();
+    default:
+      return GenJobRecord();
+  }
+}
+
+PeerMessage GenMessage()
+{
+  switch (*rc::gen::inRange(0, 6)) {
+    case 0:
+      return Hello{ Text(), Text(), Text() };
+    case 1:
+      return Heartbeat{ Number(),
+                        Number(),
+                        Time(),
+                        *rc::gen::arbitrary<bool>(),
+                        *rc::gen::arbitrary<std::map<std::string, std::uint32_t>>(),
+                        Texts() };
+    case 2:
+      return FetchLog{ Number() };
+    case 3:
+      return LogBatch{ Number(), Texts() };
+    case 4:
+      return FetchState{ Number() };
+    default:
+      return StateCopy{ Text() };
+  }
+}
+
+/// \brief Changes one byte.
+std::string Damage(std::string aBytes)
+{
+  const auto at = *rc::gen::inRange<std::size_t>(0, aBytes.size());
+  aBytes[at] = static_cast<char>(aBytes[at] ^ *rc::gen::inRange(1, 256));
+  return aBytes;
+}
+
+class RecordCodecTest : public ::testing::Test
+{
+protected:
+  static std::optional<Record> Decode(std::string_view aBytes)
+  {
+    Reason reason;
+    auto record = DecodeRecord(aBytes, reason);
+    if (!record) {
+      EXPECT_EQ(reason.m_kind, ReasonKind::Corrupt);
+    }
+    return record;
+  }
+};
+
+class PeerMessageTest : public ::testing::Test
+{};
+
+// Guards against a field that is stored and not read, or read in another order.
+TEST_F(RecordCodecTest, Decode_OfEncodedRecord_IsTheSame)
+{
+  CheckProperty("record round trip", [] {
+    const Record record{ Number(), Text(), GenBody() };
+    RC_ASSERT(Decode(EncodeRecord(record)) == record);
+  });
+}
+
+// Guards against part of a record that is taken for a whole one.
+TEST_F(RecordCodecTest, Decode_OfTruncatedOrExtendedRecord_IsNothing)
+{
+  CheckProperty("record cut", [] {
+    const std::string bytes = EncodeRecord({ Number(), Text(), GenBody() });
+    const auto length = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!Decode(std::string_view{ bytes }.substr(0, length)));
+    RC_ASSERT(!Decode(bytes + '\0'));
+  });
+}
+
+// Guards against a crash of every reader by the same record, and against readers that differ.
+TEST_F(RecordCodecTest, Decode_OfDamagedRecord_IsNothingOrEncodable)
+{
+  CheckProperty("record damage", [] {
+    const auto record = Decode(Damage(EncodeRecord({ Number(), Text(), GenBody() })));
+    RC_ASSERT(!record || Decode(EncodeRecord(*record)) == record);
+  });
+}
+
+// Guards against a crash by arbitrary bytes in the log.
+TEST_F(RecordCodecTest, Decode_OfGarbage_DoesNotThrow)
+{
+  CheckProperty("record garbage", [] { RC_ASSERT(!Decode(Text())); });
+}
+
+// Guards against a field that is sent and not read, or read in another order.
+TEST_F(PeerMessageTest, Decode_OfEncodedMessage_IsTheSame)
+{
+  CheckProperty("message round trip", [] {
+    const PeerMessage message = GenMessage();
+    RC_ASSERT(DecodePeerMessage(EncodePeerMessage(message)) == message);
+  });
+}
+
+// Guards against part of a message that is taken for a whole one.
+TEST_F(PeerMessageTest, Decode_OfTruncatedOrExtendedMessage_IsNothing)
+{
+  CheckProperty("message cut", [] {
+    const std::string bytes = EncodePeerMessage(GenMessage());
+    const auto length = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!DecodePeerMessage(std::string_view{ bytes }.substr(0, length)));
+    RC_ASSERT(!DecodePeerMessage(bytes + '\0'));
+  });
+}
+
+// Guards against a process that another program's bytes end.
+TEST_F(PeerMessageTest, Decode_OfDamagedMessage_IsNothingOrEncodable)
+{
+  CheckProperty("message damage", [] {
+    const auto message = DecodePeerMessage(Damage(EncodePeerMessage(GenMessage())));
+    RC_ASSERT(!message || DecodePeerMessage(EncodePeerMessage(*message)) == message);
+  });
+}
+
+// Guards against a crash by another program that connects to the port.
+TEST_F(PeerMessageTest, Decode_OfGarbage_IsNothing)
+{
+  CheckProperty("message garbage", [] { RC_ASSERT(!DecodePeerMessage(Text())); });
+  EXPECT_FALSE(DecodePeerMessage("GET / HTTP/1.1\r\n\r\n"));
+}
+
+// Guards against a short message that announces more elements than memory holds.
+TEST_F(PeerMessageTest, Decode_OfHugeLengths_IsNothing)
+{
+  EXPECT_FALSE(DecodePeerMessage("\xdd\xff\xff\xff\xff"));
+  EXPECT_FALSE(DecodePeerMessage("\xdf\xff\xff\xff\xff"));
+  EXPECT_FALSE(DecodePeerMessage("\xc6\xff\xff\xff\xff"));
+}
+
+// Guards against a stack overflow by nested arrays.
+TEST_F(PeerMessageTest, Decode_OfDeepNesting_IsNothing)
+{
+  EXPECT_FALSE(DecodePeerMessage(std::string(1'000'000, '\x91') + '\x01'));
+}
+
+} // namespace
+} // namespace pistachiostand
--- a/tests/unit/FoldPropertyTest.cpp
+++ b/tests/unit/FoldPropertyTest.cpp
@@ -1,35 +1,14 @@
+#include "Property.h"
+
 #include "pistachiostand/process/Fold.h"
 #include "pistachiostand/process/RecordCodec.h"
 #include "pistachiostand/process/SnapshotCodec.h"
 
-#include <gtest/gtest.h>
-#include <rapidcheck/gtest.h>
-
 #include <algorithm>
-#include <sstream>
 
 namespace pistachiostand {
 namespace {
 
-/// Makes every run generate the same cases.
-constexpr std::uint64_t kSeed = 20'260'309;
-constexpr int kCases = 300;
-
-template<typename Testable>
-void CheckProperty(const std::string& aName, Testable&& aTestable)
-{
-  rc::detail::TestParams params;
-  params.seed = kSeed;
-  params.maxSuccess = kCases;
-  rc::detail::TestMetadata metadata;
-  metadata.description = aName;
-  const auto result =
-    rc::detail::checkTestable(std::forward<Testable>(aTestable), metadata, params);
-  std::ostringstream message;
-  rc::detail::printResultMessage(result, message);
-  EXPECT_TRUE(result.template is<rc::detail::SuccessResult>()) << message.str();
-}
-
 std::string RulesText(int aMinAvailable)
 {
   return "pool.spare = { instances = 1, spare = true } # A: x\n"
