Refuse stored values outside their enumeration

Cause: the codec cast the stored number to the enumeration without a check. A record or a peer's copy of the state with an unknown phase or kind was accepted; the name of such a value is looked up with at() in a noexcept function, so /v1/status or a log line would have ended the process, in every entry instance that reads the record. Ruled out: numbers that do not fit a byte, which msgpack refuses.

Before: RecordCodecTest.Decode_OfUnknownEnumerator_IsNothing and DecodeState_OfUnknownEnumerator_IsNothing decoded them. Now they pass; such a record counts as corrupt and changes no state. A new enumerator therefore needs a reader that knows it before the first writer, as a new kind of record does.

--- a/src/process/Fields.h
+++ b/src/process/Fields.h
@@ -7,6 +7,28 @@
 
 namespace pistachiostand {
 
+// A stored value outside its enumeration is corrupt; looking up its name would end the process.
+
+constexpr std::size_t EnumeratorCount(FinishKind /*aKind*/) noexcept
+{
+  return static_cast<std::size_t>(FinishKind::Stopped) + 1;
+}
+
+constexpr std::size_t EnumeratorCount(InstancePhase /*aPhase*/) noexcept
+{
+  return static_cast<std::size_t>(InstancePhase::Failed) + 1;
+}
+
+constexpr std::size_t EnumeratorCount(JobPhase /*aPhase*/) noexcept
+{
+  return static_cast<std::size_t>(JobPhase::NotRun) + 1;
+}
+
+constexpr std::size_t EnumeratorCount(Refusal /*aRefusal*/) noexcept
+{
+  return static_cast<std::size_t>(Refusal::TimeNotAdvanced) + 1;
+}
+
 template<typename Visit>
 void Fields(Publish& aValue, Visit&& aVisit)
 {
--- a/src/process/Pack.h
+++ b/src/process/Pack.h
@@ -95,7 +95,12 @@
   static void Read(const msgpack::object& aObject, T& aValue)
   {
     if constexpr (std::is_enum_v<T>) {
-      aValue = static_cast<T>(aObject.as<std::underlying_type_t<T>>());
+      // Found by argument-dependent lookup; see Fields.h.
+      const auto value = aObject.as<std::underlying_type_t<T>>();
+      if (value >= EnumeratorCount(T{})) {
+        throw msgpack::type_error();
+      }
+      aValue = static_cast<T>(value);
     } else if constexpr (HasFields<T>) {
       Fields(aValue, [&aObject](auto&... aFields) {
         const auto items = ArrayOf(aObject, sizeof...(aFields));
--- a/tests/unit/CodecPropertyTest.cpp
+++ b/tests/unit/CodecPropertyTest.cpp
@@ -165,6 +165,28 @@
   CheckProperty("record garbage", [] { RC_ASSERT(!Decode(Text())); });
 }
 
+// Guards against a value outside an enumeration, which ends the process where its name is needed.
+TEST_F(RecordCodecTest, Decode_OfUnknownEnumerator_IsNothing)
+{
+  const auto unknown = static_cast<FinishKind>(200);
+  EXPECT_FALSE(Decode(EncodeRecord({ 1, "e1", Finish{ "t/k", 1, unknown, 200, "", true } })));
+}
+
+// Guards against an enumeration outside its range in a copy of the state.
+TEST_F(RecordCodecTest, DecodeState_OfUnknownEnumerator_IsNothing)
+{
+  Reason reason;
+  FleetState state;
+  state.m_jobs["t/k"].m_phase = JobPhase::NotRun;
+  state.m_instances["i1"].m_phase = InstancePhase::Failed;
+  EXPECT_TRUE(DecodeState(EncodeState(state), reason));
+  state.m_jobs["t/k"].m_phase = static_cast<JobPhase>(5);
+  EXPECT_FALSE(DecodeState(EncodeState(state), reason));
+  state.m_jobs.clear();
+  state.m_instances["i1"].m_phase = static_cast<InstancePhase>(3);
+  EXPECT_FALSE(DecodeState(EncodeState(state), reason));
+}
+
 // Guards against a field that is sent and not read, or read in another order.
 TEST_F(PeerMessageTest, Decode_OfEncodedMessage_IsTheSame)
 {
