Refuse base64 with bits behind its end

Cause: the bits of the last character that belong to no byte were ignored, so that a damaged character there went unnoticed, against the header's "nothing for any other text". Ruled out: wrong padding and foreign characters, which were refused before.

Before: Base64Test.Decode_WithBitsBehindTheEnd_IsNothing decoded "Zh==" to "f". Now it passes.

--- a/src/base/Base64.cpp
+++ b/src/base/Base64.cpp
@@ -1,6 +1,7 @@
 #include "pistachiostand/base/Base64.h"
 
 #include <cstdint>
+#include <utility>
 
 namespace pistachiostand {
 
@@ -54,7 +55,8 @@
       bytes += static_cast<char>((group >> bits) & 0xffU);
     }
   }
-  return bytes;
+  const bool canonical = (group & ((1U << bits) - 1U)) == 0;
+  return canonical ? std::optional{ std::move(bytes) } : std::nullopt;
 }
 
 } // namespace pistachiostand
--- a/tests/unit/Base64Test.cpp
+++ b/tests/unit/Base64Test.cpp
@@ -38,5 +38,12 @@
   EXPECT_EQ(DecodeBase64({ "Zg\0=", 4 }), std::nullopt);
 }
 
+// Guards against two texts for the same bytes, of which one is damaged.
+TEST_F(Base64Test, Decode_WithBitsBehindTheEnd_IsNothing)
+{
+  EXPECT_EQ(DecodeBase64("Zh=="), std::nullopt);
+  EXPECT_EQ(DecodeBase64("Zm9="), std::nullopt);
+}
+
 } // namespace
 } // namespace pistachiostand
