Route operator requests by method and path in one place

Handle() built half a route and compared the parts again in each branch. Also removes the counter m_mismatched, which nothing set or showed.

--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -139,23 +139,22 @@
 bool OperatorApi::Handle(const HttpRequest& aRequest, const HttpResponder& aRespond)
 {
   const auto parts = SplitPath(aRequest.m_path);
-  const bool get = aRequest.m_method == "GET";
-  const std::string route =
-    aRequest.m_method + ' ' + (parts.empty() ? std::string{} : parts.back());
-  if (parts.size() == 1 && get && parts[0] == "healthz") {
+  std::string route = aRequest.m_method;
+  std::ranges::for_each(parts, [&route](const std::string& aPart) { route += ' ' + aPart; });
+  if (route == "GET healthz") {
     aRespond(JsonResponse(200, { { "alive", true } }));
-  } else if (parts.size() == 1 && get && parts[0] == "readyz") {
+  } else if (route == "GET readyz") {
     const bool ready = m_isReady();
     aRespond(JsonResponse(ready ? 200 : 503, { { "ready", ready } }));
-  } else if (parts.size() == 1 && get && parts[0] == "metrics") {
+  } else if (route == "GET metrics") {
     aRespond(MetricsPage(m_runtime, m_dispatcher));
-  } else if (parts.size() == 2 && parts[0] == "v1" && route == "GET status") {
+  } else if (route == "GET v1 status") {
     aRespond(StatusPage());
-  } else if (parts.size() == 2 && parts[0] == "v1" && route == "GET rules") {
+  } else if (route == "GET v1 rules") {
     aRespond(RulesPage());
-  } else if (parts.size() == 2 && parts[0] == "v1" && route == "POST rules") {
+  } else if (route == "POST v1 rules") {
     HandlePublish(aRequest, aRespond);
-  } else if (parts.size() == 3 && parts[0] == "v1" && parts[1] == "provenance" && get) {
+  } else if (parts.size() == 3 && route.starts_with("GET v1 provenance ")) {
     HandleProvenance(parts[2], aRespond);
   } else {
     return false;
--- a/src/daemon/Runtime.h
+++ b/src/daemon/Runtime.h
@@ -30,7 +30,6 @@
   std::uint64_t m_stopped{};
   std::uint64_t m_retries{};
   std::uint64_t m_refusedFull{};
-  std::uint64_t m_mismatched{};
   std::uint64_t m_takeovers{};
 };
 
