Call the same callback before and after a late resolution

Cause: Expire() reported Unresolved through a copy of the callback. State inside the callback was then lost: when the record was seen later, the original still believed that it had not answered. Two callbacks hold such state. From reading the code: the planner's (FleetDriver) would subtract a record twice, its unsigned count of unresolved records would wrap, and the process would stop planning; the publish callback (OperatorApi) would answer the same request twice. Ruled out: the job callbacks, whose state is in shared objects.

Callbacks are now shared and never copied. Before: OnApplied_AfterUnresolvedWasReported_CallsTheSameCallback saw calls 1 and 1. Now it sees 1 and 2.

--- a/include/pistachiostand/process/ProposalQueue.h
+++ b/include/pistachiostand/process/ProposalQueue.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -83,9 +84,12 @@
   [[nodiscard]] std::size_t OpenCount() const;
 
 private:
+  /// Shared and never copied, because a callback may hold state, such as whether it has answered.
+  using SharedCallback = std::shared_ptr<ProposalCallback>;
+
   struct Waiter
   {
-    ProposalCallback m_callback;
+    SharedCallback m_callback;
     Millis m_resolveByMs{};
     bool m_reported{}; ///< Unresolved was reported.
 
@@ -109,7 +113,7 @@
     [[nodiscard]] bool IsIdle() const noexcept { return !m_waiting && !m_underWay; }
   };
 
-  using Reports = std::vector<std::pair<ProposalResult, ProposalCallback>>;
+  using Reports = std::vector<std::pair<ProposalResult, SharedCallback>>;
 
   static void Answer(const std::vector<Waiter>& aWaiters, ProposalResult aResult,
                      const Verdict& aVerdict);
--- a/src/process/ProposalQueue.cpp
+++ b/src/process/ProposalQueue.cpp
@@ -34,7 +34,8 @@
     proposal.m_bytes = EncodeRecord({ id, m_author, std::move(aBody) });
   }
   proposal.m_durable = proposal.m_durable || aOptions.m_durable;
-  proposal.m_waiters.push_back({ std::move(aCallback), aOptions.m_resolveByMs, false });
+  proposal.m_waiters.push_back(
+    { std::make_shared<ProposalCallback>(std::move(aCallback)), aOptions.m_resolveByMs, false });
   Queue(id, proposal);
 }
 
@@ -53,7 +54,7 @@
                            const Verdict& aVerdict)
 {
   for (const auto& waiter : aWaiters) {
-    waiter.m_callback(aResult, aVerdict);
+    (*waiter.m_callback)(aResult, aVerdict);
   }
 }
 
@@ -177,8 +178,8 @@
   const bool allDue = std::ranges::all_of(
     aProposal.m_waiters, [aNowMs](const Waiter& aWaiter) { return aWaiter.IsDue(aNowMs); });
   if (allDue && aProposal.m_waiting && !aProposal.m_maybeInLog) {
-    for (auto& waiter : aProposal.m_waiters) {
-      aReports.emplace_back(ProposalResult::NotAppended, std::move(waiter.m_callback));
+    for (const auto& waiter : aProposal.m_waiters) {
+      aReports.emplace_back(ProposalResult::NotAppended, waiter.m_callback);
     }
     return true;
   }
@@ -196,7 +197,7 @@
                                                                  : std::next(each);
   }
   for (const auto& [result, callback] : reports) {
-    callback(result, {});
+    (*callback)(result, {});
   }
 }
 
--- a/tests/unit/ProposalQueueTest.cpp
+++ b/tests/unit/ProposalQueueTest.cpp
@@ -198,6 +198,21 @@
   EXPECT_EQ(m_results, (Results{ ProposalResult::Unresolved, ProposalResult::Accepted }));
 }
 
+// Guards against a callback that forgets between its calls that it has answered: the planner would
+// count a record twice and stop planning, and an operator's request would be answered twice.
+TEST_F(ProposalQueueTest, OnApplied_AfterUnresolvedWasReported_CallsTheSameCallback)
+{
+  std::vector<int> calls;
+  m_queue.Propose(
+    Tick{ 1 }, { false, 1'000 },
+    [&calls, count = 0](ProposalResult, const Verdict&) mutable { calls.push_back(++count); });
+  const auto batch = m_queue.TakeBatch(0);
+  m_queue.OnUnknown(0);
+  m_queue.Expire(1'000);
+  m_queue.OnApplied(Decoded(batch[0]), {});
+  EXPECT_EQ(calls, (std::vector<int>{ 1, 2 }));
+}
+
 // Guards against "unknown" for a record that never left the process.
 TEST_F(ProposalQueueTest, Expire_OfRecordNeverAppended_ReportsNotAppended)
 {
