Test configuration under failure, and fix two untrue refusals

Cause 1: callers were served before the log was read. An entry instance without rules answered 403 unknown-tenant, and a GET of a job said not-run although the job may have run. Cause 2: an entry instance that is cut off from the platform, but hears the log through its peers, counted its view as confirmed and made claims that it could not append. Every non-idempotent request ended as unknown after the claim window.

Change: callers get 503 until the entry instance is ready, with outcome not-run for requests and unknown for queries of a job; a claim needs a recent read of the log by the process itself.

Ruled out: a shorter platform timeout, which leaves the outcome of the append as unknown as before.

A TCP relay in the harness cuts the links between peers.

--- a/src/daemon/CallerApi.cpp
+++ b/src/daemon/CallerApi.cpp
@@ -30,6 +30,21 @@
                                {} }));
 }
 
+/// \brief Without the log's state nothing is known of tenants, services or jobs.
+void RespondNotReady(const CallerRequest& aCall, bool aAsksForJob)
+{
+  constexpr Millis kRetryAfterMs = 1'000;
+  const auto outcome = aAsksForJob ? OutcomeKind::Unknown : OutcomeKind::NotRun;
+  aCall.m_respond(ToResponse({ outcome,
+                               503,
+                               "not-ready",
+                               "this entry instance has not read the log yet",
+                               "repeat the request later, or at another entry instance",
+                               aCall.m_requestId,
+                               kRetryAfterMs,
+                               {} }));
+}
+
 HttpHeaders PassedHeaders(const HttpHeaders& aHeaders)
 {
   HttpHeaders passed;
@@ -54,10 +69,12 @@
   return parts;
 }
 
-CallerApi::CallerApi(Runtime& aRuntime, Dispatcher& aDispatcher, JobRunner& aJobs)
+CallerApi::CallerApi(Runtime& aRuntime, Dispatcher& aDispatcher, JobRunner& aJobs,
+                     std::function<bool()> aIsReady)
   : m_runtime(aRuntime)
   , m_dispatcher(aDispatcher)
   , m_jobs(aJobs)
+  , m_isReady(std::move(aIsReady))
 {
 }
 
@@ -71,6 +88,8 @@
   CallerRequest call = MakeCall(aRequest, aRespond);
   if (m_runtime.m_draining && method == "POST") {
     RespondNotRun(call, "draining", "this entry instance is stopping");
+  } else if (!m_isReady()) {
+    RespondNotReady(call, parts[1] == "jobs" && method != "POST");
   } else if (call.m_body.size() > kMaxRequestBytes) {
     Refuse(call, 413, "body-too-large", "the body is larger than 32 KiB", "send a smaller body");
   } else if (!CheckTenant(call)) {
--- a/src/daemon/CallerApi.h
+++ b/src/daemon/CallerApi.h
@@ -2,6 +2,7 @@
 
 #include "JobRunner.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,9 @@
 class CallerApi
 {
 public:
-  CallerApi(Runtime& aRuntime, Dispatcher& aDispatcher, JobRunner& aJobs);
+  /// \param aIsReady true once the rules and jobs of the log are known.
+  CallerApi(Runtime& aRuntime, Dispatcher& aDispatcher, JobRunner& aJobs,
+            std::function<bool()> aIsReady);
 
   /// \brief Handles `/v1/services/...` and `/v1/jobs/...`; false for any other path.
   bool Handle(HttpRequest& aRequest, const HttpResponder& aRespond);
@@ -37,6 +40,7 @@
   Runtime& m_runtime;
   Dispatcher& m_dispatcher;
   JobRunner& m_jobs;
+  std::function<bool()> m_isReady;
   std::size_t m_outstanding{};
   std::uint64_t m_lastRequest{};
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -74,7 +74,7 @@
   , m_jobs(m_runtime, m_dispatcher)
   , m_tail(m_runtime)
   , m_fleet(m_runtime, m_servers)
-  , m_callers(m_runtime, m_dispatcher, m_jobs)
+  , m_callers(m_runtime, m_dispatcher, m_jobs, [this] { return m_tail.IsReady(); })
   , m_operators(m_runtime, m_dispatcher,
                 [this] { return m_tail.IsReady() && !m_runtime.m_draining; })
   , m_heartbeat(aLoop, aSettings.m_limits.m_heartbeatMs, [this] { SendHeartbeat(); })
--- a/src/daemon/JobRunner.cpp
+++ b/src/daemon/JobRunner.cpp
@@ -54,7 +54,7 @@
     WaitFor(std::move(aRequest));
     return;
   }
-  if (CurrentView(m_runtime, MonotonicMs()) != ViewState::Confirmed) {
+  if (!ReadsPlatform(m_runtime, MonotonicMs())) {
     RespondNotRun(aRequest, "log-unavailable", "the platform's log cannot be reached");
     return;
   }
--- a/src/daemon/Runtime.cpp
+++ b/src/daemon/Runtime.cpp
@@ -5,13 +5,24 @@
 
 namespace pistachiostand {
 
+namespace {
+
+bool IsRecent(const Runtime& aRuntime, const std::optional<Millis>& aTime, Millis aNowMs)
+{
+  return aTime && aNowMs - *aTime <= aRuntime.m_settings.m_limits.m_viewConfirmMs;
+}
+
+} // namespace
+
+bool ReadsPlatform(const Runtime& aRuntime, Millis aNowMs)
+{
+  return IsRecent(aRuntime, aRuntime.m_confirmedMs, aNowMs);
+}
+
 ViewState CurrentView(const Runtime& aRuntime, Millis aNowMs)
 {
-  const Millis limit = aRuntime.m_settings.m_limits.m_viewConfirmMs;
-  const auto isRecent = [aNowMs, limit](const std::optional<Millis>& aTime) {
-    return aTime && aNowMs - *aTime <= limit;
-  };
-  if (isRecent(aRuntime.m_confirmedMs) || isRecent(aRuntime.m_membership.LastConfirmed(aNowMs))) {
+  if (ReadsPlatform(aRuntime, aNowMs) ||
+      IsRecent(aRuntime, aRuntime.m_membership.LastConfirmed(aNowMs), aNowMs)) {
     return ViewState::Confirmed;
   }
   return aRuntime.m_membership.HasLivePeer(aNowMs) ? ViewState::ZoneOnly : ViewState::Alone;
--- a/src/daemon/Runtime.h
+++ b/src/daemon/Runtime.h
@@ -64,6 +64,11 @@
 
 [[nodiscard]] ViewState CurrentView(const Runtime& aRuntime, Millis aNowMs);
 
+/// \brief True while this process itself reads the log's end.
+///
+/// A process that only hears the log from its peers cannot append, so it can make no claim.
+[[nodiscard]] bool ReadsPlatform(const Runtime& aRuntime, Millis aNowMs);
+
 /// \brief Calls `aTick` at an interval until it is destroyed.
 class Ticker
 {
--- a/tests/process/Deployment.cpp
+++ b/tests/process/Deployment.cpp
@@ -126,13 +126,28 @@
       << m_limits << "\n[log]\nlevel = \"debug\"\n";
   for (std::size_t i = 0; i < m_entries.size(); ++i) {
     if (i != aEntry) {
-      out << "[[peer]]\n"
-          << EntryTable(m_entries[i]) << "address = \"" << aPeerAddresses[i] << "\"\n";
+      const auto address =
+        m_relay ? m_relay->Add({ aEntry, i }, aPeerAddresses[i]) : aPeerAddresses[i];
+      out << "[[peer]]\n" << EntryTable(m_entries[i]) << "address = \"" << address << "\"\n";
     }
   }
   return file.string();
 }
 
+void Deployment::CutPeers(const std::set<std::size_t>& aInside)
+{
+  std::set<PeerLinkId> links;
+  for (const auto inside : aInside) {
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+      if (!aInside.contains(other)) {
+        links.insert({ inside, other });
+        links.insert({ other, inside });
+      }
+    }
+  }
+  m_relay->Cut(links);
+}
+
 void Deployment::KillAndRestart(Server& aServer)
 {
   aServer.m_child->Kill();
--- a/tests/process/Deployment.h
+++ b/tests/process/Deployment.h
@@ -2,6 +2,7 @@
 
 #include "ChildProcess.h"
 #include "HttpRequest.h"
+#include "PeerRelay.h"
 
 #include <gtest/gtest.h>
 
@@ -77,6 +78,10 @@
   void StartEntries(const std::vector<std::string>& aZones);
   /// \brief Further lines for table `[limits]`; call before `StartEntries`.
   void SetLimits(const std::string& aLines) { m_limits = aLines; }
+  /// \brief Lets peers dial each other through `m_relay`; call before `StartEntries`.
+  void UsePeerRelay() { m_relay = std::make_unique<PeerRelay>(); }
+  /// \brief Cuts all links between the entry instances given and the others.
+  void CutPeers(const std::set<std::size_t>& aInside);
 
   /// \brief Kills a server and starts it again on its address, as a new incarnation.
   void KillAndRestart(Server& aServer);
@@ -112,6 +117,7 @@
   Server m_platform;
   std::vector<Server> m_backends;
   std::vector<Server> m_entries;
+  std::unique_ptr<PeerRelay> m_relay;
 
 private:
   void Start(Server& aServer);
--- /dev/null
+++ b/tests/process/FaultFixture.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Deployment.h"
+
+#include "pistachiostand/process/LogReplica.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief What the failure tests of configuration and fleet share.
+
+namespace pistachiostand::testing {
+
+/// Short intervals, so that a test need not wait for the default ones.
+inline constexpr auto kFastLimits = R"(heartbeat_ms = 100
+peer_timeout_ms = 600
+list_poll_ms = 100
+tail_wait_ms = 200
+platform_timeout_ms = 800
+view_confirm_ms = 1500
+)";
+
+class FaultFixture : public Deployment
+{
+protected:
+  /// \brief One backend server for each pool name, each in its own rack; zones z1 to z3 in turn.
+  void StartBackends(const std::vector<std::string>& aPools);
+  void WaitUntilServed(const std::string& aService);
+  void WaitUntilServed(std::size_t aEntry, const std::string& aService);
+
+  [[nodiscard]] HttpResponse CallNamed(std::size_t aEntry, const std::string& aService,
+                                       const std::string& aId, const std::string& aKey = {});
+  /// \brief Appends records to the platform's log, as an entry instance would.
+  void AppendRecords(const std::vector<RecordBody>& aBodies);
+  /// \brief Appends ticks, each of which advances fold time by its largest step.
+  void AdvanceFoldTime(Millis aByMs);
+
+  /// \brief Calls `aObserve` with the state after each record of the log.
+  ///
+  /// The verdicts are those of the product's fold, so every state that a reader passed is seen.
+  FleetState ReplayLog(
+    const std::function<void(const FleetState&, const LogEntry&, const Verdict&)>& aObserve = {});
+  /// \brief The state at the end of the log.
+  [[nodiscard]] FleetState LogState() { return ReplayLog(); }
+
+  [[nodiscard]] Json Status(std::size_t aEntry)
+  {
+    return GetJson(m_entries.at(aEntry), "/v1/status");
+  }
+  [[nodiscard]] static Json PoolOf(const Json& aStatus, const std::string& aPool);
+  [[nodiscard]] static Json InstanceOf(const Json& aStatus, const std::string& aInstance);
+  void ExpectNoDigestMismatch();
+
+private:
+  std::uint64_t m_records = 0;
+};
+
+} // namespace pistachiostand::testing
