--- a/include/pistachiostand/process/Membership.h
+++ b/include/pistachiostand/process/Membership.h
@@ -55,14 +55,24 @@
   /// \brief True when this process has the highest rendezvous weight for `aKey`.
   [[nodiscard]] bool IsOwner(const std::string& aKey, Millis aNowMs) const;
 
+  /// \brief The same among those that have read the log's end themselves within `aLimitMs`.
+  ///
+  /// Work that needs the platform falls to a process that reaches it. The caller checks its own
+  /// view.
+  [[nodiscard]] bool IsOwnerAmongReaders(const std::string& aKey, Millis aNowMs,
+                                         Millis aLimitMs) const;
+
   [[nodiscard]] bool HasLivePeer(Millis aNowMs) const;
   [[nodiscard]] std::size_t LiveCount(Millis aNowMs) const;
 
-  /// \brief Smallest next offset of the live peers and `aOwn`.
-  [[nodiscard]] Offset ReadByAll(Offset aOwn, Millis aNowMs) const;
+  /// \brief Smallest next offset of `aOwn` and the peers heard within `aKeepMs`.
+  ///
+  /// A silent peer may only be paused or cut off, so its last values count for longer than it
+  /// counts as alive.
+  [[nodiscard]] Offset ReadByAll(Offset aOwn, Millis aNowMs, Millis aKeepMs) const;
 
-  /// \brief Sum of in-flight counts of the live peers.
-  [[nodiscard]] std::map<InstanceId, std::uint32_t> InFlight(Millis aNowMs) const;
+  /// \brief Sum of the last in-flight counts of the peers heard within `aKeepMs`.
+  [[nodiscard]] std::map<InstanceId, std::uint32_t> InFlight(Millis aNowMs, Millis aKeepMs) const;
 
   /// \brief Backend servers that a live peer reports as leaving.
   [[nodiscard]] std::set<InstanceId> Leaving(Millis aNowMs) const;
--- a/src/daemon/FleetDriver.cpp
+++ b/src/daemon/FleetDriver.cpp
@@ -5,6 +5,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace pistachiostand {
@@ -19,6 +20,7 @@
 FleetDriver::FleetDriver(Runtime& aRuntime, ServerTable& aServers)
   : m_runtime(aRuntime)
   , m_servers(aServers)
+  , m_startedMs(MonotonicMs())
   , m_pollTicker(aRuntime.m_loop, aRuntime.m_settings.m_limits.m_listPollMs, [this] { Poll(); })
   , m_tickTicker(aRuntime.m_loop, kTickIntervalMs, [this] { ProposeTick(); })
 {
@@ -27,8 +29,9 @@
 bool FleetDriver::IsPlanner() const
 {
   const Millis now = MonotonicMs();
-  return !m_runtime.m_draining && CurrentView(m_runtime, now) == ViewState::Confirmed &&
-         m_runtime.m_membership.IsOwner("planner", now);
+  return !m_runtime.m_draining && ReadsPlatform(m_runtime, now) &&
+         m_runtime.m_membership.IsOwnerAmongReaders("planner", now,
+                                                    m_runtime.m_settings.m_limits.m_viewConfirmMs);
 }
 
 void FleetDriver::Poll()
@@ -59,13 +62,29 @@
 
 std::map<InstanceId, std::uint32_t> FleetDriver::InFlight(Millis aNowMs) const
 {
-  auto inFlight = m_runtime.m_membership.InFlight(aNowMs);
+  auto inFlight = m_runtime.m_membership.InFlight(aNowMs, LongestWaitMs(m_runtime.CurrentRules()));
   for (const auto& [instance, count] : m_servers.InFlight()) {
     inFlight[instance] += count;
   }
   return inFlight;
 }
 
+/// \brief Offset that every entry instance has read, also those that are silent.
+///
+/// A peer that this process has not heard since its start may be cut off with requests in flight.
+Offset FleetDriver::ReadByAll(Millis aNowMs) const
+{
+  const Millis keep = LongestWaitMs(m_runtime.CurrentRules());
+  const auto& heard = m_runtime.m_membership.Peers();
+  const bool allHeard =
+    std::ranges::all_of(m_runtime.m_settings.m_peers,
+                        [&heard](const PeerSettings& aPeer) { return heard.contains(aPeer.m_id); });
+  if (!allHeard && aNowMs - m_startedMs <= keep) {
+    return 0;
+  }
+  return m_runtime.m_membership.ReadByAll(m_runtime.State().m_nextOffset, aNowMs, keep);
+}
+
 void FleetDriver::Plan()
 {
   // Deciding again before the last records are read back would only propose them twice.
@@ -74,10 +93,8 @@
   }
   const Millis now = MonotonicMs();
   const FleetState& state = m_runtime.State();
-  auto decision = PlanFleet({ state, m_listed, InFlight(now),
-                              m_runtime.m_membership.ReadByAll(state.m_nextOffset, now),
-                              m_servers.SeenAlive(now), now },
-                            m_memory);
+  auto decision = PlanFleet(
+    { state, m_listed, InFlight(now), ReadByAll(now), m_servers.SeenAlive(now), now }, m_memory);
   for (auto& body : decision.m_records) {
     spdlog::info("fleet: Proposing {}.", DescribeRecord(body));
     ++m_unresolved;
--- a/src/daemon/FleetDriver.h
+++ b/src/daemon/FleetDriver.h
@@ -25,9 +25,11 @@
   void ProposeTick();
   void ProposeSnapshot();
   [[nodiscard]] std::map<InstanceId, std::uint32_t> InFlight(Millis aNowMs) const;
+  [[nodiscard]] Offset ReadByAll(Millis aNowMs) const;
 
   Runtime& m_runtime;
   ServerTable& m_servers;
+  Millis m_startedMs;
   std::vector<ListedInstance> m_listed;
   PlannerMemory m_memory;
   std::size_t m_unresolved{}; ///< Records of the last decision that were not read back yet.
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -53,6 +53,18 @@
   return RendezvousOwner(aKey, Candidates(aNowMs)) == m_selfProcess;
 }
 
+bool Membership::IsOwnerAmongReaders(const std::string& aKey, Millis aNowMs, Millis aLimitMs) const
+{
+  std::vector<EntryId> readers{ m_selfProcess };
+  for (const auto& [id, peer] : m_peers) {
+    const bool reads = peer.m_confirmedMs && aNowMs - *peer.m_confirmedMs <= aLimitMs;
+    if (reads && IsAlive(peer, aNowMs) && !peer.m_draining) {
+      readers.push_back(peer.m_process);
+    }
+  }
+  return RendezvousOwner(aKey, readers) == m_selfProcess;
+}
+
 bool Membership::HasLivePeer(Millis aNowMs) const
 {
   return LiveCount(aNowMs) > 1;
@@ -64,22 +76,22 @@
                m_peers, [&](const auto& aPeer) { return IsAlive(aPeer.second, aNowMs); }));
 }
 
-Offset Membership::ReadByAll(Offset aOwn, Millis aNowMs) const
+Offset Membership::ReadByAll(Offset aOwn, Millis aNowMs, Millis aKeepMs) const
 {
   Offset smallest = aOwn;
   for (const auto& [id, peer] : m_peers) {
-    if (IsAlive(peer, aNowMs)) {
+    if (aNowMs - peer.m_heardMs <= aKeepMs) {
       smallest = std::min(smallest, peer.m_nextOffset);
     }
   }
   return smallest;
 }
 
-std::map<InstanceId, std::uint32_t> Membership::InFlight(Millis aNowMs) const
+std::map<InstanceId, std::uint32_t> Membership::InFlight(Millis aNowMs, Millis aKeepMs) const
 {
   std::map<InstanceId, std::uint32_t> sums;
   for (const auto& [id, peer] : m_peers) {
-    if (!IsAlive(peer, aNowMs)) {
+    if (aNowMs - peer.m_heardMs > aKeepMs) {
       continue;
     }
     for (const auto& [instance, count] : peer.m_inFlight) {
--- a/tests/process/FaultFixture.cpp
+++ b/tests/process/FaultFixture.cpp
@@ -36,6 +36,18 @@
   }
 }
 
+void FaultFixture::WaitUntilPeersSeeEachOther()
+{
+  for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+    WaitUntil("peers of " + m_entries[entry].m_id, [&] {
+      const auto entries = Status(entry).at("entries");
+      return entries.size() == m_entries.size() &&
+             std::ranges::all_of(entries,
+                                 [](const Json& aEach) { return aEach.at("alive") == true; });
+    });
+  }
+}
+
 HttpResponse FaultFixture::CallNamed(std::size_t aEntry, const std::string& aService,
                                      const std::string& aId, const std::string& aKey)
 {
--- a/tests/process/FaultFixture.h
+++ b/tests/process/FaultFixture.h
@@ -28,6 +28,7 @@
   /// \brief One backend server for each pool name, each in its own rack; zones z1 to z3 in turn.
   void StartBackends(const std::vector<std::string>& aPools);
   void WaitUntilServed(const std::string& aService);
+  void WaitUntilPeersSeeEachOther();
   void WaitUntilServed(std::size_t aEntry, const std::string& aService);
 
   [[nodiscard]] HttpResponse CallNamed(std::size_t aEntry, const std::string& aService,
