Pause between reads that make no progress because of expired records

The tail wait applies only at the end of the log.

Ruled out: waiting at the platform, which has no reason to wait while newer records exist.

--- a/src/daemon/LogTail.cpp
+++ b/src/daemon/LogTail.cpp
@@ -53,12 +53,7 @@
     if (!std::exchange(m_loggedAway, true)) {
       spdlog::warn("log: The platform's log cannot be read. Reading is repeated.");
     }
-    m_retry.expires_after(kReadRetryDelay);
-    m_retry.async_wait([this](const std::error_code& aError) {
-      if (!aError) {
-        ReadNext();
-      }
-    });
+    ReadLater();
     return;
   }
   if (std::exchange(m_loggedAway, false)) {
@@ -66,20 +61,41 @@
   }
   m_platformReachable = true;
   m_lastReadMs = MonotonicMs();
+  const Offset before = m_runtime.m_replica.NextOffset();
   m_runtime.m_replica.Feed(aResult->m_first, aResult->m_records);
-  if (m_runtime.m_replica.NextOffset() >= aResult->m_next) {
+  const bool atEnd = m_runtime.m_replica.NextOffset() >= aResult->m_next;
+  if (atEnd) {
     ReachEnd();
   }
-  ReadNext();
+  // Without progress because of expired records, the platform would answer each read at once.
+  const bool blocked = !atEnd || !m_runtime.m_replica.IsLoaded();
+  if (blocked && m_runtime.m_replica.NextOffset() == before) {
+    ReadLater();
+  } else {
+    ReadNext();
+  }
+}
+
+void LogTail::ReadLater()
+{
+  m_retry.expires_after(kReadRetryDelay);
+  m_retry.async_wait([this](const std::error_code& aError) {
+    if (!aError) {
+      ReadNext();
+    }
+  });
 }
 
 void LogTail::ReachEnd()
 {
   if (!m_runtime.m_replica.ReachEnd()) {
-    spdlog::error("log: Old records have expired and no snapshot covers them. "
-                  "Waiting for the state of a peer.");
+    if (!std::exchange(m_loggedGap, true)) {
+      spdlog::error("log: Old records have expired and no snapshot covers them. "
+                    "Waiting for the state of a peer.");
+    }
     return;
   }
+  m_loggedGap = false;
   m_runtime.m_confirmedMs = m_readStartedMs;
   if (!std::exchange(m_ready, true)) {
     spdlog::info("log: Ready at offset {}, revision {}.", m_runtime.m_replica.NextOffset(),
--- a/src/daemon/LogTail.h
+++ b/src/daemon/LogTail.h
@@ -26,6 +26,7 @@
 
 private:
   void ReadNext();
+  void ReadLater();
   void OnRead(const std::optional<ReadResult>& aResult);
   void ReachEnd();
   void AppendBatch();
@@ -39,6 +40,7 @@
   bool m_ready{};
   bool m_platformReachable{};
   bool m_loggedAway{};
+  bool m_loggedGap{};
   Millis m_lastReadMs{};
   Millis m_readStartedMs{};
   Millis m_startedMs;
