--- a/src/daemon/LogTail.cpp
+++ b/src/daemon/LogTail.cpp
@@ -61,13 +61,16 @@
   }
   m_platformReachable = true;
   m_lastReadMs = MonotonicMs();
+  const Offset before = m_runtime.m_replica.NextOffset();
   m_runtime.m_replica.Feed(aResult->m_first, aResult->m_records);
   const bool atEnd = m_runtime.m_replica.NextOffset() >= aResult->m_next;
   if (atEnd) {
     ReachEnd();
   }
-  if (atEnd && !m_ready) {
-    ReadLater(); // Reads do not wait before the process is ready.
+  // Without progress because of expired records, the platform would answer each read at once.
+  const bool blocked = !atEnd || !m_runtime.m_replica.IsLoaded();
+  if (blocked && m_runtime.m_replica.NextOffset() == before) {
+    ReadLater();
   } else {
     ReadNext();
   }
@@ -86,10 +89,13 @@
 void LogTail::ReachEnd()
 {
   if (!m_runtime.m_replica.ReachEnd()) {
-    spdlog::error("log: Old records have expired and no snapshot covers them. "
-                  "Waiting for the state of a peer.");
+    if (!std::exchange(m_loggedGap, true)) {
+      spdlog::error("log: Old records have expired and no snapshot covers them. "
+                    "Waiting for the state of a peer.");
+    }
     return;
   }
+  m_loggedGap = false;
   m_runtime.m_confirmedMs = m_readStartedMs;
   if (!std::exchange(m_ready, true)) {
     spdlog::info("log: Ready at offset {}, revision {}.", m_runtime.m_replica.NextOffset(),
--- a/src/daemon/LogTail.h
+++ b/src/daemon/LogTail.h
@@ -40,6 +40,7 @@
   bool m_ready{};
   bool m_platformReachable{};
   bool m_loggedAway{};
+  bool m_loggedGap{};
   Millis m_lastReadMs{};
   Millis m_readStartedMs{};
   Millis m_startedMs;
