--- a/bench/load_client.cpp
+++ b/bench/load_client.cpp
@@ -103,9 +103,8 @@
 {
   constexpr std::string_view kName = "x-outcome: ";
   std::string line{ aData, aSize * aCount };
-  std::ranges::transform(line, line.begin(), [](unsigned char aByte) {
-    return static_cast<char>(std::tolower(aByte));
-  });
+  std::ranges::transform(
+    line, line.begin(), [](unsigned char aByte) { return static_cast<char>(std::tolower(aByte)); });
   if (line.starts_with(kName)) {
     line.erase(0, kName.size());
     line.erase(line.find_last_not_of("\r\n") + 1);
