Update the server table once for all records of a read

Cause: each Join, Drain, Fail or Return rebuilt the whole table, which walks all instances. A first start with 8,500 instances took 119.6 s, 94 s of it processor time.

Change: the records only mark the table as changed. It is rebuilt before a server is chosen or an outcome is noted, at the latest in the next turn of the event loop.

scripts/bench-idle, joining 2,000 servers: processor time 2.4 s before, 1.2 s after; the duration (8.1 and 7.9 s) is bounded by 256 records for each list.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -136,7 +136,7 @@
   const bool replaced = next != m_syncedOffset + 1;
   m_syncedOffset = next;
   if (aChanged || replaced) {
-    m_servers.Sync();
+    m_servers.MarkChanged();
   }
   if (replaced) {
     m_jobs.Rescan();
--- a/src/daemon/ServerTable.cpp
+++ b/src/daemon/ServerTable.cpp
@@ -51,6 +51,20 @@
   return Position{ &pool->second, static_cast<std::size_t>(found - pool->second.m_stats.begin()) };
 }
 
+void ServerTable::MarkChanged()
+{
+  if (!std::exchange(m_changed, true)) {
+    asio::post(m_runtime.m_loop, [this] { SyncIfChanged(); });
+  }
+}
+
+void ServerTable::SyncIfChanged()
+{
+  if (std::exchange(m_changed, false)) {
+    Sync();
+  }
+}
+
 void ServerTable::Sync()
 {
   std::map<PoolName, PoolServers> pools;
@@ -83,6 +97,7 @@
 
 std::optional<ServerRef> ServerTable::Choose(const PoolName& aPool, bool aMayProbe)
 {
+  SyncIfChanged();
   const auto pool = m_pools.find(aPool);
   const auto rule = m_runtime.CurrentRules().m_pools.find(aPool);
   if (pool == m_pools.end() || rule == m_runtime.CurrentRules().m_pools.end()) {
@@ -119,6 +134,7 @@
 
 void ServerTable::OnUnused(const ServerRef& aServer)
 {
+  SyncIfChanged();
   Release(aServer.m_instance);
   const auto position = Find(aServer.m_instance);
   if (position && position->m_pool->m_info[position->m_index].m_bootId == aServer.m_bootId) {
@@ -128,6 +144,7 @@
 
 void ServerTable::OnOutcome(const ServerRef& aServer, const RunOutcome& aOutcome, Millis aTookMs)
 {
+  SyncIfChanged();
   Release(aServer.m_instance);
   const auto position = Find(aServer.m_instance);
   if (!position || position->m_pool->m_info[position->m_index].m_bootId != aServer.m_bootId) {
@@ -164,6 +181,7 @@
 
 void ServerTable::OnList(const std::vector<ListedInstance>& aListed)
 {
+  SyncIfChanged();
   std::set<std::pair<InstanceId, BootId>> leaving;
   for (const auto& each : aListed) {
     if (each.m_leaving) {
@@ -276,6 +294,7 @@
 void ServerTable::OnStatus(const InstanceId& aInstance, const BootId& aBoot, Millis aSentMs,
                            const std::optional<ServerStatus>& aStatus)
 {
+  SyncIfChanged();
   --m_polls;
   const auto position = Find(aInstance);
   if (!position || position->m_pool->m_info[position->m_index].m_bootId != aBoot) {
--- a/src/daemon/ServerTable.h
+++ b/src/daemon/ServerTable.h
@@ -44,8 +44,11 @@
   /// \brief Releases the slot without a request having been sent.
   void OnUnused(const ServerRef& aServer);
 
-  /// \brief Takes over the serving instances after records were applied.
-  void Sync();
+  /// \brief Notes that a record changed the serving instances or their pools.
+  ///
+  /// The table is brought up to date once for all records of a read, and always before a server is
+  /// chosen or an outcome is noted: at 8,500 instances each update takes some milliseconds.
+  void MarkChanged();
 
   /// \brief The platform's list, refreshed by FleetDriver.
   void OnList(const std::vector<ListedInstance>& aListed);
@@ -93,6 +96,8 @@
   };
 
   [[nodiscard]] std::optional<Position> Find(const InstanceId& aInstance);
+  void SyncIfChanged();
+  void Sync();
   void Release(const InstanceId& aInstance);
   /// \brief By the platform's list or the server's own answers.
   [[nodiscard]] static bool SaysLeaving(const Info& aInfo) noexcept;
@@ -108,6 +113,7 @@
   std::map<InstanceId, std::uint32_t> m_inFlight; ///< Also of servers that are no longer serving.
   std::set<InstanceId> m_leavingByPeers;          ///< As of the last RefreshLeaving().
   Random m_random;
+  bool m_changed{};      ///< The state has changed since the last Sync().
   std::size_t m_polls{}; ///< In progress.
   PoolName m_pollFrom;
   Ticker m_pollTicker;
