--- a/src/daemon/FleetDriver.cpp
+++ b/src/daemon/FleetDriver.cpp
@@ -13,6 +13,8 @@
 
 constexpr Millis kTickIntervalMs = 10'000;
 constexpr Millis kProposalLifetimeMs = 10'000;
+/// Bounds the age of a snapshot while a large state changes little, for the log's retention.
+constexpr Millis kMaxSnapshotAgeMs = 4LL * 3600 * 1000;
 
 } // namespace
 
@@ -109,11 +111,28 @@
   }
 }
 
+/// \brief A snapshot is due after as many records as it holds instances and jobs.
+///
+/// Every reader reads every snapshot, so a fixed number of records would let the bytes of the log
+/// grow with the size of the state instead of with the number of changes.
+bool FleetDriver::IsSnapshotDue()
+{
+  const FleetState& state = m_runtime.State();
+  const Offset covered = m_runtime.m_replica.SnapshotCovered();
+  const Millis now = MonotonicMs();
+  if (std::exchange(m_lastCovered, covered) != covered || m_coveredSinceMs == 0) {
+    m_coveredSinceMs = now;
+  }
+  const Offset since = state.m_nextOffset - covered;
+  const bool isLarge = since >= state.m_instances.size() + state.m_jobs.size();
+  return since >= m_runtime.m_settings.m_limits.m_snapshotEvery &&
+         (isLarge || now - m_coveredSinceMs >= kMaxSnapshotAgeMs);
+}
+
 void FleetDriver::ProposeSnapshot()
 {
   const FleetState& state = m_runtime.State();
-  const Offset since = state.m_nextOffset - m_runtime.m_replica.SnapshotCovered();
-  if (m_snapshotUnderWay || since < m_runtime.m_settings.m_limits.m_snapshotEvery) {
+  if (!IsSnapshotDue() || m_snapshotUnderWay) {
     return;
   }
   auto parts = MakeSnapshot(state);
--- a/src/daemon/FleetDriver.h
+++ b/src/daemon/FleetDriver.h
@@ -23,6 +23,7 @@
   void OnList(const std::optional<InstanceList>& aList);
   void Plan();
   void ProposeTick();
+  [[nodiscard]] bool IsSnapshotDue();
   void ProposeSnapshot();
   [[nodiscard]] std::map<InstanceId, std::uint32_t> InFlight(Millis aNowMs) const;
 
@@ -32,6 +33,8 @@
   PlannerMemory m_memory;
   std::size_t m_unresolved{}; ///< Records of the last decision that were not read back yet.
   bool m_snapshotUnderWay{};
+  Offset m_lastCovered{};
+  Millis m_coveredSinceMs{}; ///< When the last snapshot was seen first.
   bool m_polling{};
   Ticker m_pollTicker;
   Ticker m_tickTicker;
