--- a/tests/process/FleetFaultTest.cpp
+++ b/tests/process/FleetFaultTest.cpp
@@ -189,5 +189,44 @@
   ExpectInvariantsInEveryState();
 }
 
+// Guards against a stale request that runs on a server of another pool (I2, I3): the isolated
+// entry instance never learns of the move. The planner waits 15 s and the longest timeout for it.
+TEST_F(FleetFaultTest, Move_WhileAnEntryIsIsolated_KeepsStaleRequestsOut)
+{
+  const auto withShortTimeouts = [](std::string aRules) {
+    for (const std::string timeout : { "timeout_ms = 20000", "timeout_ms = 8000" }) {
+      aRules.replace(aRules.find(timeout), timeout.size(), "timeout_ms = 1000");
+    }
+    return aRules;
+  };
+  UsePeerRelay();
+  StartFleet({ "lookups", "lookups", "batches", "admin" }, withShortTimeouts(MakeRules(2, 1)));
+  Control(m_platform, "partition?from=e1");
+  CutPeers({ 0 });
+  PublishRules(1, { withShortTimeouts(MakeRules(1, 2)), 1 });
+  int served = 0;
+  const auto serveStale = [&] {
+    const auto response = CallNamed(0, "lookups", "lookups-stale-" + std::to_string(++served));
+    EXPECT_TRUE(response.m_status != 200 || response.Field("pool") == "lookups");
+  };
+  WaitUntil("end of the move", [&] {
+    serveStale();
+    const auto status = Status(1);
+    return PoolOf(status, "lookups").at("serving") == 1 &&
+           PoolOf(status, "batches").at("serving") == 2;
+  });
+  constexpr int kMore = 50;
+  for (int i = 0; i < kMore; ++i) {
+    serveStale();
+  }
+  EXPECT_EQ(PoolOf(Status(0), "lookups").at("serving"), 2) << "e1 is not isolated";
+  std::cout << "stale requests: " << served << '\n';
+  Control(m_platform, "heal");
+  m_relay->HealAll();
+  ServeUntilSettled(1, 2);
+  ExpectRunsInTheirPool(true);
+  ExpectInvariantsInEveryState();
+}
+
 } // namespace
 } // namespace pistachiostand::testing
