--- a/tests/process/ConfigFaultTest.cpp
+++ b/tests/process/ConfigFaultTest.cpp
@@ -143,8 +143,8 @@
   StartServers();
   Control(m_platform, "down");
   StartEntries({ "z1", "z2" });
-  for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-    WaitUntilLogIsAway(m_entries[entry]);
+  for (const auto& entry : m_entries) {
+    WaitUntilLogIsAway(entry);
   }
   WaitUntilPeersSeeEachOther();
   for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
--- a/tests/process/PeerRelay.cpp
+++ b/tests/process/PeerRelay.cpp
@@ -97,7 +97,7 @@
 
 std::string PeerRelay::Add(const PeerLinkId& aLink, const std::string& aTarget)
 {
-  const auto address = FreeAddress("127.0.0.3");
+  auto address = FreeAddress("127.0.0.3");
   RunInLoop([&] {
     m_listeners.push_back(
       { aLink, Tcp::acceptor(m_loop, ToEndpoint(address)), ToEndpoint(aTarget) });
