Crash drained instances in the planner's property test

With the check of boot_op switched off (a trial), the property did not fail: crashes rarely hit an instance while its reboot order is under way.

--- a/tests/unit/FleetPropertyTest.cpp
+++ b/tests/unit/FleetPropertyTest.cpp
@@ -48,7 +48,7 @@
   std::vector<Fault> faults(*rc::gen::inRange<std::size_t>(0, 25));
   for (auto& fault : faults) {
     fault.m_step = *rc::gen::inRange(0, kFaultySteps);
-    fault.m_kind = static_cast<FaultKind>(*rc::gen::inRange(0, 7));
+    fault.m_kind = static_cast<FaultKind>(*rc::gen::inRange(0, 8));
     fault.m_machine = *rc::gen::inRange<std::size_t>(0, 16);
     fault.m_lastsMs = *rc::gen::inRange<Millis>(1, 60) * kWorldMinuteMs;
   }
--- a/tests/unit/FleetWorld.h
+++ b/tests/unit/FleetWorld.h
@@ -45,6 +45,7 @@
 {
   Crash,
   RackCrash,
+  LeavingCrash, ///< Of all drained instances, which are up again in the next step.
   OrdersIgnored,
   NoList,
   HiddenInList,
@@ -161,6 +162,13 @@
           }
         }
         break;
+      case FaultKind::LeavingCrash:
+        for (auto& each : m_machines) {
+          if (each.m_listed.m_leaving) {
+            Crash(each, m_nowMs + kWorldStepMs);
+          }
+        }
+        break;
       case FaultKind::OrdersIgnored:
         m_ordersIgnoredUntilMs = until;
         break;
