Send in-flight counts of leaving instances only

Change: the planner reads the counts of leaving instances only, so only they are sent. The offset in the same heartbeat still tells the planner whether the sender has read the drain.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -5,7 +5,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -164,12 +166,28 @@
                              heartbeat->m_draining, heartbeat->m_inFlight, heartbeat->m_leaving });
 }
 
+/// \brief In-flight counts of the leaving instances: the planner waits for no others.
+///
+/// Sent together with the offset up to which this process knows who is leaving; see
+/// PlannerInput::m_readByAll.
+std::map<InstanceId, std::uint32_t> Daemon::InFlightOnLeaving() const
+{
+  const auto& instances = m_replica.State().m_instances;
+  std::map<InstanceId, std::uint32_t> counts;
+  std::ranges::copy_if(
+    m_servers.InFlight(), std::inserter(counts, counts.end()), [&](const auto& aCount) {
+      const auto found = instances.find(aCount.first);
+      return found == instances.end() || found->second.m_phase != InstancePhase::Serving;
+    });
+  return counts;
+}
+
 void Daemon::SendHeartbeat()
 {
   const auto confirmed = m_runtime.m_confirmedMs;
   m_peers->Broadcast(Heartbeat{ m_replica.State().m_nextOffset, m_replica.State().m_revision,
                                 confirmed ? MonotonicMs() - *confirmed : -1, m_runtime.m_draining,
-                                m_servers.InFlight(), m_servers.SaidLeaving() });
+                                InFlightOnLeaving(), m_servers.SaidLeaving() });
 }
 
 void Daemon::OnSignal()
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -5,6 +5,7 @@
 #include "LogTail.h"
 #include "OperatorApi.h"
 
+#include <map>
 #include <memory>
 
 /// \file
@@ -30,6 +31,7 @@
   void Handle(HttpRequest aRequest, const HttpResponder& aRespond);
   void OnApplied(const LogEntry& aEntry, const Verdict& aVerdict);
   void OnPeerMessage(const Hello& aFrom, const PeerMessage& aMessage);
+  [[nodiscard]] std::map<InstanceId, std::uint32_t> InFlightOnLeaving() const;
   void SendHeartbeat();
   void SyncServers(bool aChanged);
   void OnSignal();
