--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -256,7 +256,7 @@
   PrintKind(state, kFew, [&](Index aIndex) { return MakeSubmit(key(aIndex + 4 * kFew)); });
   PrintKind(state, kFew, [&](Index aIndex) { return MakeFinish(key(aIndex + 4 * kFew)); });
   PrintKind(state, kFew,
-            [&](Index aIndex) { return Tick{ state.m_timeMs + (aIndex + 1) * 10'000 }; });
+            [&](Index aIndex) { return Tick{ state.m_timeMs + Millis{ 10'000 } * (aIndex + 1) }; });
   fmt::print("\nRule file of {} pools and {} tenants: {} bytes.\n", kPools, kTenants,
              state.m_rulesText.size());
 }
@@ -324,7 +324,7 @@
     }
     PlannerMemory memory;
     const Cost cost = Measure(20, [&](std::uint32_t aIndex) {
-      const auto now = static_cast<Millis>(1'000 * (aIndex + 1));
+      const auto now = Millis{ 1'000 } * (aIndex + 1);
       if (!PlanFleet({ state, listed, {}, state.m_nextOffset, {}, now }, memory)
              .m_reboots.empty()) {
         fmt::print(stderr, "capacity_slopes: the planner found work\n");
