--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -59,7 +59,7 @@
 }
 
 /// \brief Applies a record and reports a refusal, which would make its cost meaningless.
-void Feed(FleetState& aState, RecordBody aBody)
+void Feed(FleetState& aState, const RecordBody& aBody)
 {
   const Offset offset = aState.m_nextOffset;
   const Verdict verdict = Apply(aState, offset, Record{ offset + 1, "e1#0123456789abcdef", aBody });
@@ -209,9 +209,8 @@
     bodies.push_back(aMake(i));
   }
   const RecordBody example = bodies.front();
-  PrintRecord(example, Measure(aCount, [&](std::uint32_t aIndex) {
-                Feed(aState, std::move(bodies[aIndex]));
-              }));
+  PrintRecord(example,
+              Measure(aCount, [&](std::uint32_t aIndex) { Feed(aState, bodies[aIndex]); }));
 }
 
 void PrintRecords()
