--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -59,7 +59,7 @@
 }
 
 /// \brief Applies a record and reports a refusal, which would make its cost meaningless.
-void Feed(FleetState& aState, RecordBody aBody)
+void Feed(FleetState& aState, const RecordBody& aBody)
 {
   const Offset offset = aState.m_nextOffset;
   const Verdict verdict = Apply(aState, offset, Record{ offset + 1, "e1#0123456789abcdef", aBody });
@@ -209,9 +209,8 @@
     bodies.push_back(aMake(i));
   }
   const RecordBody example = bodies.front();
-  PrintRecord(example, Measure(aCount, [&](std::uint32_t aIndex) {
-                Feed(aState, std::move(bodies[aIndex]));
-              }));
+  PrintRecord(example,
+              Measure(aCount, [&](std::uint32_t aIndex) { Feed(aState, bodies[aIndex]); }));
 }
 
 void PrintRecords()
@@ -256,7 +255,7 @@
   PrintKind(state, kFew, [&](Index aIndex) { return MakeSubmit(key(aIndex + 4 * kFew)); });
   PrintKind(state, kFew, [&](Index aIndex) { return MakeFinish(key(aIndex + 4 * kFew)); });
   PrintKind(state, kFew,
-            [&](Index aIndex) { return Tick{ state.m_timeMs + (aIndex + 1) * 10'000 }; });
+            [&](Index aIndex) { return Tick{ state.m_timeMs + Millis{ 10'000 } * (aIndex + 1) }; });
   fmt::print("\nRule file of {} pools and {} tenants: {} bytes.\n", kPools, kTenants,
              state.m_rulesText.size());
 }
@@ -324,7 +323,7 @@
     }
     PlannerMemory memory;
     const Cost cost = Measure(20, [&](std::uint32_t aIndex) {
-      const auto now = static_cast<Millis>(1'000 * (aIndex + 1));
+      const auto now = Millis{ 1'000 } * (aIndex + 1);
       if (!PlanFleet({ state, listed, {}, state.m_nextOffset, {}, now }, memory)
              .m_reboots.empty()) {
         fmt::print(stderr, "capacity_slopes: the planner found work\n");
