Refuse as not ready without rules, and never call a question "not run"

Cause: a process without rules refused every tenant with 403 unknown-tenant, so that callers gave up instead of trying another entry instance. It now answers 503 not-ready with Retry-After.

Cause: every refusal said "not run", also that of GET and DELETE on a job. A caller that asked such a process for its job, or with a tenant that was removed, could take this for the outcome of the job (I4). The outcome of a refused question is now "unknown".

Ruled out: the 404 for an unknown key, which said "unknown" before.

--- a/src/daemon/CallerApi.cpp
+++ b/src/daemon/CallerApi.cpp
@@ -1,7 +1,6 @@
 #include "CallerApi.h"
 
 #include "pistachiostand/base/Clock.h"
-#include "pistachiostand/request/Outcome.h"
 
 #include <spdlog/spdlog.h>
 
@@ -16,17 +15,18 @@
 /// Headers of the caller that a service sees; all others are between caller and entry instance.
 constexpr std::string_view kPassedPrefix = "x-test-";
 constexpr std::string_view kContentType = "content-type";
+constexpr Millis kNotReadyRetryMs = 1'000;
 
 void Refuse(const CallerRequest& aCall, std::uint16_t aStatus, std::string aError,
-            std::string aCause, std::string aRemedy)
+            std::string aCause, std::string aRemedy, Millis aRetryAfterMs = 0)
 {
-  aCall.m_respond(ToResponse({ OutcomeKind::NotRun,
+  aCall.m_respond(ToResponse({ aCall.m_refusedAs,
                                aStatus,
                                std::move(aError),
                                std::move(aCause),
                                std::move(aRemedy),
                                aCall.m_requestId,
-                               0,
+                               aRetryAfterMs,
                                {} }));
 }
 
@@ -98,6 +98,7 @@
     call.m_requestId = m_runtime.m_process + '-' + std::to_string(++m_lastRequest);
   }
   call.m_key = FindHeader(aRequest.m_headers, "idempotency-key");
+  call.m_refusedAs = aRequest.m_method == "POST" ? OutcomeKind::NotRun : OutcomeKind::Unknown;
   call.m_passedHeaders = PassedHeaders(aRequest.m_headers);
   call.m_body = std::move(aRequest.m_body);
   call.m_respond = Observe(aRespond, call.m_tenant);
@@ -130,6 +131,11 @@
            "send X-Tenant with letters, digits, '.', '_', ':' or '-'");
     return false;
   }
+  if (m_runtime.State().m_revision == 0) {
+    Refuse(aCall, 503, "not-ready", "this entry instance knows no rules yet",
+           "repeat the request later, or send it to another entry instance", kNotReadyRetryMs);
+    return false;
+  }
   if (rule == nullptr) {
     Refuse(aCall, 403, "unknown-tenant", "no rule names the tenant " + aCall.m_tenant,
            "publish a rule tenant." + aCall.m_tenant + " or tenant.default");
--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -1,7 +1,6 @@
 #include "PlainCall.h"
 
 #include "pistachiostand/base/Clock.h"
-#include "pistachiostand/request/Outcome.h"
 
 #include <spdlog/spdlog.h>
 
--- a/src/daemon/PlainCall.h
+++ b/src/daemon/PlainCall.h
@@ -2,6 +2,7 @@
 
 #include "Dispatcher.h"
 #include "pistachiostand/connection/HttpServer.h"
+#include "pistachiostand/request/Outcome.h"
 
 #include <memory>
 #include <string>
@@ -27,6 +28,8 @@
   HttpHeaders m_passedHeaders;
   Millis m_arrivedMs{};
   HttpResponder m_respond;
+  /// What a refusal says. A refused question or cancel proves nothing about its job.
+  OutcomeKind m_refusedAs{ OutcomeKind::NotRun };
 
   [[nodiscard]] Millis DeadlineMs() const noexcept
   {
--- a/tests/process/RequestPathTest.cpp
+++ b/tests/process/RequestPathTest.cpp
@@ -131,5 +131,14 @@
   EXPECT_EQ(StartedCount("batch-1"), 1U);
 }
 
+// Guards against "not run" for a job that has run, where only the question was refused (I4).
+TEST_F(RequestPathTest, Question_OfUnknownTenant_IsNotAnsweredWithNotRun)
+{
+  const auto response = SendRequest(
+    { "GET", m_entries.at(0).m_address, "/v1/jobs/batch-1", { { "X-Tenant", "stranger" } } });
+  EXPECT_EQ(response.m_status, 403);
+  EXPECT_EQ(response.Header("x-outcome"), "unknown");
+}
+
 } // namespace
 } // namespace pistachiostand::testing
