Count completed jobs in completed_total

It is now raised with the response, as not_run_total and stopped_total are. Ruled out: a response that is counted twice, since a second response to the same request is dropped before the counters.

Before: RequestPathTest.Metrics_AfterRequestsOfBothKinds_CountThemAsCompleted counted 1 of 2. Now it counts both.

--- a/src/daemon/CallerApi.cpp
+++ b/src/daemon/CallerApi.cpp
@@ -117,6 +117,7 @@
       }
       --m_outstanding;
       const auto outcome = FindHeader(aResponse.m_headers, "x-outcome");
+      m_runtime.m_counters.m_completed += outcome == ToString(OutcomeKind::Completed) ? 1 : 0;
       m_runtime.m_counters.m_notRun += outcome == ToString(OutcomeKind::NotRun) ? 1 : 0;
       m_runtime.m_counters.m_stopped += outcome == ToString(OutcomeKind::Stopped) ? 1 : 0;
       aRespond(std::move(aResponse));
--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -78,7 +78,6 @@
     m_dispatcher.Finish(m_queued, aTookMs);
     if (aOutcome.m_result == RunResult::Completed) {
       Learn(m_runtime.m_estimate, m_request.m_service, m_request.m_tenant, aTookMs);
-      ++m_runtime.m_counters.m_completed;
       m_request.m_respond(CompletedResponse(aOutcome.m_status, std::move(aOutcome.m_body),
                                             FindHeader(aOutcome.m_headers, "content-type"),
                                             m_request.m_requestId));
--- a/tests/process/RequestPathTest.cpp
+++ b/tests/process/RequestPathTest.cpp
@@ -131,6 +131,21 @@
   EXPECT_EQ(StartedCount("batch-1"), 1U);
 }
 
+// Guards against jobs that are missing from the counter of completed requests.
+TEST_F(RequestPathTest, Metrics_AfterRequestsOfBothKinds_CountThemAsCompleted)
+{
+  const auto completed = [this] {
+    const auto page = SendRequest({ "GET", m_entries.at(0).m_address, "/metrics" }).m_body;
+    const std::string name = "pistachiostand_completed_total ";
+    return std::stoi(page.substr(page.find(name) + name.size()));
+  };
+  const int before = completed();
+  EXPECT_EQ(Call(0, { "lookups", "tupelo", "body" }).m_status, 200);
+  EXPECT_EQ(completed(), before + 1);
+  EXPECT_EQ(Call(0, { "batches", "tupelo", "wheel 9", "batch-9" }).m_status, 200);
+  EXPECT_EQ(completed(), before + 2);
+}
+
 // Guards against "not run" for a job that has run, where only the question was refused (I4).
 TEST_F(RequestPathTest, Question_OfUnknownTenant_IsNotAnsweredWithNotRun)
 {
