Bound what a decoder may reserve by the bytes that are there

Cause: msgpack reserves memory for as many elements as a header announces. AddressSanitizer reported a request for 64 GiB for a peer message of which one byte was damaged; a corrupt log record takes the same path in every reader. Lengths are now limited to the number of bytes, and nesting to 32 levels.

--- a/src/process/Pack.h
+++ b/src/process/Pack.h
@@ -172,6 +172,26 @@
   }
 };
 
+/// Deeper than any stored or sent struct.
+inline constexpr std::size_t kMaxUnpackDepth = 32;
+
+/// \brief Unpacks one object that uses all of `aBytes`; throws on anything else.
+///
+/// An element takes at least one byte. Without this limit msgpack reserves memory for as many
+/// elements as the bytes announce, 64 GiB for an array header of 5 bytes.
+[[nodiscard]] inline msgpack::object_handle UnpackAll(std::string_view aBytes)
+{
+  const std::size_t size = aBytes.size();
+  std::size_t end = 0;
+  auto handle =
+    msgpack::unpack(aBytes.data(), size, end, nullptr, nullptr,
+                    msgpack::unpack_limit(size, size, size, size, size, kMaxUnpackDepth));
+  if (end != size) {
+    throw msgpack::type_error();
+  }
+  return handle;
+}
+
 /// \brief Encodes any value that Packer knows.
 template<typename T>
 [[nodiscard]] std::string Pack(const T& aValue)
@@ -186,11 +206,7 @@
 [[nodiscard]] std::optional<T> Unpack(std::string_view aBytes)
 {
   try {
-    std::size_t end = 0;
-    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size(), end);
-    if (end != aBytes.size()) {
-      return std::nullopt;
-    }
+    const auto handle = UnpackAll(aBytes);
     T value{};
     Unpacker::Read(handle.get(), value);
     return value;
@@ -229,12 +245,10 @@
 [[nodiscard]] std::optional<Variant> UnpackVariant(std::string_view aBytes)
 {
   try {
-    std::size_t end = 0;
-    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size(), end);
+    const auto handle = UnpackAll(aBytes);
     const auto items = Unpacker::ArrayOf(handle.get(), 2);
     Variant value;
-    const bool known =
-      end == aBytes.size() && ReadAlternative(items.ptr[0].as<std::size_t>(), items.ptr[1], value);
+    const bool known = ReadAlternative(items.ptr[0].as<std::size_t>(), items.ptr[1], value);
     return known ? std::optional{ std::move(value) } : std::nullopt;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/process/RecordCodec.cpp
+++ b/src/process/RecordCodec.cpp
@@ -14,14 +14,13 @@
 
 std::optional<Record> TryDecode(std::string_view aBytes)
 {
-  std::size_t end = 0;
-  const auto handle = msgpack::unpack(aBytes.data(), aBytes.size(), end);
+  const auto handle = internal::UnpackAll(aBytes);
   const auto items = internal::Unpacker::ArrayOf(handle.get(), 5);
   Record record;
   internal::Unpacker::Read(items.ptr[1], record.m_id);
   internal::Unpacker::Read(items.ptr[2], record.m_author);
   const bool known =
-    items.ptr[0].as<std::uint8_t>() == kFormat && end == aBytes.size() &&
+    items.ptr[0].as<std::uint8_t>() == kFormat &&
     internal::ReadAlternative(items.ptr[3].as<std::size_t>(), items.ptr[4], record.m_body);
   return known ? std::optional{ std::move(record) } : std::nullopt;
 }
