--- a/src/daemon/ServerTable.cpp
+++ b/src/daemon/ServerTable.cpp
@@ -155,74 +155,52 @@
       leaving.emplace(each.m_id, each.m_bootId);
     }
   }
-  for (auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      // The list lags, so an entry of an earlier boot says nothing about this one.
-      pool.m_info[i].m_listedLeaving =
-        leaving.contains({ pool.m_stats[i].m_instance, pool.m_info[i].m_bootId });
-    }
-  }
+  ForEach(m_pools, [&leaving](const ServerStats& aStats, Info& aInfo) {
+    // The list lags, so an entry of an earlier boot says nothing about this one.
+    aInfo.m_listedLeaving = leaving.contains({ aStats.m_instance, aInfo.m_bootId });
+  });
   RefreshLeaving();
 }
 
 void ServerTable::RefreshLeaving()
 {
   const auto peers = m_runtime.m_membership.Leaving(MonotonicMs());
-  for (auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      const Info& info = pool.m_info[i];
-      pool.m_stats[i].m_leaving = info.m_saidLeaving || info.m_listedLeaving || info.m_otherBoot ||
-                                  peers.contains(pool.m_stats[i].m_instance);
-    }
-  }
+  ForEach(m_pools, [&peers](ServerStats& aStats, const Info& aInfo) {
+    aStats.m_leaving = aInfo.m_saidLeaving || aInfo.m_listedLeaving || aInfo.m_otherBoot ||
+                       peers.contains(aStats.m_instance);
+  });
 }
 
 std::vector<InstanceId> ServerTable::SaidLeaving() const
 {
   std::vector<InstanceId> leaving;
-  for (const auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      if (pool.m_info[i].m_saidLeaving) {
-        leaving.push_back(pool.m_stats[i].m_instance);
-      }
+  ForEach(m_pools, [&leaving](const ServerStats& aStats, const Info& aInfo) {
+    if (aInfo.m_saidLeaving) {
+      leaving.push_back(aStats.m_instance);
     }
-  }
+  });
   return leaving;
 }
 
 std::set<InstanceId> ServerTable::SeenAlive(Millis aNowMs) const
 {
   std::set<InstanceId> alive;
-  for (const auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      const Info& info = pool.m_info[i];
-      if (info.m_aliveMs != 0 && aNowMs - info.m_aliveMs <= kAliveMs && !info.m_saidLeaving) {
-        alive.insert(pool.m_stats[i].m_instance);
-      }
+  ForEach(m_pools, [&alive, aNowMs](const ServerStats& aStats, const Info& aInfo) {
+    if (aInfo.m_aliveMs != 0 && aNowMs - aInfo.m_aliveMs <= kAliveMs && !aInfo.m_saidLeaving) {
+      alive.insert(aStats.m_instance);
     }
-  }
+  });
   return alive;
 }
 
-std::size_t ServerTable::UsableCount(const PoolName& aPool) const
-{
-  const auto pool = m_pools.find(aPool);
-  return pool == m_pools.end()
-           ? 0
-           : static_cast<std::size_t>(std::ranges::count_if(
-               pool->second.m_stats, [](const auto& aServer) { return !aServer.m_leaving; }));
-}
-
 void ServerTable::PollAll(bool aOnlyNew)
 {
-  for (auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      const bool wanted = !aOnlyNew || !pool.m_info[i].m_clockOffsetMs;
-      if (wanted && !std::exchange(pool.m_info[i].m_polling, true)) {
-        Poll(pool.m_stats[i].m_instance, pool.m_info[i].m_address, pool.m_info[i].m_bootId);
-      }
+  ForEach(m_pools, [this, aOnlyNew](const ServerStats& aStats, Info& aInfo) {
+    const bool wanted = !aOnlyNew || !aInfo.m_clockOffsetMs;
+    if (wanted && !std::exchange(aInfo.m_polling, true)) {
+      Poll(aStats.m_instance, aInfo.m_address, aInfo.m_bootId);
     }
-  }
+  });
   RefreshLeaving();
 }
 
--- a/src/daemon/ServerTable.h
+++ b/src/daemon/ServerTable.h
@@ -61,9 +61,6 @@
   /// \brief Servers that answered recently and are not leaving.
   [[nodiscard]] std::set<InstanceId> SeenAlive(Millis aNowMs) const;
 
-  /// \brief Number of servers of a pool that may get requests now.
-  [[nodiscard]] std::size_t UsableCount(const PoolName& aPool) const;
-
 private:
   struct Info
   {
@@ -90,6 +87,17 @@
     std::size_t m_index;
   };
 
+  /// \brief Calls `aVisit` with ServerStats and Info of every server.
+  template<typename Pools, typename Visit>
+  static void ForEach(Pools& aPools, Visit aVisit)
+  {
+    for (auto& [name, pool] : aPools) {
+      for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
+        aVisit(pool.m_stats[i], pool.m_info[i]);
+      }
+    }
+  }
+
   [[nodiscard]] std::optional<Position> Find(const InstanceId& aInstance);
   void Release(const InstanceId& aInstance);
   void RefreshLeaving();
