Keep the damage properties from reading an empty optional, and two lint findings

Cause: RC_ASSERT captures its expression with an operator that binds tighter than ||, which evaluates both sides; the tests then read an empty optional, and PeerMessageTest.Decode_OfDamagedMessage crashed. It had crashed since it was added; a filter of the output hid it until the exit code was looked at. The checks are the same, evaluated before the assertion. Ruled out with AddressSanitizer: a fault of the codec behind this crash.

--- a/tests/unit/CodecPropertyTest.cpp
+++ b/tests/unit/CodecPropertyTest.cpp
@@ -155,7 +155,9 @@
 {
   CheckProperty("record damage", [] {
     const auto record = Decode(Damage(EncodeRecord({ Number(), Text(), GenBody() })));
-    RC_ASSERT(!record || Decode(EncodeRecord(*record)) == record);
+    // RC_ASSERT evaluates both sides of ||.
+    const bool same = !record || Decode(EncodeRecord(*record)) == record;
+    RC_ASSERT(same);
   });
 }
 
@@ -212,7 +214,8 @@
 {
   CheckProperty("message damage", [] {
     const auto message = DecodePeerMessage(Damage(EncodePeerMessage(GenMessage())));
-    RC_ASSERT(!message || DecodePeerMessage(EncodePeerMessage(*message)) == message);
+    const bool same = !message || DecodePeerMessage(EncodePeerMessage(*message)) == message;
+    RC_ASSERT(same);
   });
 }
 
--- a/tests/unit/HttpMessageTest.cpp
+++ b/tests/unit/HttpMessageTest.cpp
@@ -81,7 +81,8 @@
     const auto text = *rc::gen::container<std::string>(rc::gen::element('%', '?', '&', '=', 'a'));
     HttpRequest request;
     const bool valid = ParseTarget(text, request);
-    RC_ASSERT(valid || text.find('%') != std::string::npos);
+    const bool expected = valid || text.find('%') != std::string::npos;
+    RC_ASSERT(expected);
   });
 }
 
--- a/tests/unit/LogReplicaTest.cpp
+++ b/tests/unit/LogReplicaTest.cpp
@@ -20,6 +20,7 @@
   static std::vector<std::string> Ticks(int aFirst, int aCount)
   {
     std::vector<std::string> records;
+    records.reserve(static_cast<std::size_t>(aCount));
     for (int i = 0; i < aCount; ++i) {
       records.push_back(Encoded(Tick{ (aFirst + i + 1) * Millis{ 1'000 } }));
     }
--- a/tests/unit/ProposalQueueTest.cpp
+++ b/tests/unit/ProposalQueueTest.cpp
@@ -299,7 +299,7 @@
 {
   EXPECT_EQ(BatchIntervalMs(0), 4);
   EXPECT_EQ(BatchIntervalMs(9), 30);
-  EXPECT_LE(9 * 1'000 / BatchIntervalMs(9), kAppendsPerSecond);
+  EXPECT_LE(Millis{ 9'000 } / BatchIntervalMs(9), kAppendsPerSecond);
 }
 
 } // namespace
