--- a/src/daemon/CallerApi.cpp
+++ b/src/daemon/CallerApi.cpp
@@ -2,7 +2,6 @@
 
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/connection/HeaderPolicy.h"
-#include "pistachiostand/request/Outcome.h"
 
 #include <spdlog/spdlog.h>
 
@@ -14,32 +13,26 @@
 
 namespace {
 
+constexpr Millis kNotReadyRetryMs = 1'000;
+
 void Refuse(const CallerRequest& aCall, std::uint16_t aStatus, std::string aError,
-            std::string aCause, std::string aRemedy)
+            std::string aCause, std::string aRemedy, Millis aRetryAfterMs = 0)
 {
-  aCall.m_respond(ToResponse({ OutcomeKind::NotRun,
+  aCall.m_respond(ToResponse({ aCall.m_refusedAs,
                                aStatus,
                                std::move(aError),
                                std::move(aCause),
                                std::move(aRemedy),
                                aCall.m_requestId,
-                               0,
+                               aRetryAfterMs,
                                {} }));
 }
 
 /// \brief Without the log's state nothing is known of tenants, services or jobs.
-void RespondNotReady(const CallerRequest& aCall, bool aAsksForJob)
+void RespondNotReady(const CallerRequest& aCall)
 {
-  constexpr Millis kRetryAfterMs = 1'000;
-  const auto outcome = aAsksForJob ? OutcomeKind::Unknown : OutcomeKind::NotRun;
-  aCall.m_respond(ToResponse({ outcome,
-                               503,
-                               "not-ready",
-                               "this entry instance has not read the log yet",
-                               "repeat the request later, or at another entry instance",
-                               aCall.m_requestId,
-                               kRetryAfterMs,
-                               {} }));
+  Refuse(aCall, 503, "not-ready", "this entry instance has not read the rules yet",
+         "repeat the request later, or send it to another entry instance", kNotReadyRetryMs);
 }
 
 } // namespace
@@ -77,7 +70,7 @@
   if (m_runtime.m_draining && method == "POST") {
     RespondNotRun(call, "draining", "this entry instance is stopping");
   } else if (!m_isReady()) {
-    RespondNotReady(call, parts[1] == "jobs" && method != "POST");
+    RespondNotReady(call);
   } else if (call.m_body.size() > kMaxRequestBytes) {
     Refuse(call, 413, "body-too-large", "the body is larger than 32 KiB", "send a smaller body");
   } else if (!CheckTenant(call)) {
@@ -105,6 +98,7 @@
     call.m_requestId = m_runtime.m_process + '-' + std::to_string(++m_lastRequest);
   }
   call.m_key = FindHeader(aRequest.m_headers, "idempotency-key");
+  call.m_refusedAs = aRequest.m_method == "POST" ? OutcomeKind::NotRun : OutcomeKind::Unknown;
   call.m_passedHeaders = PassedToService(aRequest.m_headers);
   call.m_body = std::move(aRequest.m_body);
   call.m_respond = Observe(aRespond, call.m_tenant);
@@ -123,6 +117,7 @@
       }
       --m_outstanding;
       const auto outcome = FindHeader(aResponse.m_headers, "x-outcome");
+      m_runtime.m_counters.m_completed += outcome == ToString(OutcomeKind::Completed) ? 1 : 0;
       m_runtime.m_counters.m_notRun += outcome == ToString(OutcomeKind::NotRun) ? 1 : 0;
       m_runtime.m_counters.m_stopped += outcome == ToString(OutcomeKind::Stopped) ? 1 : 0;
       aRespond(std::move(aResponse));
@@ -137,6 +132,10 @@
            "send X-Tenant with letters, digits, '.', '_', ':' or '-'");
     return false;
   }
+  if (m_runtime.State().m_revision == 0) {
+    RespondNotReady(aCall);
+    return false;
+  }
   if (rule == nullptr) {
     Refuse(aCall, 403, "unknown-tenant", "no rule names the tenant " + aCall.m_tenant,
            "publish a rule tenant." + aCall.m_tenant + " or tenant.default");
--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -2,7 +2,6 @@
 
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/connection/HeaderPolicy.h"
-#include "pistachiostand/request/Outcome.h"
 
 #include <spdlog/spdlog.h>
 
@@ -80,7 +79,6 @@
     m_dispatcher.Finish(m_queued, aTookMs);
     if (aOutcome.m_result == RunResult::Completed) {
       Learn(m_runtime.m_estimate, m_request.m_service, m_request.m_tenant, aTookMs);
-      ++m_runtime.m_counters.m_completed;
       m_request.m_respond(CompletedResponse(aOutcome.m_status, std::move(aOutcome.m_body),
                                             PassedToCaller(aOutcome.m_headers),
                                             m_request.m_requestId));
--- a/src/daemon/ServerTable.cpp
+++ b/src/daemon/ServerTable.cpp
@@ -75,13 +75,16 @@
     ServerStats stats;
     stats.m_instance = id;
     stats.m_zone = instance.m_zone;
-    Info info{ instance.m_address, instance.m_bootId, {}, {}, {}, {}, {}, {}, {} };
+    Info info;
+    info.m_address = instance.m_address;
+    info.m_bootId = instance.m_bootId;
     const auto known = Find(id);
     if (known && known->m_pool->m_info[known->m_index].m_bootId == instance.m_bootId) {
       stats = known->m_pool->m_stats[known->m_index];
       info = known->m_pool->m_info[known->m_index];
       info.m_address = instance.m_address;
     }
+    info.m_needsClock = HasTaskControl(instance.m_pool);
     auto& pool = pools[instance.m_pool];
     pool.m_stats.push_back(std::move(stats));
     pool.m_info.push_back(std::move(info));
@@ -95,6 +98,13 @@
   RefreshLeaving();
 }
 
+bool ServerTable::HasTaskControl(const PoolName& aPool) const
+{
+  const auto& pools = m_runtime.CurrentRules().m_pools;
+  const auto rule = pools.find(aPool);
+  return rule != pools.end() && rule->second.m_taskControl == TaskControl::Full;
+}
+
 std::optional<ServerRef> ServerTable::Choose(const PoolName& aPool, bool aMayProbe)
 {
   SyncIfChanged();
@@ -188,56 +198,47 @@
       leaving.emplace(each.m_id, each.m_bootId);
     }
   }
-  for (auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      // The list lags, so an entry of an earlier boot says nothing about this one.
-      pool.m_info[i].m_listedLeaving =
-        leaving.contains({ pool.m_stats[i].m_instance, pool.m_info[i].m_bootId });
-    }
-  }
+  ForEach(m_pools, [&leaving](const ServerStats& aStats, Info& aInfo) {
+    // The list lags, so an entry of an earlier boot says nothing about this one.
+    aInfo.m_listedLeaving = leaving.contains({ aStats.m_instance, aInfo.m_bootId });
+  });
   RefreshLeaving();
 }
 
 bool ServerTable::SaysLeaving(const Info& aInfo) noexcept
 {
-  return aInfo.m_saidLeaving || aInfo.m_listedLeaving || aInfo.m_otherBoot;
+  // Start-before needs the server's clock, which its first status response brings.
+  const bool isUnknown = aInfo.m_needsClock && !aInfo.m_clockOffsetMs;
+  return aInfo.m_saidLeaving || aInfo.m_listedLeaving || aInfo.m_otherBoot || isUnknown;
 }
 
 void ServerTable::RefreshLeaving()
 {
   m_leavingByPeers = m_runtime.m_membership.Leaving(MonotonicMs());
-  for (auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      pool.m_stats[i].m_leaving =
-        SaysLeaving(pool.m_info[i]) || m_leavingByPeers.contains(pool.m_stats[i].m_instance);
-    }
-  }
+  ForEach(m_pools, [this](ServerStats& aStats, const Info& aInfo) {
+    aStats.m_leaving = SaysLeaving(aInfo) || m_leavingByPeers.contains(aStats.m_instance);
+  });
 }
 
 std::vector<InstanceId> ServerTable::SaidLeaving() const
 {
   std::vector<InstanceId> leaving;
-  for (const auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      if (pool.m_info[i].m_saidLeaving) {
-        leaving.push_back(pool.m_stats[i].m_instance);
-      }
+  ForEach(m_pools, [&leaving](const ServerStats& aStats, const Info& aInfo) {
+    if (aInfo.m_saidLeaving) {
+      leaving.push_back(aStats.m_instance);
     }
-  }
+  });
   return leaving;
 }
 
 std::set<InstanceId> ServerTable::SeenAlive(Millis aNowMs) const
 {
   std::set<InstanceId> alive;
-  for (const auto& [name, pool] : m_pools) {
-    for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
-      const Info& info = pool.m_info[i];
-      if (info.m_aliveMs != 0 && aNowMs - info.m_aliveMs <= kAliveMs && !info.m_saidLeaving) {
-        alive.insert(pool.m_stats[i].m_instance);
-      }
+  ForEach(m_pools, [&alive, aNowMs](const ServerStats& aStats, const Info& aInfo) {
+    if (aInfo.m_aliveMs != 0 && aNowMs - aInfo.m_aliveMs <= kAliveMs && !aInfo.m_saidLeaving) {
+      alive.insert(aStats.m_instance);
     }
-  }
+  });
   return alive;
 }
 
--- a/src/daemon/ServerTable.h
+++ b/src/daemon/ServerTable.h
@@ -64,15 +64,13 @@
   /// \brief Servers that answered recently and are not leaving.
   [[nodiscard]] std::set<InstanceId> SeenAlive(Millis aNowMs) const;
 
-  /// \brief Number of servers of a pool that may get requests now.
-  [[nodiscard]] std::size_t UsableCount(const PoolName& aPool) const;
-
 private:
   struct Info
   {
     std::string m_address;
     BootId m_bootId;
     std::optional<Millis> m_clockOffsetMs;
+    bool m_needsClock{}; ///< Its pool has task control.
     std::optional<Millis> m_polledMs;
     Millis m_aliveMs{};
     bool m_saidLeaving{};
@@ -95,9 +93,21 @@
     std::size_t m_index;
   };
 
+  /// \brief Calls `aVisit` with ServerStats and Info of every server.
+  template<typename Pools, typename Visit>
+  static void ForEach(Pools& aPools, Visit aVisit)
+  {
+    for (auto& [name, pool] : aPools) {
+      for (std::size_t i = 0; i < pool.m_stats.size(); ++i) {
+        aVisit(pool.m_stats[i], pool.m_info[i]);
+      }
+    }
+  }
+
   [[nodiscard]] std::optional<Position> Find(const InstanceId& aInstance);
   void SyncIfChanged();
   void Sync();
+  [[nodiscard]] bool HasTaskControl(const PoolName& aPool) const;
   void Release(const InstanceId& aInstance);
   /// \brief By the platform's list or the server's own answers.
   [[nodiscard]] static bool SaysLeaving(const Info& aInfo) noexcept;
