--- a/tests/standins/PlatformFaults.h
+++ b/tests/standins/PlatformFaults.h
@@ -21,14 +21,17 @@
   {
     const bool isCut = m_cutEntries.contains(aCall->Header("X-Entry-Id")) ||
                        m_cutZones.contains(aCall->Header("X-Zone"));
+    const bool isHeld = IsHeldRead(aCall);
     if (isCut) {
       m_cutCalls.Add(aCall);
+    } else if (isHeld) {
+      m_heldReads.Add(aCall);
     } else if (m_isDown && m_isHanging) {
       m_hungCalls.Add(aCall);
     } else if (m_isDown) {
       Send(aCall, ErrorReply(503, "the platform is down"));
     }
-    return isCut || m_isDown;
+    return isCut || isHeld || m_isDown;
   }
 
   /// \brief Applies a control; false when the name is unknown.
@@ -44,6 +47,8 @@
       m_loseAppends = aCall->Number("count", 1);
     } else if (aName == "lose-reboot") {
       m_loseReboots = aCall->Number("count", 1);
+    } else if (aName == "hold-reads") {
+      HoldReads(aCall->Query("on", "1") == "1");
     } else if (aName == "partition") {
       Cut(aCall->Query("from"), aCall->Query("zone"));
     } else if (aName == "heal") {
@@ -57,6 +62,21 @@
   }
 
 private:
+  /// \brief Reads of entry instances are held, so that they append records without seeing them.
+  [[nodiscard]] bool IsHeldRead(const CallPtr& aCall) const
+  {
+    return m_isHoldingReads && aCall->Has("X-Entry-Id") &&
+           aCall->m_path == std::vector<std::string>{ "log", "read" };
+  }
+
+  void HoldReads(bool aOn)
+  {
+    m_isHoldingReads = aOn;
+    if (!aOn) {
+      m_heldReads.CloseAll();
+    }
+  }
+
   void Cut(const std::string& aEntry, const std::string& aZone)
   {
     if (!aEntry.empty()) {
@@ -91,10 +111,12 @@
 
   bool m_isDown = false;
   bool m_isHanging = false;
+  bool m_isHoldingReads = false;
   std::uint64_t m_outage = 0;
   std::set<std::string> m_cutEntries;
   std::set<std::string> m_cutZones;
   HeldCalls m_cutCalls;
+  HeldCalls m_heldReads;
   HeldCalls m_hungCalls;
 };
 
