Answer requests that arrive while the daemon stops

Cause: SIGTERM closed the listening socket at once, which resets connections that wait to be accepted, and the process ended as soon as no request was open, with accepted connections whose request was not read yet. The daemon now answers new requests with 503 not-run and closes the socket when no request has arrived for 300 ms, or when the grace period ends.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr Millis kStopPollMs = 50;
+/// Closing the listening socket resets connections that wait to be accepted, so a stopping process
+/// answers new requests until none has arrived for this long.
+constexpr Millis kStopQuietMs = 300;
 
 HttpResponse NotFound()
 {
@@ -177,7 +180,8 @@
   spdlog::info("main: Stopping. {} requests are in progress.", m_callers.Outstanding());
   m_runtime.m_draining = true;
   m_stopByMs = MonotonicMs() + m_settings.m_limits.m_shutdownGraceMs;
-  m_server->StopAccepting();
+  m_quietSinceMs = MonotonicMs();
+  m_requestsSeen = m_counters.m_requests;
   SendHeartbeat();
 }
 
@@ -186,9 +190,13 @@
   if (!m_runtime.m_draining) {
     return;
   }
-  const bool idle =
-    m_callers.Outstanding() == 0 && m_jobs.ActiveCount() == 0 && m_proposals.OpenCount() == 0;
-  const bool late = MonotonicMs() >= m_stopByMs;
+  const Millis now = MonotonicMs();
+  if (std::exchange(m_requestsSeen, m_counters.m_requests) != m_counters.m_requests) {
+    m_quietSinceMs = now;
+  }
+  const bool idle = m_callers.Outstanding() == 0 && m_jobs.ActiveCount() == 0 &&
+                    m_proposals.OpenCount() == 0 && now - m_quietSinceMs >= kStopQuietMs;
+  const bool late = now >= m_stopByMs;
   if (!idle && !late) {
     return;
   }
@@ -196,6 +204,7 @@
     spdlog::warn("main: The grace period is over with {} requests in progress.",
                  m_callers.Outstanding());
   }
+  m_server->StopAccepting();
   spdlog::info("main: Stopped.");
   m_loop.stop();
 }
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -62,6 +62,8 @@
   asio::signal_set m_signals;
   Offset m_syncedOffset{};
   Millis m_stopByMs{};
+  Millis m_quietSinceMs{}; ///< When the last new request was seen while stopping.
+  std::uint64_t m_requestsSeen{};
 };
 
 } // namespace pistachiostand
--- a/tests/process/JobDeployment.cpp
+++ b/tests/process/JobDeployment.cpp
@@ -16,22 +16,28 @@
 
 std::string RulesFor(const std::string& aTaskControl)
 {
+  // Without task control a caller learns "unknown" only at the end of the timeout.
+  const std::string batchTimeout = aTaskControl == "none" ? "4000" : "15000";
   const std::string control = "task_control = \"" + aTaskControl + "\"";
   return "pool.batches = { instances = 2, min_available = 1, " + control +
          " } # Ann Lee: wheel-build batches\n"
          "pool.refresh = { instances = 2, min_available = 1, " +
          control +
          " } # Ann Lee: rim catalog\n"
-         "pool.lookups = { instances = 2, min_available = 1, " +
+         "pool.lookups = { instances = 3, min_available = 1, " +
          control +
          " } # Ann Lee: counter lookups\n"
          "pool.admin = { instances = 1, spare = true } # Ann Lee: spare pool\n"
          "service.batches = { pool = \"batches\", class = \"batch\", idempotent = false, "
-         "timeout_ms = 15000 } # Ann Lee: billed once\n"
+         "timeout_ms = " +
+         batchTimeout +
+         " } # Ann Lee: billed once\n"
          "service.refresh = { pool = \"refresh\", class = \"overnight\", idempotent = true, "
          "timeout_ms = 15000 } # Ann Lee: overnight\n"
          "service.lookups = { pool = \"lookups\", class = \"urgent\", idempotent = true, "
          "timeout_ms = 3000 } # Ann Lee: customer waits\n"
+         "service.counter = { pool = \"lookups\", class = \"urgent\", idempotent = true, "
+         "timeout_ms = 500 } # Ann Lee: short wait\n"
          "tenant.tupelo = { share = 2, max_queued = 64 } # Bo Cruz: larger contract\n"
          "tenant.pecan = { share = 1, max_queued = 16 } # Bo Cruz: small shop\n";
 }
@@ -58,7 +64,7 @@
 {
   StartPlatform({ "--reboot-ms=50" });
   const std::vector<std::string> pools{ "batches", "batches", "refresh", "refresh",
-                                        "lookups", "lookups", "admin" };
+                                        "lookups", "lookups", "lookups", "admin" };
   auto arguments = aBackendArguments;
   arguments.push_back("--task-control=" + aTaskControl);
   for (std::size_t i = 0; i < pools.size(); ++i) {
--- a/tests/process/JobDeployment.h
+++ b/tests/process/JobDeployment.h
@@ -14,8 +14,8 @@
 class JobDeployment : public Deployment
 {
 protected:
-  /// \brief Three entry instances; two backend servers each for batches, refreshes and lookups,
-  /// and one in the spare pool.
+  /// \brief Three entry instances; two backend servers each for batches and refreshes, three for
+  /// lookups (at most a third of a pool is ejected), and one in the spare pool.
   void StartJobDeployment(const std::vector<std::string>& aBackendArguments = {},
                           const std::string& aTaskControl = "full");
 
--- /dev/null
+++ b/tests/process/QueuedJobFaultTest.cpp
@@ -0,0 +1,212 @@
+#include "JobDeployment.h"
+
+#include <algorithm>
+
+namespace pistachiostand::testing {
+namespace {
+
+class QueuedJobFaultTest : public JobDeployment
+{
+protected:
+  void SetUp() override { StartJobDeployment({ "--slots=2" }); }
+
+  /// Occupies all slots of the pool of batches until the returned calls have ended.
+  std::vector<std::future<HttpResponse>> OccupyBatches(int aRunMs)
+  {
+    std::vector<std::future<HttpResponse>> calls;
+    constexpr std::size_t kSlots = 4;
+    for (std::size_t i = 0; i < kSlots; ++i) {
+      const auto key = "occupied-" + std::to_string(i);
+      calls.push_back(CallAsync(
+        1, { "batches", "tupelo", "body", key, { { "X-Test-Run-Ms", std::to_string(aRunMs) } } }));
+    }
+    for (std::size_t i = 0; i < kSlots; ++i) {
+      WaitForStart("occupied-" + std::to_string(i));
+    }
+    return calls;
+  }
+
+  void ExpectAllCompleted(std::vector<std::future<HttpResponse>>& aCalls)
+  {
+    for (auto& call : aCalls) {
+      EXPECT_EQ(call.get().m_status, 200);
+    }
+  }
+
+  /// An entry instance other than the one given.
+  static std::size_t Other(std::size_t aEntry) { return aEntry == 0 ? 1 : 0; }
+};
+
+// Guards against an accepted job that is lost with the entry instance that accepted it.
+TEST_F(QueuedJobFaultTest, Job_WhenItsAcceptorIsKilled_RunsOnce)
+{
+  auto occupied = OccupyBatches(1'500);
+  SubmitJob(0, "batches", "k1");
+  m_entries[0].m_child->Kill();
+  EXPECT_EQ(StartedCount("k1"), 0U);
+  WaitForPhase(2, "k1", "completed");
+  ExpectAllCompleted(occupied);
+  EXPECT_EQ(StartedCount("k1"), 1U);
+}
+
+// Guards against a second run of a non-idempotent queued job whose runner was killed (I5).
+TEST_F(QueuedJobFaultTest, NonIdempotentJob_WhenItsRunnerIsKilled_RunsOnce)
+{
+  ControlBackends("slow?ms=1500");
+  SubmitJob(0, "batches", "k1");
+  WaitForStart("k1");
+  const auto claimant = ClaimantOf("k1").value();
+  m_entries[claimant].m_child->Kill();
+  WaitForPhase(Other(claimant), "k1", "completed");
+  EXPECT_EQ(StartedCount("k1"), 1U);
+  EXPECT_EQ(FinishedCount("k1"), 1U);
+}
+
+// Guards against an idempotent job that is lost with its runner.
+TEST_F(QueuedJobFaultTest, IdempotentJob_WhenItsRunnerIsKilled_RunsAgain)
+{
+  ControlBackends("slow?ms=600000");
+  SubmitJob(0, "refresh", "k1");
+  WaitForStart("k1");
+  const auto claimant = ClaimantOf("k1").value();
+  ControlBackends("slow?ms=0");
+  m_entries[claimant].m_child->Kill();
+  WaitForPhase(Other(claimant), "k1", "completed");
+  EXPECT_EQ(StartedCount("k1"), 2U);
+  EXPECT_EQ(FinishedCount("k1"), 1U);
+}
+
+// Guards against a job that fails forever and is repeated without end.
+TEST_F(QueuedJobFaultTest, IdempotentJob_ThatAlwaysFails_EndsAfterFiveAttempts)
+{
+  ControlBackends("fail-fast?on=1");
+  SubmitJob(0, "refresh", "k1");
+  WaitForFinalPhase(1, "k1");
+  EXPECT_EQ(PhaseOf(1, "k1"), "stopped");
+  EXPECT_EQ(StartedCount("k1"), 5U);
+}
+
+// Guards against a cancelled job that runs later (I4).
+TEST_F(QueuedJobFaultTest, Cancel_OfQueuedJob_PreventsItsRun)
+{
+  auto occupied = OccupyBatches(1'000);
+  SubmitJob(0, "batches", "k1");
+  const auto response = CancelJob(2, "k1");
+  EXPECT_EQ(response.m_status, 200) << response.m_body;
+  EXPECT_EQ(response.Field("outcome"), "not-run") << response.m_body;
+  ExpectAllCompleted(occupied);
+  // A job submitted after the cancel has its turn, so the cancelled one had its own before.
+  SubmitJob(0, "batches", "k2");
+  WaitForPhase(2, "k2", "completed");
+  EXPECT_EQ(StartedCount("k1"), 0U);
+}
+
+// Guards against a cancel that leaves a running job on its server, or reports it as not run.
+TEST_F(QueuedJobFaultTest, Cancel_OfRunningJob_StopsItTruthfully)
+{
+  ControlBackends("slow?ms=600000");
+  SubmitJob(0, "batches", "k1");
+  SubmitJob(0, "refresh", "k2");
+  auto waiting = CallAsync(1, { "batches", "tupelo", "body", "k3" });
+  for (const std::string key : { "k1", "k2", "k3" }) {
+    WaitForStart(key);
+    EXPECT_EQ(CancelJob(2, key).m_status, 200);
+    WaitForPhase(2, key, "stopped");
+    EXPECT_EQ(StartedCount(key), 1U);
+    EXPECT_EQ(FinishedCount(key), 0U);
+    EXPECT_EQ(RunsOf(key).at(0).value("end", ""), "stopped");
+  }
+  const auto response = waiting.get();
+  EXPECT_EQ(response.m_status, 502) << response.m_body;
+  EXPECT_EQ(response.Header("x-outcome"), "stopped");
+}
+
+// Guards against jobs that run after their cancel, or stay open, in a wave of cancels (I4).
+TEST_F(QueuedJobFaultTest, Cancel_InAWave_EndsEveryJobTruthfully)
+{
+  ControlBackends("slow?ms=100");
+  constexpr std::size_t kJobs = 60;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    SubmitJob(i % 3, i % 2 == 0 ? "batches" : "refresh", "w" + std::to_string(i));
+  }
+  std::vector<std::future<HttpResponse>> cancels;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    cancels.push_back(SendAsync({ "DELETE",
+                                  m_entries[(i + 1) % 3].m_address,
+                                  "/v1/jobs/w" + std::to_string(i),
+                                  { { "X-Tenant", "tupelo" } } }));
+  }
+  for (auto& cancel : cancels) {
+    EXPECT_EQ(cancel.get().m_status, 200);
+  }
+  std::size_t notRun = 0;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    const auto key = "w" + std::to_string(i);
+    WaitForFinalPhase(0, key);
+    const bool isNotRun = PhaseOf(0, key) == "not-run";
+    notRun += isNotRun ? 1 : 0;
+    EXPECT_EQ(StartedCount(key), isNotRun ? 0U : 1U) << key << " " << PhaseOf(0, key);
+  }
+  EXPECT_GT(notRun, 0U);
+}
+
+// Guards against a planned stop that cuts off requests, or waits for queued jobs that others can
+// run (I7).
+TEST_F(QueuedJobFaultTest, Stop_UnderLoad_FinishesRequestsAndLeavesQueuedJobsToOthers)
+{
+  auto occupied = OccupyBatches(2'000);
+  std::vector<std::future<HttpResponse>> lookups;
+  for (std::size_t i = 0; i < 4; ++i) {
+    const auto id = "flight-" + std::to_string(i);
+    lookups.push_back(CallAsync(
+      0, { "lookups", "tupelo", id, {}, { { "X-Request-Id", id }, { "X-Test-Run-Ms", "800" } } }));
+    WaitUntil("the start of " + id, [&] { return StartedCount(id) == 1; });
+  }
+  constexpr std::size_t kJobs = 12;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    SubmitJob(0, "batches", "q" + std::to_string(i));
+  }
+  Terminate(m_entries[0]);
+  for (std::size_t i = 0; i < lookups.size(); ++i) {
+    const auto response = lookups[i].get();
+    EXPECT_EQ(response.m_status, 200) << response.m_error << response.m_body;
+    EXPECT_EQ(response.Field("body"), "flight-" + std::to_string(i));
+  }
+  EXPECT_EQ(m_entries[0].m_child->WaitForExit(), 0);
+  // The jobs still wait for the occupied slots, so the process did not run or await them.
+  EXPECT_EQ(FinishedCount("occupied-0"), 0U);
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    const auto key = "q" + std::to_string(i);
+    WaitForPhase(1, key, "completed");
+    EXPECT_EQ(StartedCount(key), 1U);
+  }
+  ExpectAllCompleted(occupied);
+}
+
+// Guards against a planned stop that cuts off a request that arrives at that moment (I7).
+TEST_F(QueuedJobFaultTest, Stop_WhileCallersKeepCalling_AnswersOrRefusesEachRequest)
+{
+  constexpr std::size_t kCalls = 120;
+  std::vector<std::future<HttpResponse>> calls;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    calls.push_back(
+      CallAsync(0, { "lookups", "tupelo", "body", {}, { { "X-Test-Run-Ms", "20" } } }));
+    if (i == kCalls / 2) {
+      Terminate(m_entries[0]);
+    }
+  }
+  std::size_t completed = 0;
+  for (auto& call : calls) {
+    const auto response = call.get();
+    completed += response.m_status == 200 ? 1 : 0;
+    const bool isRefused = response.m_status == 503 || response.m_status == 429 ||
+                           response.m_error.find("onnect") != std::string::npos;
+    EXPECT_TRUE(response.m_status == 200 || isRefused)
+      << response.m_status << " " << response.m_error << response.m_body;
+  }
+  EXPECT_GT(completed, 0U);
+  EXPECT_EQ(m_entries[0].m_child->WaitForExit(), 0);
+}
+
+} // namespace
+} // namespace pistachiostand::testing
