--- a/tests/process/JobFaultTest.cpp
+++ b/tests/process/JobFaultTest.cpp
@@ -249,5 +249,20 @@
   }
 }
 
+// Guards against a key that was reported as "not run" and is then run by its first entry instance,
+// which tries again for its own caller (I4).
+TEST_F(JobFaultTest, Key_ReportedAsNotRun_IsNotRunByAnInternalRetry)
+{
+  auto call = ClaimUnseen("k1");
+  ControlBackends("leaving?on=1");
+  ReleaseReads();
+  WaitForPhase(1, "k1", "not-run");
+  EXPECT_EQ(GetJob(1, "k1").Header("x-outcome"), "not-run");
+  ControlBackends("leaving?on=0");
+  const auto first = call.get();
+  EXPECT_NE(first.m_status, 0) << first.m_error;
+  EXPECT_EQ(StartedCount("k1"), 0U) << first.m_status << first.m_body;
+}
+
 } // namespace
 } // namespace pistachiostand::testing
