Report a given-back job once, by what the log says

Cause 1: after a server had refused a dispatch, the entry instance gave the claim back, which ends a job without a payload as not run, and then submitted it again for its own caller. A given-back job is now reported as not run; only a new request of a caller runs it.

Cause 2: the verdict of the give-back was ignored. When a successor had already given the claim back and the repeat had run, the resumed claimant's give-back was refused, and its caller could be told 'not-run' for a key that had run. It now waits for the job's outcome in that case.

Ruled out: a late dispatch that starts; the server refused it as stopped.

A caller of a non-idempotent service now gets 503 not-run where an internal retry was made before, for example when a server refuses as full. How often this happens under load is not measured.

--- a/src/daemon/JobRunner.cpp
+++ b/src/daemon/JobRunner.cpp
@@ -260,11 +260,17 @@
   Release(aAttempt);
   m_runtime.m_proposals.Propose(
     GiveBack{ aAttempt->m_request.m_key, aAttempt->m_attempt, false, aMayHaveRun }, { true, 0 },
-    [this, aAttempt, aWhy](ProposalResult, const Verdict&) {
+    [this, aAttempt, aWhy](ProposalResult aResult, const Verdict&) {
+      // Not tried again here: other callers of the key may have been told by now that it has not
+      // run, which only a new request may change.
+      End(aAttempt);
       if (aAttempt->m_queuedJob || aAttempt->m_abandoned) {
-        End(aAttempt);
+        return;
+      }
+      if (aResult == ProposalResult::Accepted) {
+        RespondNotRun(aAttempt->m_request, "not-started", aWhy);
       } else {
-        Retry(aAttempt, aWhy);
+        WaitFor(std::move(aAttempt->m_request)); // A successor has acted on the claim.
       }
     });
 }
--- a/tests/process/ResponseFaultTest.cpp
+++ b/tests/process/ResponseFaultTest.cpp
@@ -127,7 +127,7 @@
 // Guards against a burst of one tenant that fills the queues of another (8).
 TEST_F(ResponseFaultTest, Burst_OfOneTenant_LeavesAnotherServed)
 {
-  constexpr std::size_t kBurst = 5 * 16;
+  constexpr std::size_t kBurst = 80; // Five times max_queued of the tenant.
   std::vector<std::future<HttpResponse>> burst;
   for (std::size_t i = 0; i < kBurst; ++i) {
     burst.push_back(
