--- a/src/daemon/ServerTable.cpp
+++ b/src/daemon/ServerTable.cpp
@@ -242,15 +242,6 @@
   return alive;
 }
 
-std::size_t ServerTable::UsableCount(const PoolName& aPool) const
-{
-  const auto pool = m_pools.find(aPool);
-  return pool == m_pools.end()
-           ? 0
-           : static_cast<std::size_t>(std::ranges::count_if(
-               pool->second.m_stats, [](const auto& aServer) { return !aServer.m_leaving; }));
-}
-
 /// \brief Goes on where the last call reached the limit, so that no pool is left out.
 void ServerTable::PollDue()
 {
--- a/tests/process/Deployment.cpp
+++ b/tests/process/Deployment.cpp
@@ -29,15 +29,14 @@
   }
 }
 
-/// True when the name is this one or ends with it after the tenant's scope.
+} // namespace
+
 bool IsNamed(const std::string& aFull, const std::string& aName)
 {
   // An entry instance appends `~` and an id of its own to a caller's request id.
   return aFull == aName || aFull.ends_with("/" + aName) || aFull.starts_with(aName + '~');
 }
 
-} // namespace
-
 Deployment::Deployment()
   : m_directory(std::filesystem::path(kBinaryDir) / "process-logs" / TestName())
 {
--- a/tests/process/Deployment.h
+++ b/tests/process/Deployment.h
@@ -53,6 +53,10 @@
   std::string m_resource = "services"; ///< `services` waits for the result, `jobs` does not.
 };
 
+/// \brief True when an execution's name is this one, with or without a tenant's scope or the suffix
+/// that an entry instance adds to a request id.
+[[nodiscard]] bool IsNamed(const std::string& aFull, const std::string& aName);
+
 /// \brief Starts processes on 127.0.0.x and ends all of them with the test.
 ///
 /// \code
