Move a refused claim to another server instead of ending the job

Cause: since a given-back job is final for its callers, a non-idempotent call ended with 503 not-run as soon as one server refused it as full or leaving, although another server had a slot.

Change: Claim says whether the author's previous attempt was refused before its start; the fold then lets the claimant, and only it, go on to the next attempt. The daemon tries up to 8 servers within the deadline and gives the claim back when none takes it. A caller whose give-back waits for the log gets 202 at its deadline and no longer waits for it.

Ruled out: give back and submit again, which other callers of the key saw as not-run before it ran.

The property of the fold allows exactly this step.

--- a/include/pistachiostand/process/Record.h
+++ b/include/pistachiostand/process/Record.h
@@ -99,12 +99,14 @@
   friend auto operator<=>(const Submit&, const Submit&) = default;
 };
 
-/// \brief Claims a queued job for the record's author.
+/// \brief Claims a queued job for the record's author, or moves its claim to another server.
 struct Claim
 {
   JobKey m_key;
   std::uint32_t m_attempt{};
   ClaimTarget m_target;
+  /// The author holds the previous attempt, and its server refused it before the start.
+  bool m_afterRefusal{};
 
   friend auto operator<=>(const Claim&, const Claim&) = default;
 };
--- a/src/daemon/ActiveAttempt.h
+++ b/src/daemon/ActiveAttempt.h
@@ -19,6 +19,7 @@
   Millis m_claimedMs{};              ///< When the claim was proposed, on the monotonic clock.
   Millis m_sentMs{};
   std::uint32_t m_tries{};
+  bool m_moves{}; ///< Holds the claim of an attempt that its server refused; claims the next.
   bool m_stopSent{};
   bool m_abandoned{}; ///< The claim did not show up in time; it is given back if it does.
 };
--- a/src/daemon/JobRunner.cpp
+++ b/src/daemon/JobRunner.cpp
@@ -16,7 +16,7 @@
 
 constexpr Millis kTickMs = 100;
 /// A caller's job is tried with this many claims before it is reported as not run.
-constexpr std::uint32_t kMaxTries = 3;
+constexpr std::uint32_t kMaxTries = 8;
 /// Queued jobs wait for a slot without a deadline of their own.
 constexpr Millis kNoDeadlineMs = 30LL * 24 * 3600 * 1000;
 
@@ -73,18 +73,32 @@
   }
   const auto refusal = m_dispatcher.Enqueue(
     { aAttempt->m_queued, [this, aAttempt](const ServerRef& aServer) { OnSlot(aAttempt, aServer); },
-      [this, aAttempt] {
-        End(aAttempt);
-        if (!aAttempt->m_queuedJob) {
-          RespondNotRun(aAttempt->m_request, "deadline", "no slot became free in time");
-        }
-      } },
+      [this, aAttempt] { OnExpired(aAttempt); } },
     aAttempt->m_request.m_tenantRule);
-  if (refusal) {
-    End(aAttempt);
-    if (!aAttempt->m_queuedJob) {
-      RespondRefused(aAttempt->m_request, *refusal);
-    }
+  if (!refusal) {
+    return;
+  }
+  if (aAttempt->m_moves) {
+    GiveBackAttempt(aAttempt, false, std::string{ ToString(*refusal) });
+    return;
+  }
+  End(aAttempt);
+  if (!aAttempt->m_queuedJob) {
+    RespondRefused(aAttempt->m_request, *refusal);
+  }
+}
+
+/// \brief The deadline passed while the attempt waited for a slot.
+void JobRunner::OnExpired(const AttemptPtr& aAttempt)
+{
+  const std::string cause = "no slot became free in time";
+  if (aAttempt->m_moves) {
+    GiveBackAttempt(aAttempt, false, cause);
+    return;
+  }
+  End(aAttempt);
+  if (!aAttempt->m_queuedJob) {
+    RespondNotRun(aAttempt->m_request, "deadline", cause);
   }
 }
 
@@ -96,10 +110,12 @@
   const ClaimTarget target{ aServer.m_instance, aServer.m_bootId };
   const CallerRequest& request = aAttempt->m_request;
   RecordBody body;
-  if (aAttempt->m_queuedJob) {
+  if (aAttempt->m_moves) {
+    body = Claim{ request.m_key, aAttempt->m_attempt + 1, target, true };
+  } else if (aAttempt->m_queuedJob) {
     const auto job = m_runtime.State().m_jobs.find(request.m_key);
     const std::uint32_t last = job == m_runtime.State().m_jobs.end() ? 0 : job->second.m_attempt;
-    body = Claim{ request.m_key, last + 1, target };
+    body = Claim{ request.m_key, last + 1, target, false };
   } else {
     body = pistachiostand::Submit{
       request.m_key, request.m_tenant, request.m_service, DigestOf(request), {}, target
@@ -126,6 +142,10 @@
       return;
     case ProposalResult::NotAppended:
       Release(aAttempt);
+      if (aAttempt->m_moves) {
+        GiveBackAttempt(aAttempt, false, "the platform's log did not take the claim");
+        return;
+      }
       End(aAttempt);
       if (!aAttempt->m_queuedJob) {
         RespondNotRun(aAttempt->m_request, "log-unavailable",
@@ -135,6 +155,11 @@
     case ProposalResult::Unresolved:
       aAttempt->m_abandoned = true;
       Release(aAttempt);
+      if (aAttempt->m_moves) {
+        // Refused as stale if the claim shows up after all; then that one is given back.
+        GiveBackAttempt(aAttempt, false, "the claim was read back too late");
+        return;
+      }
       End(aAttempt);
       if (!aAttempt->m_queuedJob) {
         RespondUnknown(aAttempt->m_request);
@@ -151,6 +176,10 @@
     Retry(aAttempt, "the chosen server left its pool");
     return;
   }
+  if (aAttempt->m_moves) {
+    GiveBackAttempt(aAttempt, false, "the job was cancelled or taken over");
+    return;
+  }
   End(aAttempt);
   if (aAttempt->m_queuedJob) {
     return; // Another entry instance has claimed it.
@@ -205,7 +234,7 @@
     case RunResult::NotSent:
     case RunResult::Full:
     case RunResult::Refused:
-      GiveBackAttempt(aAttempt, false, aOutcome.m_detail);
+      MoveClaim(aAttempt, aOutcome.m_detail);
       return;
     case RunResult::Failed:
       if (idempotent) {
@@ -258,11 +287,16 @@
                                 const std::string& aWhy)
 {
   Release(aAttempt);
+  const Millis resolveBy = aAttempt->m_queuedJob ? 0 : aAttempt->m_request.DeadlineMs();
   m_runtime.m_proposals.Propose(
-    GiveBack{ aAttempt->m_request.m_key, aAttempt->m_attempt, false, aMayHaveRun }, { true, 0 },
-    [this, aAttempt, aWhy](ProposalResult aResult, const Verdict&) {
-      // Not tried again here: other callers of the key may have been told by now that it has not
-      // run, which only a new request may change.
+    GiveBack{ aAttempt->m_request.m_key, aAttempt->m_attempt, false, aMayHaveRun },
+    { true, resolveBy }, [this, aAttempt, aWhy](ProposalResult aResult, const Verdict&) {
+      if (aResult == ProposalResult::Unresolved) {
+        RespondUnknown(aAttempt->m_request); // The give-back goes on.
+        return;
+      }
+      // No new submit: other callers of the key may have been told by now that it has not run,
+      // which only a new request may change.
       End(aAttempt);
       if (aAttempt->m_queuedJob || aAttempt->m_abandoned) {
         return;
@@ -275,6 +309,18 @@
     });
 }
 
+/// \brief Claims the next attempt on another server, without the job ending in between.
+void JobRunner::MoveClaim(const AttemptPtr& aAttempt, const std::string& aWhy)
+{
+  const bool inTime = MonotonicMs() < aAttempt->m_request.DeadlineMs();
+  if (aAttempt->m_queuedJob || !inTime || aAttempt->m_tries >= kMaxTries || m_runtime.m_draining) {
+    GiveBackAttempt(aAttempt, false, aWhy);
+    return;
+  }
+  aAttempt->m_moves = true;
+  Enqueue(aAttempt);
+}
+
 /// \brief Makes another claim for a caller that still waits, or reports that the job has not run.
 void JobRunner::Retry(const AttemptPtr& aAttempt, const std::string& aWhy)
 {
@@ -287,6 +333,10 @@
     Enqueue(aAttempt);
     return;
   }
+  if (aAttempt->m_moves) {
+    GiveBackAttempt(aAttempt, false, aWhy);
+    return;
+  }
   End(aAttempt);
   RespondNotRun(aAttempt->m_request, "not-started", aWhy);
 }
--- a/src/daemon/JobRunner.h
+++ b/src/daemon/JobRunner.h
@@ -57,6 +57,8 @@
   void OnOutcome(const AttemptPtr& aAttempt, RunOutcome aOutcome, Millis aTookMs);
   void FinishAttempt(const AttemptPtr& aAttempt, FinishKind aKind, std::uint16_t aStatus,
                      const std::string& aBody);
+  void MoveClaim(const AttemptPtr& aAttempt, const std::string& aWhy);
+  void OnExpired(const AttemptPtr& aAttempt);
   void GiveBackAttempt(const AttemptPtr& aAttempt, bool aMayHaveRun, const std::string& aWhy);
   void Release(const AttemptPtr& aAttempt);
   void End(const AttemptPtr& aAttempt);
--- a/src/process/Fields.h
+++ b/src/process/Fields.h
@@ -82,7 +82,7 @@
 template<typename Visit>
 void Fields(Claim& aValue, Visit&& aVisit)
 {
-  aVisit(aValue.m_key, aValue.m_attempt, aValue.m_target);
+  aVisit(aValue.m_key, aValue.m_attempt, aValue.m_target, aValue.m_afterRefusal);
 }
 
 template<typename Visit>
--- a/src/process/FoldJobs.cpp
+++ b/src/process/FoldJobs.cpp
@@ -135,7 +135,9 @@
     return Refuse(Refusal::UnknownJob);
   }
   Job& job = found->second;
-  if (job.m_phase != JobPhase::Queued) {
+  const bool moves = aClaim.m_afterRefusal && job.m_phase == JobPhase::Claimed &&
+                     job.m_claimant == aRecord.m_author && !job.m_cancelRequested;
+  if (job.m_phase != JobPhase::Queued && !moves) {
     return Refuse(Refusal::WrongPhase);
   }
   if (aClaim.m_attempt != job.m_attempt + 1) {
--- a/tests/process/JobFaultTest.cpp
+++ b/tests/process/JobFaultTest.cpp
@@ -264,5 +264,19 @@
   EXPECT_EQ(StartedCount("k1"), 0U) << first.m_status << first.m_body;
 }
 
+// Guards against a caller that is told "not run" although another server has a free slot.
+TEST_F(JobFaultTest, Job_RefusedByALeavingServer_RunsOnceOnAnother)
+{
+  Control(m_backends.at(0), "leaving?on=1");
+  std::vector<std::future<HttpResponse>> calls;
+  for (std::size_t i = 0; i < 12; ++i) {
+    calls.push_back(CallAsync(i % m_entries.size(), Batch("move-" + std::to_string(i))));
+  }
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    ExpectWhole(calls[i].get(), "move-" + std::to_string(i));
+    ExpectOneRun("move-" + std::to_string(i));
+  }
+}
+
 } // namespace
 } // namespace pistachiostand::testing
--- a/tests/unit/FoldTest.cpp
+++ b/tests/unit/FoldTest.cpp
@@ -270,6 +270,28 @@
   EXPECT_EQ(Do(Claim{ "t/k", 2, { "i1", "b1" } }, "e2"), Refusal::WrongPhase);
 }
 
+// Guards against two servers for one attempt, and against a claim taken from its holder (I5).
+TEST_F(FoldTest, Claim_AfterRefusal_MovesOnlyTheAuthorsOwnAttempt)
+{
+  SubmitClaimed();
+  JoinAs("i2");
+  EXPECT_EQ(Do(Claim{ "t/k", 2, { "i2", "b1" }, true }, "e2"), Refusal::WrongPhase);
+  EXPECT_EQ(Do(Claim{ "t/k", 2, { "i2", "b1" }, false }), Refusal::WrongPhase);
+  EXPECT_EQ(Do(Claim{ "t/k", 1, { "i2", "b1" }, true }), Refusal::StaleAttempt);
+  EXPECT_FALSE(Do(Claim{ "t/k", 2, { "i2", "b1" }, true }));
+  EXPECT_EQ(TheJob().m_target.m_server, "i2");
+  EXPECT_EQ(Do(GiveBack{ "t/k", 1, true }, "e2"), Refusal::StaleAttempt);
+}
+
+// Guards against a cancelled job that goes on from server to server.
+TEST_F(FoldTest, Claim_AfterRefusalOfCancelledJob_IsRefused)
+{
+  SubmitClaimed();
+  JoinAs("i2");
+  EXPECT_FALSE(Do(Cancel{ "t/k" }));
+  EXPECT_EQ(Do(Claim{ "t/k", 2, { "i2", "b1" }, true }), Refusal::WrongPhase);
+}
+
 // Guards against "not run" for a job that another entry instance may still dispatch.
 TEST_F(FoldTest, GiveBack_ByAnotherEntry_NeedsFence)
 {
