Choose the owner of a job among those that reach the platform

Cause: the owner of queued and orphaned jobs was chosen among all live entry instances. One that its peers hear, but that is cut off from the platform, was chosen and could append nothing.

Ruled out: leaving it to the claim window, which only repeats the claim that cannot be appended.

Change: owners are chosen as the planner is, among those that have read the log's end themselves; the others do not touch jobs.

--- a/src/daemon/JobRunner.h
+++ b/src/daemon/JobRunner.h
@@ -73,6 +73,7 @@
 
   // Jobs of the state that nobody runs.
   void Tick();
+  [[nodiscard]] bool OwnsJob(const JobKey& aKey, Millis aNowMs) const;
   void StartQueued(const JobKey& aKey, const Job& aJob, Millis aNowMs);
   void Resolve(const JobKey& aKey, const Job& aJob, Millis aNowMs);
   void ResolveByTask(const JobKey& aKey, const Job& aJob);
--- a/src/daemon/JobTakeover.cpp
+++ b/src/daemon/JobTakeover.cpp
@@ -31,7 +31,7 @@
 {
   const Millis now = MonotonicMs();
   ExpireWaiters(now);
-  if (CurrentView(m_runtime, now) != ViewState::Confirmed || m_runtime.m_draining) {
+  if (!ReadsPlatform(m_runtime, now) || m_runtime.m_draining) {
     return;
   }
   std::erase_if(m_open, [this](const JobKey& aKey) {
@@ -56,13 +56,20 @@
   }
 }
 
+/// \brief Chosen among those that reach the platform, because every step needs an append.
+bool JobRunner::OwnsJob(const JobKey& aKey, Millis aNowMs) const
+{
+  return m_runtime.m_membership.IsOwnerAmongReaders("job/" + aKey, aNowMs,
+                                                    m_runtime.m_settings.m_limits.m_viewConfirmMs);
+}
+
 void JobRunner::StartQueued(const JobKey& aKey, const Job& aJob, Millis aNowMs)
 {
   const Rules& rules = m_runtime.CurrentRules();
   const auto service = rules.m_services.find(aJob.m_service);
   const TenantRule* tenant = FindTenant(rules, aJob.m_tenant);
   if (m_active.contains(aKey) || service == rules.m_services.end() || tenant == nullptr ||
-      !m_runtime.m_membership.IsOwner("job/" + aKey, aNowMs)) {
+      !OwnsJob(aKey, aNowMs)) {
     return;
   }
   auto attempt = std::make_shared<ActiveAttempt>();
@@ -110,7 +117,7 @@
   }
   const bool own = aJob.m_claimant == m_runtime.m_process;
   const bool orphan = !own && !m_runtime.m_membership.IsProcessAlive(aJob.m_claimant, aNowMs) &&
-                      m_runtime.m_membership.IsOwner("job/" + aKey, aNowMs);
+                      OwnsJob(aKey, aNowMs);
   Millis& after = m_resolveAfterMs[aKey];
   if ((!own && !orphan) || aNowMs < after) {
     return;
--- a/tests/process/QueuedJobFaultTest.cpp
+++ b/tests/process/QueuedJobFaultTest.cpp
@@ -49,6 +49,21 @@
   EXPECT_EQ(StartedCount("k1"), 1U);
 }
 
+// Guards against queued jobs that wait for an owner which its peers hear, but which does not reach
+// the platform.
+TEST_F(QueuedJobFaultTest, Jobs_WhoseOwnerIsCutOffFromThePlatform_AreRunByOthers)
+{
+  Control(m_platform, "partition?from=" + m_entries[0].m_id);
+  constexpr std::size_t kJobs = 12;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    SubmitJob(1, "batches", "cut-" + std::to_string(i));
+  }
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    WaitForPhase(1, "cut-" + std::to_string(i), "completed");
+    EXPECT_EQ(StartedCount("cut-" + std::to_string(i)), 1U);
+  }
+}
+
 // Guards against a second run of a non-idempotent queued job whose runner was killed (I5).
 TEST_F(QueuedJobFaultTest, NonIdempotentJob_WhenItsRunnerIsKilled_RunsOnce)
 {
