--- a/model/job.pml
+++ b/model/job.pml
@@ -9,7 +9,8 @@
  * TASK_NONE: the server has task_control "none": it remembers no stops and checks nothing.
  * QUEUED: the job is accepted into the queue and cancelled by its caller.
  * Guards that can be removed: NO_STOP_MEMORY, NO_BOOT_CHECK, NO_START_BEFORE, NO_FENCE,
- * NO_CLAIM_READ, NO_SUBMIT_MEMORY.
+ * NO_CLAIM_READ, NO_SUBMIT_MEMORY, MOVE_UNREFUSED (the claimant moves its claim to another server
+ * without a refusal by the first one).
  * SILENCE_IS_CRASH: the successor takes silence for a crash and decides from its own state, as in
  * a three-phase commit without a log. CHECK_STOPPED adds a property that holds with task_control
  * "full" only: a job reported as stopped does not start later.
@@ -98,6 +99,18 @@
   fi
 }
 
+/* A claim after a refusal: the claimant goes on to the next attempt on another server. */
+inline FoldMove(entry, n)
+{
+  if
+  :: phase == CLAIMED && attempt == n && claimant == entry && !cancelled && n + 1 < ATTEMPTS ->
+    attempt = n + 1;
+    submitOf[attempt] = submitOf[n];
+    claimBoot[attempt] = boot
+  :: else
+  fi
+}
+
 inline FoldGiveBack(entry, n, fenced)
 {
   if
@@ -182,6 +195,7 @@
   :: skip
   :: goto killed
   fi;
+dispatch:
   /* Any pause may happen here, after the check of the claim's age. */
   atomic {
     run_[mine] == IDLE ->
@@ -193,6 +207,22 @@
   :: atomic { run_[mine] == REFUSED -> FoldGiveBack(0, mine, false) }
 #ifdef QUEUED
     ; mine = 0; goto again
+#else
+#ifdef MOVE_UNREFUSED
+  :: atomic { true ->
+#else
+  :: atomic { run_[mine] == REFUSED ->
+#endif
+      FoldMove(0, mine);
+      if
+      :: phase == CLAIMED && claimant == 0 && attempt == mine + 1 -> mine = attempt
+      :: else -> mine = 0
+      fi
+    };
+    if
+    :: mine != 0 -> goto dispatch
+    :: else
+    fi
 #endif
   :: goto killed /* Killed, or the reply is lost: the job stays claimed. */
   fi;
@@ -316,6 +346,14 @@
       fi;
       n = 0
     }
+  :: atomic { /* No free slot, with or without task control. */
+      select(n : 1 .. ATTEMPTS - 1);
+      if
+      :: run_[n] == SENT -> Refuse(n)
+      :: else
+      fi;
+      n = 0
+    }
   :: atomic { boot == 1 -> /* A reboot ends what runs and forgets the stops. */
       n = 1;
       do
