Log one line for each service request with its labels

Cause: log lines of requests had no tenant, class or revision, so an uncertain outcome could not be traced to its caller.

Change: one line with key=value fields; a warning for unknown and stopped outcomes, else debug, because a line for each refusal would add to an overload. The retry hint is one constant instead of two.

--- a/src/daemon/CallerApi.cpp
+++ b/src/daemon/CallerApi.cpp
@@ -28,6 +28,29 @@
                                {} }));
 }
 
+struct RequestLabels
+{
+  std::string m_requestId;
+  TenantName m_tenant;
+  ServiceName m_service;
+  ServiceClass m_class{};
+};
+
+/// \brief One line for each request: a warning when its outcome is not certain, else debug, since
+/// an overload would otherwise also overload the log.
+void LogRequest(const RequestLabels& aLabels, const HttpResponse& aResponse, Revision aRevision,
+                Millis aTookMs)
+{
+  const auto outcome = FindHeader(aResponse.m_headers, "x-outcome");
+  const bool uncertain =
+    outcome == ToString(OutcomeKind::Unknown) || outcome == ToString(OutcomeKind::Stopped);
+  spdlog::log(uncertain ? spdlog::level::warn : spdlog::level::debug,
+              "http: Answered request={} tenant={} service={} class={} revision={} status={} "
+              "outcome={} ms={}.",
+              aLabels.m_requestId, aLabels.m_tenant, aLabels.m_service, ToString(aLabels.m_class),
+              aRevision, aResponse.m_status, outcome, aTookMs);
+}
+
 /// \brief Without the log's state nothing is known of tenants, services or jobs.
 void RespondNotReady(const CallerRequest& aCall)
 {
@@ -175,11 +198,14 @@
   if (!CheckService(aCall, aService)) {
     return;
   }
-  // Latency is recorded for each tenant and class, which are known only now.
-  aCall.m_respond = [this, respond = aCall.m_respond, tenant = aCall.m_tenant,
-                     serviceClass = aCall.m_serviceRule.m_class,
+  // Tenant and class, by which latency is recorded, are known only now.
+  aCall.m_respond = [this, respond = aCall.m_respond,
+                     labels = RequestLabels{ aCall.m_requestId, aCall.m_tenant, aService,
+                                             aCall.m_serviceRule.m_class },
                      arrived = aCall.m_arrivedMs](HttpResponse aResponse) {
-    AddLatency(m_runtime.m_histograms, tenant, serviceClass, MonotonicMs() - arrived);
+    const Millis took = MonotonicMs() - arrived;
+    AddLatency(m_runtime.m_histograms, labels.m_tenant, labels.m_class, took);
+    LogRequest(labels, aResponse, m_runtime.State().m_revision, took);
     respond(std::move(aResponse));
   };
   if (aCall.m_serviceRule.m_idempotent) {
--- a/src/daemon/JobCallers.cpp
+++ b/src/daemon/JobCallers.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr Millis kRetryAfterMs = 1'000;
 constexpr Millis kSubmitWaitMs = 10'000;
 
 std::string_view KeyOf(const JobKey& aScoped)
--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr Millis kRetryAfterMs = 1'000;
-
 class PlainCall : public std::enable_shared_from_this<PlainCall>
 {
 public:
--- a/src/daemon/PlainCall.h
+++ b/src/daemon/PlainCall.h
@@ -14,6 +14,8 @@
 
 /// Assumed until run times are learned; declared ones are far off, so none is asked for.
 inline constexpr Millis kUnknownRunMs = 50;
+/// Told to callers whose request may be repeated.
+inline constexpr Millis kRetryAfterMs = 1'000;
 
 /// \brief A caller's request after it was checked.
 struct CallerRequest
