--- a/include/pistachiostand/base/Clock.h
+++ b/include/pistachiostand/base/Clock.h
@@ -3,18 +3,21 @@
 #include "pistachiostand/base/Types.h"
 
 #include <chrono>
+#include <ctime>
 
 /// \file
 /// \brief Clocks in milliseconds.
 
 namespace pistachiostand {
 
-/// \brief Monotonic time since an arbitrary start. It goes on while the process is paused, so a
-/// process that wakes sees how long it was away.
+/// \brief Monotonic time since an arbitrary start. It goes on while the process is paused or the
+/// machine is suspended, so a process that wakes sees how long it was away.
 [[nodiscard]] inline Millis MonotonicMs() noexcept
 {
-  using namespace std::chrono;
-  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+  // std::chrono::steady_clock stops while the machine is suspended.
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<Millis>(now.tv_sec) * 1'000 + now.tv_nsec / 1'000'000;
 }
 
 /// \brief Time since 1970.
--- /dev/null
+++ b/include/pistachiostand/fleet/Configuration.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief The operator's published configuration: queues, pools and limits on requests.
+
+namespace pistachiostand::fleet {
+
+using QueueName = std::string;
+
+/// \brief What the placement service charges for a decision; a queue with it needs tickets.
+struct AdviceTerms
+{
+  Millis m_decisionMs{};
+  Millis m_perServerMs{};
+  Millis m_validMs{};
+
+  friend auto operator<=>(const AdviceTerms&, const AdviceTerms&) = default;
+};
+
+/// \brief A queue of jobs, addressed by host and path prefix.
+struct QueueRule
+{
+  QueueName m_name;
+  std::string m_host;
+  std::string m_pathPrefix;
+  PoolName m_pool;              ///< Pool whose backend servers run the subtasks.
+  std::uint32_t m_priority{};   ///< 0 is served first and may preempt others.
+  std::uint32_t m_maxFailures{ 1 }; ///< Failed runs of a subtask after which its job has failed.
+  double m_stretch{ 1.0 };      ///< The objective is this factor times the longest chain of work,
+  Millis m_objectiveMs{};       ///< and this much more.
+  std::optional<AdviceTerms> m_advice;
+
+  friend bool operator==(const QueueRule&, const QueueRule&) = default;
+};
+
+struct PoolTerms
+{
+  PoolName m_name;
+  bool m_checksAdmission{}; ///< Its backend servers refuse what does not fit.
+  bool m_spare{};           ///< Its instances are switched off.
+
+  friend bool operator==(const PoolTerms&, const PoolTerms&) = default;
+};
+
+struct Configuration
+{
+  Revision m_revision{};
+  std::vector<QueueRule> m_queues;
+  std::map<PoolName, PoolTerms> m_pools;
+  std::size_t m_maxBodyBytes{ 262'144 };
+
+  friend bool operator==(const Configuration&, const Configuration&) = default;
+};
+
+/// \brief The queue with the longest prefix of `aPath` among those of `aHost`, or null.
+[[nodiscard]] const QueueRule* FindQueue(const Configuration& aConfiguration,
+                                         std::string_view aHost, std::string_view aPath) noexcept;
+
+/// \brief The queue with this name, or null.
+[[nodiscard]] const QueueRule* FindQueueByName(const Configuration& aConfiguration,
+                                               std::string_view aName) noexcept;
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/include/pistachiostand/job/JobBook.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include "pistachiostand/fleet/Inventory.h"
+#include "pistachiostand/job/JobSpec.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief State of all jobs and their subtasks, as the owner of the fleet keeps it.
+///
+/// Pure: no clock and no socket. A run is Planned until its record is stored, Sent until the
+/// backend server has confirmed it, then Running. A subtask gets another run only after every
+/// earlier one is known to have ended, except for copies of a speculative step.
+
+namespace pistachiostand::fleet {
+
+struct SubtaskId
+{
+  JobId m_job;
+  std::uint32_t m_occurrence{};
+  std::uint32_t m_step{};
+  std::uint32_t m_index{};
+
+  friend auto operator<=>(const SubtaskId&, const SubtaskId&) = default;
+};
+
+enum class RunPhase : std::uint8_t
+{
+  Planned,  ///< Not sent: its record is not stored yet.
+  Restored, ///< Planned by an earlier owner; its backend server has not been asked yet.
+  Sent,     ///< Perhaps started: no answer so far.
+  Running,  ///< Confirmed by its backend server.
+  Stopping, ///< A stop was ordered.
+};
+
+struct Run
+{
+  std::uint64_t m_number{}; ///< Counts the starts of the subtask, from 1.
+  ServerId m_server;
+  RunPhase m_phase{};
+  Millis m_sinceMs{};  ///< When it entered the phase, on the owner's steady clock.
+  Millis m_workMs{};   ///< When it was first seen running; 0 before.
+  int m_percent{};     ///< Progress, or for a lasting subtask 100 while it is at work.
+  int m_load{};        ///< Serving: tail in milliseconds; otherwise processor use.
+  int m_pace{ 100 };   ///< Share at which it may work.
+  Millis m_unansweredMs{};   ///< When its start was given up waiting for; 0: not.
+  Millis m_stopSentMs{};     ///< When the last stop was sent; 0: none.
+  Millis m_stopAcceptedMs{}; ///< When a stop was accepted; 0: not.
+
+  friend bool operator==(const Run&, const Run&) = default;
+};
+
+struct Subtask
+{
+  std::uint64_t m_lastRun{};
+  std::uint64_t m_lastEndedRun{};
+  std::uint32_t m_failures{};
+  bool m_done{};
+  std::string m_checkpoint;
+  std::vector<Run> m_runs;
+  Millis m_idleSinceMs{};   ///< Since when it has had no run.
+  Millis m_atWorkSinceMs{}; ///< Lasting subtask: since when it has been at work; 0 when it is not.
+
+  friend bool operator==(const Subtask&, const Subtask&) = default;
+};
+
+struct Occurrence
+{
+  std::vector<std::vector<Subtask>> m_steps;
+
+  friend bool operator==(const Occurrence&, const Occurrence&) = default;
+};
+
+enum class JobPhase : std::uint8_t
+{
+  Active,
+  Completed,
+  Failed,
+  Cancelled,
+};
+
+struct Job
+{
+  JobSpec m_spec;
+  JobPhase m_phase{};
+  bool m_phaseStored{}; ///< The terminal phase is stored and may be shown.
+  bool m_begun{};       ///< Some subtask has been started.
+  Millis m_acceptedMs{};     ///< On the owner's steady clock.
+  Millis m_finishedMs{};     ///< When the terminal phase was stored, on the owner's steady clock.
+  std::uint32_t m_opened{};  ///< Occurrences that have become due.
+  std::map<std::uint32_t, Occurrence> m_occurrences;
+
+  friend bool operator==(const Job&, const Job&) = default;
+};
+
+/// \brief How a run ended, as its backend server reports it.
+enum class EndKind : std::uint8_t
+{
+  Done,
+  Failed,
+  Stopped,
+  Lapsed, ///< Its lease expired.
+  Broken, ///< Another member of its gang ended.
+  Alone,  ///< It waited too long for the other members of its gang.
+};
+
+struct RunEnd
+{
+  SubtaskId m_subtask;
+  std::uint64_t m_run{};
+  EndKind m_kind{};
+  std::string m_checkpoint;
+
+  friend bool operator==(const RunEnd&, const RunEnd&) = default;
+};
+
+/// \brief A run with its subtask and server.
+struct RunRef
+{
+  SubtaskId m_subtask;
+  std::uint64_t m_run{};
+  ServerId m_server;
+
+  friend auto operator<=>(const RunRef&, const RunRef&) = default;
+};
+
+struct JobBook
+{
+  std::map<JobId, Job> m_jobs;
+  std::set<JobId> m_active; ///< Jobs that have not ended.
+  std::map<ServerId, std::set<SubtaskId>> m_byServer; ///< Subtasks with a run on the server.
+  std::map<ServerId, Resources> m_used;               ///< Counted need of the runs on the server.
+  std::set<JobId> m_changed;                          ///< Jobs whose durable state is not stored.
+  std::set<JobId> m_cancelledUnknown;                 ///< Cancels that came before their jobs.
+};
+
+/// \brief Adds a job; returns false when it is already known.
+bool AddJob(JobBook& aBook, JobSpec aSpec, Millis aNowMs, Millis aAgeMs);
+
+/// \brief Cancels an active job; its runs are left to be stopped.
+void CancelJob(JobBook& aBook, const JobId& aId);
+
+/// \brief Makes occurrences whose time has come available. `aWallMs` is the time of day.
+void OpenDueOccurrences(JobBook& aBook, Millis aWallMs, Millis aNowMs);
+
+[[nodiscard]] Subtask* FindSubtask(JobBook& aBook, const SubtaskId& aId) noexcept;
+[[nodiscard]] const StepSpec* FindStep(const JobBook& aBook, const SubtaskId& aId) noexcept;
+
+/// \brief Run of a subtask with this number, or null.
+[[nodiscard]] Run* FindRun(JobBook& aBook, const RunRef& aRef) noexcept;
+
+/// \brief True when all steps that the step waits for are done.
+[[nodiscard]] bool IsStepOpen(const Job& aJob, const Occurrence& aOccurrence,
+                              std::uint32_t aStep) noexcept;
+
+/// \brief Counts a run that was added to a subtask against the room of its server.
+void CountRun(JobBook& aBook, const SubtaskId& aId, const ServerId& aServer);
+
+/// \brief Gives a subtask its next run on a server, in phase Planned.
+/// \return the number of the run.
+std::uint64_t PlanRun(JobBook& aBook, const SubtaskId& aId, const ServerId& aServer,
+                      std::uint64_t aNumber, Millis aNowMs);
+
+/// \brief Number that the next run of a subtask gets; members of a gang share theirs.
+[[nodiscard]] std::uint64_t NextRunNumber(const JobBook& aBook, const SubtaskId& aId);
+
+/// \brief Takes a run over that a backend server lists and the book does not know.
+/// \return false when the run has no reason to exist and must be stopped.
+bool AdoptRun(JobBook& aBook, const RunRef& aRef, Millis aNowMs);
+
+/// \brief Forgets a run that has not started and cannot start any more.
+void DropRun(JobBook& aBook, const RunRef& aRef, Millis aNowMs);
+
+/// \brief Applies an end; repeated and unknown ends change nothing.
+/// \param aMaxFailures failed runs after which the job has failed; lasting steps have no limit.
+/// \return true when the end was news.
+bool ApplyEnd(JobBook& aBook, const RunEnd& aEnd, std::uint32_t aMaxFailures, Millis aNowMs);
+
+/// \brief Forgets all runs on a server that are known to have ended with it.
+void DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs);
+
+/// \brief Runs that must be stopped: of jobs that ended, and copies of subtasks that are done.
+[[nodiscard]] std::vector<RunRef> RunsToStop(const JobBook& aBook);
+
+/// \brief Need that a subtask takes from the counted capacity of its server.
+[[nodiscard]] Resources CountedNeed(const StepSpec& aStep) noexcept;
+
+/// \brief Jobs of a queue that wait for their first start, without those that have due times.
+[[nodiscard]] std::size_t CountPending(const JobBook& aBook, std::string_view aQueue);
+
+/// \brief State as callers see it.
+enum class ShownState : std::uint8_t
+{
+  Queued,
+  Running,
+  Completed,
+  Failed,
+  Cancelled,
+};
+
+[[nodiscard]] ShownState StateOf(const Job& aJob) noexcept;
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/include/pistachiostand/job/JobCodec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "pistachiostand/job/JobBook.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Stored form of jobs: msgpack.
+///
+/// A submission is written once by the entry instance that accepts the job. The progress of a job
+/// is written by the owner whenever it changes, and replaces the earlier record of the same job.
+
+namespace pistachiostand::fleet {
+
+[[nodiscard]] std::string EncodeSubmission(const JobSpec& aSpec);
+[[nodiscard]] std::optional<JobSpec> DecodeSubmission(std::string_view aBytes);
+
+/// \brief Durable part of a job: phase, ended subtasks, runs that may exist and where.
+[[nodiscard]] std::string EncodeProgress(const Job& aJob);
+
+/// \brief Restores what EncodeProgress wrote.
+///
+/// A finished job that the book does not know is added without its specification. Runs come back as
+/// Restored: whether they exist is for their backend servers to say.
+/// \return false when the bytes are malformed or belong to an active job that is not in the book.
+bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs);
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/include/pistachiostand/job/JobSpec.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+#include "pistachiostand/fleet/Resources.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief A job as its caller submits it.
+
+namespace pistachiostand::fleet {
+
+using JobId = std::string;
+
+struct StepSpec
+{
+  std::uint32_t m_count{ 1 };
+  Resources m_need;            ///< Of each subtask.
+  Millis m_estimateMs{};       ///< Declared run time of a subtask; often far off.
+  std::vector<std::uint32_t> m_after; ///< Steps that must be done first.
+  std::string m_image;
+  std::string m_requiredLabel;
+  std::string m_dataRack;
+  std::uint32_t m_maxPerServer{}; ///< 0: no limit.
+  Millis m_tailTargetMs{};        ///< Lasting subtasks with their own users; 0: none.
+  std::uint32_t m_mayMiss{};      ///< Lasting subtasks that planned work may take away at a time.
+  bool m_checkpointing{};
+  bool m_gang{};        ///< All subtasks run together and end together.
+  bool m_sameRack{};    ///< Slower when spread over racks.
+  bool m_speculative{}; ///< Copies may run in parallel.
+  bool m_lasting{};     ///< Runs until the job is cancelled.
+  bool m_filler{};      ///< Its processor need is not counted against the capacity.
+
+  friend bool operator==(const StepSpec&, const StepSpec&) = default;
+};
+
+struct JobSpec
+{
+  JobId m_id;
+  std::string m_queue;     ///< Name of the queue that accepted it.
+  PoolName m_pool;         ///< Pool of that queue at the time.
+  std::string m_payload;   ///< Passed to the subtasks unread.
+  Millis m_acceptedMs{};   ///< Wall clock of the entry instance that accepted it.
+  Millis m_firstDueMs{};   ///< Wall clock at which the first occurrence is due; 0: at once.
+  Millis m_intervalMs{};
+  std::uint32_t m_occurrences{}; ///< 0: runs once and has no due times.
+  std::vector<StepSpec> m_steps;
+
+  friend bool operator==(const JobSpec&, const JobSpec&) = default;
+};
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/include/pistachiostand/job/Reconcile.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "pistachiostand/job/JobBook.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Compares what a backend server reports with what the book expects of it.
+
+namespace pistachiostand::fleet {
+
+struct ReportedRun
+{
+  SubtaskId m_subtask;
+  std::uint64_t m_run{};
+  std::string m_checkpoint;
+  int m_percent{}; ///< Progress; 100 for a lasting subtask that is at work.
+  int m_load{};    ///< Serving: tail in milliseconds; otherwise processor use.
+
+  friend bool operator==(const ReportedRun&, const ReportedRun&) = default;
+};
+
+struct ReportedEnd
+{
+  std::uint64_t m_number{}; ///< Counts the ends of one life of the server, from 1.
+  RunEnd m_end;
+
+  friend bool operator==(const ReportedEnd&, const ReportedEnd&) = default;
+};
+
+/// \brief All that runs on a backend server, and the ends that were not acknowledged.
+struct ServerReport
+{
+  Millis m_clockMs{};
+  std::int64_t m_incarnation{}; ///< Unix milliseconds of the server's start; 0 when not told.
+  std::vector<ReportedRun> m_running;
+  std::vector<ReportedEnd> m_ended;
+
+  friend bool operator==(const ServerReport&, const ServerReport&) = default;
+};
+
+/// \brief Brings the runs of one server in line with its report, after its ends were applied.
+///
+/// A run that is missing from a report is dropped only when it cannot start any more: it was seen
+/// running before the report was asked for, an earlier owner planned it (the server now refuses that
+/// owner's orders), or its stop was accepted. A start without an answer may still be on its way; it
+/// is returned to be stopped, because the server remembers a stop.
+///
+/// \param aAskedMs when the report was asked for, on the owner's steady clock.
+/// \return runs to stop.
+[[nodiscard]] std::vector<RunRef> Reconcile(JobBook& aBook, const ServerId& aServer,
+                                            const std::vector<ReportedRun>& aRunning,
+                                            Millis aAskedMs, Millis aNowMs);
+
+/// \brief Applies the change of life of a server: what was seen running there is gone. A start
+/// without an answer stays, because the new life may still receive it.
+void DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs);
+
+/// \brief New shares for the fillers on a server, so that the serving subtasks beside them keep
+/// their tail targets. Only changed shares are returned.
+struct PaceChange
+{
+  RunRef m_run;
+  int m_percent{};
+
+  friend auto operator<=>(const PaceChange&, const PaceChange&) = default;
+};
+
+[[nodiscard]] std::vector<PaceChange> PlanPace(const JobBook& aBook, const ServerId& aServer);
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/include/pistachiostand/job/Scheduler.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "pistachiostand/fleet/Configuration.h"
+#include "pistachiostand/job/JobBook.h"
+
+#include <compare>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Which subtask starts next, and where.
+///
+/// Pure. Answers the load of queues that ask for several times the room of their pool for some
+/// seconds: jobs that can still meet their objective come first, those with the most credit for
+/// their remaining work before others, so that a burst costs as few objectives as possible.
+
+namespace pistachiostand::fleet {
+
+/// \brief A backend server that may receive work, with the room that is left.
+struct ServerRoom
+{
+  ServerId m_id;
+  PoolName m_pool;
+  ZoneName m_zone;
+  std::vector<std::string> m_labels;
+  Resources m_capacity;
+  Resources m_free;
+  std::uint32_t m_runs{};     ///< Runs on it.
+  std::uint32_t m_fillers{};  ///< Runs whose processor need is not counted.
+  std::uint32_t m_serving{};  ///< Lasting runs with users of their own.
+  bool m_avoid{};             ///< Fails or hangs; used only when nothing else is left.
+  bool m_leavingSoon{};       ///< Due for maintenance: no lasting work.
+  bool m_closed{};            ///< Takes no new work.
+
+  friend bool operator==(const ServerRoom&, const ServerRoom&) = default;
+};
+
+struct StepId
+{
+  JobId m_job;
+  std::uint32_t m_occurrence{};
+  std::uint32_t m_step{};
+
+  friend auto operator<=>(const StepId&, const StepId&) = default;
+};
+
+using Ticket = std::string;
+
+struct SchedulerInput
+{
+  Millis m_nowMs{};
+  double m_remoteFactor{ 3.0 }; ///< Slow-down of work away from its data or its gang's rack.
+  std::map<QueueName, double> m_meanWork; ///< Mean core-seconds of a job, by queue.
+  std::map<StepId, std::map<ServerId, Ticket>> m_tickets; ///< Valid tickets of queues with advice.
+};
+
+struct Placement
+{
+  SubtaskId m_subtask;
+  ServerId m_server;
+  std::uint64_t m_run{};
+  bool m_copy{}; ///< A second copy of a running subtask.
+
+  friend auto operator<=>(const Placement&, const Placement&) = default;
+};
+
+struct SchedulerResult
+{
+  std::vector<Placement> m_placements; ///< Already planned in the book.
+  std::vector<StepId> m_adviceWanted;  ///< Steps that wait for tickets.
+};
+
+/// \brief Places what fits; plans the runs in the book and takes their room from `aServers`.
+SchedulerResult PlaceSubtasks(JobBook& aBook, const Configuration& aConfiguration,
+                              std::vector<ServerRoom>& aServers, const SchedulerInput& aInput);
+
+/// \brief Pool that runs the subtasks of a job now: that of its queue, or the one it was accepted
+/// for when the queue is gone.
+[[nodiscard]] const PoolName& PoolOf(const Job& aJob, const Configuration& aConfiguration) noexcept;
+
+/// \brief Declared core-seconds of the whole job.
+[[nodiscard]] double WorkOf(const JobSpec& aSpec) noexcept;
+
+/// \brief Declared time of the longest chain of steps that are not done.
+[[nodiscard]] Millis RemainingChainMs(const Job& aJob, const Occurrence& aOccurrence);
+
+/// \brief When the objective of an occurrence ends, on the owner's steady clock.
+[[nodiscard]] Millis ObjectiveEndMs(const Job& aJob, const QueueRule& aRule,
+                                    std::uint32_t aOccurrence) noexcept;
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/include/pistachiostand/ownership/Leadership.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Which entry instance owns the fleet, decided by a log of conditional appends.
+///
+/// A record is appended only at the end that its author has read, so the log is a chain: a claim
+/// succeeds only when nobody has renewed since. The offset of a claim gives its fencing token,
+/// which therefore grows with each change of owner and never has two holders.
+///
+/// An owner acts for `m_actMs` after it sent its last stored record. Others claim when they have
+/// seen no record for `m_waitMs`, which is longer. Both count on their own steady clocks.
+
+namespace pistachiostand::fleet {
+
+using FencingToken = std::uint64_t;
+
+enum class OwnershipRecordKind : std::uint8_t
+{
+  Claim,
+  Renewal,
+  Release, ///< The owner has stopped acting; others may claim at once.
+};
+
+struct OwnershipRecord
+{
+  OwnershipRecordKind m_kind{};
+  std::string m_process; ///< Entry instance and its incarnation.
+  std::string m_address; ///< Where the owner answers other entry instances.
+  FencingToken m_token{}; ///< Of the owner; unused in a claim.
+  Millis m_sentMs{};      ///< When it was sent, on the steady clock of its author.
+
+  friend auto operator<=>(const OwnershipRecord&, const OwnershipRecord&) = default;
+};
+
+[[nodiscard]] std::string EncodeOwnershipRecord(const OwnershipRecord& aRecord);
+[[nodiscard]] std::optional<OwnershipRecord> DecodeOwnershipRecord(std::string_view aBytes);
+
+struct OwnershipTerms
+{
+  Millis m_renewMs{ 400 };  ///< Interval of renewals: four tries within `m_actMs`.
+  Millis m_actMs{ 2'000 };  ///< An owner acts this long on its last stored record.
+  Millis m_waitMs{ 2'400 }; ///< Silence after which others claim; above `m_actMs`.
+
+  friend auto operator<=>(const OwnershipTerms&, const OwnershipTerms&) = default;
+};
+
+/// \brief What a process has read of the log of ownership.
+struct OwnershipView
+{
+  Offset m_next{};               ///< Offset after the last record read.
+  FencingToken m_token{};        ///< Of the current owner; 0 when nobody is.
+  std::string m_owner;           ///< Its process; empty when nobody is.
+  std::string m_address;
+  std::optional<Millis> m_lastRecordMs; ///< When the last record was read.
+  bool m_current{};              ///< The log was read to its end at least once.
+
+  friend bool operator==(const OwnershipView&, const OwnershipView&) = default;
+};
+
+/// \brief Applies the record at `aOffset`.
+void ApplyOwnershipRecord(OwnershipView& aView, Offset aOffset, const OwnershipRecord& aRecord,
+                          Millis aNowMs);
+
+/// \brief Marks that the log was read to its end.
+void MarkCurrent(OwnershipView& aView, Millis aNowMs);
+
+/// \brief True when the silence of the owner allows a claim. `aDelayMs` spreads the claims of
+/// several processes.
+[[nodiscard]] bool MayClaim(const OwnershipView& aView, const OwnershipTerms& aTerms, Millis aNowMs,
+                            Millis aDelayMs) noexcept;
+
+} // namespace pistachiostand::fleet
--- a/src/daemon/Runtime.cpp
+++ b/src/daemon/Runtime.cpp
@@ -1,8 +1,5 @@
 #include "Runtime.h"
 
-#include <chrono>
-#include <utility>
-
 namespace pistachiostand {
 
 namespace {
@@ -28,23 +25,4 @@
   return aRuntime.m_membership.HasLivePeer(aNowMs) ? ViewState::ZoneOnly : ViewState::Alone;
 }
 
-Ticker::Ticker(asio::io_context& aLoop, Millis aIntervalMs, std::function<void()> aTick)
-  : m_timer(aLoop)
-  , m_intervalMs(aIntervalMs)
-  , m_tick(std::move(aTick))
-{
-  Arm();
-}
-
-void Ticker::Arm()
-{
-  m_timer.expires_after(std::chrono::milliseconds{ m_intervalMs });
-  m_timer.async_wait([this](const std::error_code& aError) {
-    if (!aError) {
-      m_tick();
-      Arm();
-    }
-  });
-}
-
 } // namespace pistachiostand
--- a/src/daemon/Runtime.h
+++ b/src/daemon/Runtime.h
@@ -2,6 +2,7 @@
 
 #include "pistachiostand/connection/BackendClient.h"
 #include "pistachiostand/connection/PlatformClient.h"
+#include "pistachiostand/connection/Ticker.h"
 #include "pistachiostand/process/Histograms.h"
 #include "pistachiostand/process/LogReplica.h"
 #include "pistachiostand/process/Membership.h"
@@ -12,7 +13,6 @@
 #include <asio.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 
@@ -73,24 +73,4 @@
 /// A process that only hears the log from its peers cannot append, so it can make no claim.
 [[nodiscard]] bool ReadsPlatform(const Runtime& aRuntime, Millis aNowMs);
 
-/// \brief Calls `aTick` at an interval until it is destroyed.
-class Ticker
-{
-public:
-  Ticker(asio::io_context& aLoop, Millis aIntervalMs, std::function<void()> aTick);
-
-  Ticker(const Ticker&) = delete;
-  Ticker& operator=(const Ticker&) = delete;
-  ~Ticker() = default;
-
-  void SetInterval(Millis aIntervalMs) noexcept { m_intervalMs = aIntervalMs; }
-
-private:
-  void Arm();
-
-  asio::steady_timer m_timer;
-  Millis m_intervalMs;
-  std::function<void()> m_tick;
-};
-
 } // namespace pistachiostand
--- /dev/null
+++ b/src/job/JobBook.cpp
@@ -0,0 +1,360 @@
+#include "pistachiostand/job/JobBook.h"
+
+#include <algorithm>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+Occurrence MakeOccurrence(const JobSpec& aSpec, Millis aNowMs)
+{
+  Occurrence occurrence;
+  for (const auto& step : aSpec.m_steps) {
+    Subtask subtask;
+    subtask.m_idleSinceMs = aNowMs;
+    occurrence.m_steps.emplace_back(step.m_count, subtask);
+  }
+  return occurrence;
+}
+
+bool IsOccurrenceDone(const Occurrence& aOccurrence)
+{
+  return std::ranges::all_of(aOccurrence.m_steps, [](const auto& aStep) {
+    return std::ranges::all_of(aStep, &Subtask::m_done);
+  });
+}
+
+void FinishJob(JobBook& aBook, Job& aJob, JobPhase aPhase)
+{
+  aJob.m_phase = aPhase;
+  aBook.m_active.erase(aJob.m_spec.m_id);
+  aBook.m_changed.insert(aJob.m_spec.m_id);
+}
+
+/// \brief Completes a job whose last occurrence is done.
+void CompleteIfDone(JobBook& aBook, Job& aJob)
+{
+  const auto total = std::max<std::uint32_t>(aJob.m_spec.m_occurrences, 1);
+  if (aJob.m_phase == JobPhase::Active && aJob.m_opened == total &&
+      std::ranges::all_of(aJob.m_occurrences,
+                          [](const auto& aEntry) { return IsOccurrenceDone(aEntry.second); })) {
+    FinishJob(aBook, aJob, JobPhase::Completed);
+  }
+}
+
+void RemoveRun(JobBook& aBook, Subtask& aSubtask, const RunRef& aRef, Millis aNowMs)
+{
+  const auto removed = std::erase_if(aSubtask.m_runs, [&aRef](const Run& aRun) {
+    return aRun.m_number == aRef.m_run && aRun.m_server == aRef.m_server;
+  });
+  if (removed != 0) {
+    auto& used = aBook.m_used[aRef.m_server];
+    used = used - CountedNeed(*FindStep(aBook, aRef.m_subtask));
+  }
+  if (std::ranges::none_of(aSubtask.m_runs, [&aRef](const Run& aRun) {
+        return aRun.m_server == aRef.m_server;
+      })) {
+    const auto found = aBook.m_byServer.find(aRef.m_server);
+    if (found != aBook.m_byServer.end()) {
+      found->second.erase(aRef.m_subtask);
+      if (found->second.empty()) {
+        aBook.m_byServer.erase(found);
+      }
+    }
+  }
+  if (aSubtask.m_runs.empty()) {
+    aSubtask.m_idleSinceMs = aNowMs;
+    aSubtask.m_atWorkSinceMs = 0;
+  }
+  aBook.m_changed.insert(aRef.m_subtask.m_job);
+}
+
+/// \brief All subtasks that one end stands for: the whole gang, or the subtask alone.
+std::vector<Subtask*> Represented(Job& aJob, const SubtaskId& aId)
+{
+  auto& step = aJob.m_occurrences.at(aId.m_occurrence).m_steps.at(aId.m_step);
+  std::vector<Subtask*> members;
+  if (aJob.m_spec.m_steps.at(aId.m_step).m_gang) {
+    std::ranges::transform(step, std::back_inserter(members),
+                           [](Subtask& aMember) { return &aMember; });
+  } else {
+    members.push_back(&step.at(aId.m_index));
+  }
+  return members;
+}
+
+void ApplyDone(JobBook& aBook, Job& aJob, const SubtaskId& aId)
+{
+  if (aJob.m_spec.m_steps.at(aId.m_step).m_lasting) {
+    return;
+  }
+  for (Subtask* member : Represented(aJob, aId)) {
+    member->m_done = true;
+    member->m_checkpoint.clear();
+  }
+  CompleteIfDone(aBook, aJob);
+}
+
+void ApplyFailure(JobBook& aBook, Job& aJob, const SubtaskId& aId, std::uint32_t aMaxFailures)
+{
+  std::uint32_t most = 0;
+  for (Subtask* member : Represented(aJob, aId)) {
+    most = std::max(most, ++member->m_failures);
+  }
+  if (!aJob.m_spec.m_steps.at(aId.m_step).m_lasting && aJob.m_phase == JobPhase::Active &&
+      most >= aMaxFailures) {
+    FinishJob(aBook, aJob, JobPhase::Failed);
+  }
+}
+
+} // namespace
+
+bool AddJob(JobBook& aBook, JobSpec aSpec, Millis aNowMs, Millis aAgeMs)
+{
+  const JobId id = aSpec.m_id;
+  const auto [entry, added] = aBook.m_jobs.try_emplace(id);
+  if (!added) {
+    return false;
+  }
+  aBook.m_active.insert(id);
+  Job& job = entry->second;
+  job.m_spec = std::move(aSpec);
+  job.m_acceptedMs = aNowMs - aAgeMs;
+  if (job.m_spec.m_occurrences == 0) {
+    job.m_occurrences.emplace(0, MakeOccurrence(job.m_spec, aNowMs));
+    job.m_opened = 1;
+  }
+  if (aBook.m_cancelledUnknown.erase(id) != 0) {
+    CancelJob(aBook, id);
+  }
+  return true;
+}
+
+void CancelJob(JobBook& aBook, const JobId& aId)
+{
+  const auto found = aBook.m_jobs.find(aId);
+  if (found == aBook.m_jobs.end()) {
+    aBook.m_cancelledUnknown.insert(aId);
+  } else if (found->second.m_phase == JobPhase::Active) {
+    FinishJob(aBook, found->second, JobPhase::Cancelled);
+  }
+}
+
+void OpenDueOccurrences(JobBook& aBook, Millis aWallMs, Millis aNowMs)
+{
+  for (const auto& id : aBook.m_active) {
+    Job& job = aBook.m_jobs.at(id);
+    while (job.m_phase == JobPhase::Active && job.m_opened < job.m_spec.m_occurrences &&
+           aWallMs >= job.m_spec.m_firstDueMs + job.m_opened * job.m_spec.m_intervalMs) {
+      job.m_occurrences.emplace(job.m_opened, MakeOccurrence(job.m_spec, aNowMs));
+      ++job.m_opened;
+      aBook.m_changed.insert(id);
+    }
+  }
+}
+
+Subtask* FindSubtask(JobBook& aBook, const SubtaskId& aId) noexcept
+{
+  const auto job = aBook.m_jobs.find(aId.m_job);
+  if (job == aBook.m_jobs.end()) {
+    return nullptr;
+  }
+  const auto occurrence = job->second.m_occurrences.find(aId.m_occurrence);
+  if (occurrence == job->second.m_occurrences.end() ||
+      aId.m_step >= occurrence->second.m_steps.size() ||
+      aId.m_index >= occurrence->second.m_steps[aId.m_step].size()) {
+    return nullptr;
+  }
+  return &occurrence->second.m_steps[aId.m_step][aId.m_index];
+}
+
+const StepSpec* FindStep(const JobBook& aBook, const SubtaskId& aId) noexcept
+{
+  const auto job = aBook.m_jobs.find(aId.m_job);
+  if (job == aBook.m_jobs.end() || aId.m_step >= job->second.m_spec.m_steps.size()) {
+    return nullptr;
+  }
+  return &job->second.m_spec.m_steps[aId.m_step];
+}
+
+Run* FindRun(JobBook& aBook, const RunRef& aRef) noexcept
+{
+  Subtask* subtask = FindSubtask(aBook, aRef.m_subtask);
+  if (subtask == nullptr) {
+    return nullptr;
+  }
+  const auto found = std::ranges::find_if(subtask->m_runs, [&aRef](const Run& aRun) {
+    return aRun.m_number == aRef.m_run && aRun.m_server == aRef.m_server;
+  });
+  return found == subtask->m_runs.end() ? nullptr : &*found;
+}
+
+bool IsStepOpen(const Job& aJob, const Occurrence& aOccurrence, std::uint32_t aStep) noexcept
+{
+  return std::ranges::all_of(aJob.m_spec.m_steps[aStep].m_after, [&](std::uint32_t aEarlier) {
+    return aEarlier < aOccurrence.m_steps.size() &&
+           std::ranges::all_of(aOccurrence.m_steps[aEarlier], &Subtask::m_done);
+  });
+}
+
+std::uint64_t NextRunNumber(const JobBook& aBook, const SubtaskId& aId)
+{
+  const auto& job = aBook.m_jobs.at(aId.m_job);
+  const auto& step = job.m_occurrences.at(aId.m_occurrence).m_steps.at(aId.m_step);
+  if (!job.m_spec.m_steps.at(aId.m_step).m_gang) {
+    return step.at(aId.m_index).m_lastRun + 1;
+  }
+  return std::ranges::max(step, {}, &Subtask::m_lastRun).m_lastRun + 1;
+}
+
+void CountRun(JobBook& aBook, const SubtaskId& aId, const ServerId& aServer)
+{
+  aBook.m_byServer[aServer].insert(aId);
+  auto& used = aBook.m_used[aServer];
+  used = used + CountedNeed(*FindStep(aBook, aId));
+}
+
+std::uint64_t PlanRun(JobBook& aBook, const SubtaskId& aId, const ServerId& aServer,
+                      std::uint64_t aNumber, Millis aNowMs)
+{
+  Subtask* subtask = FindSubtask(aBook, aId);
+  Run run;
+  run.m_number = aNumber;
+  run.m_server = aServer;
+  run.m_sinceMs = aNowMs;
+  subtask->m_lastRun = aNumber;
+  subtask->m_runs.push_back(std::move(run));
+  CountRun(aBook, aId, aServer);
+  aBook.m_jobs.at(aId.m_job).m_begun = true;
+  aBook.m_changed.insert(aId.m_job);
+  return aNumber;
+}
+
+bool AdoptRun(JobBook& aBook, const RunRef& aRef, Millis aNowMs)
+{
+  Subtask* subtask = FindSubtask(aBook, aRef.m_subtask);
+  const StepSpec* step = FindStep(aBook, aRef.m_subtask);
+  if (subtask == nullptr || step == nullptr) {
+    return false;
+  }
+  subtask->m_lastRun = std::max(subtask->m_lastRun, aRef.m_run);
+  if (subtask->m_done || aRef.m_run <= subtask->m_lastEndedRun || !subtask->m_runs.empty() ||
+      aBook.m_jobs.at(aRef.m_subtask.m_job).m_phase != JobPhase::Active) {
+    return false;
+  }
+  PlanRun(aBook, aRef.m_subtask, aRef.m_server, aRef.m_run, aNowMs);
+  subtask->m_runs.back().m_phase = RunPhase::Running;
+  return true;
+}
+
+void DropRun(JobBook& aBook, const RunRef& aRef, Millis aNowMs)
+{
+  if (FindRun(aBook, aRef) != nullptr) {
+    RemoveRun(aBook, *FindSubtask(aBook, aRef.m_subtask), aRef, aNowMs);
+  }
+}
+
+bool ApplyEnd(JobBook& aBook, const RunEnd& aEnd, std::uint32_t aMaxFailures, Millis aNowMs)
+{
+  Subtask* subtask = FindSubtask(aBook, aEnd.m_subtask);
+  if (subtask == nullptr) {
+    return false;
+  }
+  const auto run = std::ranges::find(subtask->m_runs, aEnd.m_run, &Run::m_number);
+  const bool listed = run != subtask->m_runs.end();
+  if (listed) {
+    RemoveRun(aBook, *subtask, { aEnd.m_subtask, aEnd.m_run, run->m_server }, aNowMs);
+  }
+  if (!listed && aEnd.m_run <= subtask->m_lastEndedRun) {
+    return false;
+  }
+  subtask->m_lastRun = std::max(subtask->m_lastRun, aEnd.m_run);
+  subtask->m_lastEndedRun = std::max(subtask->m_lastEndedRun, aEnd.m_run);
+  aBook.m_changed.insert(aEnd.m_subtask.m_job);
+  if (subtask->m_done) {
+    return true;
+  }
+  if (!aEnd.m_checkpoint.empty()) {
+    subtask->m_checkpoint = aEnd.m_checkpoint;
+  }
+  Job& job = aBook.m_jobs.at(aEnd.m_subtask.m_job);
+  if (aEnd.m_kind == EndKind::Done) {
+    ApplyDone(aBook, job, aEnd.m_subtask);
+  } else if (aEnd.m_kind == EndKind::Failed) {
+    ApplyFailure(aBook, job, aEnd.m_subtask, aMaxFailures);
+  }
+  return true;
+}
+
+void DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
+{
+  const auto found = aBook.m_byServer.find(aServer);
+  if (found == aBook.m_byServer.end()) {
+    return;
+  }
+  const auto subtasks = found->second;
+  for (const auto& id : subtasks) {
+    Subtask* subtask = FindSubtask(aBook, id);
+    const auto runs = subtask->m_runs;
+    for (const auto& run : runs) {
+      if (run.m_server == aServer) {
+        RemoveRun(aBook, *subtask, { id, run.m_number, aServer }, aNowMs);
+      }
+    }
+  }
+}
+
+std::vector<RunRef> RunsToStop(const JobBook& aBook)
+{
+  std::vector<RunRef> stops;
+  for (const auto& [server, subtasks] : aBook.m_byServer) {
+    for (const auto& id : subtasks) {
+      const Job& job = aBook.m_jobs.at(id.m_job);
+      const Subtask& subtask = job.m_occurrences.at(id.m_occurrence).m_steps[id.m_step][id.m_index];
+      if (job.m_phase == JobPhase::Active && !subtask.m_done) {
+        continue;
+      }
+      for (const auto& run : subtask.m_runs) {
+        if (run.m_server == server && run.m_phase != RunPhase::Stopping) {
+          stops.push_back({ id, run.m_number, server });
+        }
+      }
+    }
+  }
+  return stops;
+}
+
+Resources CountedNeed(const StepSpec& aStep) noexcept
+{
+  Resources need = aStep.m_need;
+  if (aStep.m_filler) {
+    need.m_cpuMillis = 0;
+  }
+  return need;
+}
+
+std::size_t CountPending(const JobBook& aBook, std::string_view aQueue)
+{
+  return static_cast<std::size_t>(std::ranges::count_if(aBook.m_active, [&](const JobId& aId) {
+    const Job& job = aBook.m_jobs.at(aId);
+    return !job.m_begun && job.m_spec.m_occurrences == 0 &&
+           job.m_spec.m_queue == aQueue;
+  }));
+}
+
+ShownState StateOf(const Job& aJob) noexcept
+{
+  if (aJob.m_phase != JobPhase::Active && aJob.m_phaseStored) {
+    switch (aJob.m_phase) {
+      case JobPhase::Completed:
+        return ShownState::Completed;
+      case JobPhase::Failed:
+        return ShownState::Failed;
+      default:
+        return ShownState::Cancelled;
+    }
+  }
+  return aJob.m_begun ? ShownState::Running : ShownState::Queued;
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/job/JobCodec.cpp
@@ -0,0 +1,221 @@
+#include "pistachiostand/job/JobCodec.h"
+
+#include "process/Pack.h"
+
+#include <algorithm>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// \brief A run as stored: number and server.
+struct StoredRun
+{
+  std::uint64_t m_number{};
+  std::string m_server;
+};
+
+/// \brief A subtask as stored; `m_index` lets subtasks without history be left out.
+struct StoredSubtask
+{
+  std::uint32_t m_index{};
+  std::uint64_t m_lastRun{};
+  std::uint64_t m_lastEndedRun{};
+  std::uint32_t m_failures{};
+  bool m_done{};
+  std::string m_checkpoint;
+  std::vector<StoredRun> m_runs;
+};
+
+struct StoredOccurrence
+{
+  std::uint32_t m_number{};
+  std::vector<std::vector<StoredSubtask>> m_steps;
+};
+
+struct StoredProgress
+{
+  std::string m_queue;
+  JobPhase m_phase{};
+  bool m_begun{};
+  std::uint32_t m_opened{};
+  std::vector<StoredOccurrence> m_occurrences;
+};
+
+template<typename V>
+void Fields(StoredRun& aRun, V aVisit)
+{
+  aVisit(aRun.m_number, aRun.m_server);
+}
+
+template<typename V>
+void Fields(StoredSubtask& aSubtask, V aVisit)
+{
+  aVisit(aSubtask.m_index, aSubtask.m_lastRun, aSubtask.m_lastEndedRun, aSubtask.m_failures,
+         aSubtask.m_done, aSubtask.m_checkpoint, aSubtask.m_runs);
+}
+
+template<typename V>
+void Fields(StoredOccurrence& aOccurrence, V aVisit)
+{
+  aVisit(aOccurrence.m_number, aOccurrence.m_steps);
+}
+
+template<typename V>
+void Fields(StoredProgress& aProgress, V aVisit)
+{
+  aVisit(aProgress.m_queue, aProgress.m_phase, aProgress.m_begun, aProgress.m_opened,
+         aProgress.m_occurrences);
+}
+
+StoredSubtask Store(std::uint32_t aIndex, const Subtask& aSubtask)
+{
+  StoredSubtask stored{ aIndex,
+                        aSubtask.m_lastRun,
+                        aSubtask.m_lastEndedRun,
+                        aSubtask.m_failures,
+                        aSubtask.m_done,
+                        aSubtask.m_checkpoint,
+                        {} };
+  for (const auto& run : aSubtask.m_runs) {
+    stored.m_runs.push_back({ run.m_number, run.m_server });
+  }
+  return stored;
+}
+
+StoredOccurrence Store(std::uint32_t aNumber, const Occurrence& aOccurrence)
+{
+  StoredOccurrence stored{ aNumber, {} };
+  for (const auto& step : aOccurrence.m_steps) {
+    auto& subtasks = stored.m_steps.emplace_back();
+    for (std::uint32_t i = 0; i < step.size(); ++i) {
+      if (step[i].m_lastRun != 0) {
+        subtasks.push_back(Store(i, step[i]));
+      }
+    }
+  }
+  return stored;
+}
+
+void Restore(JobBook& aBook, const SubtaskId& aId, const StoredSubtask& aStored, Millis aNowMs)
+{
+  Subtask* subtask = FindSubtask(aBook, aId);
+  if (subtask == nullptr) {
+    return;
+  }
+  subtask->m_lastRun = aStored.m_lastRun;
+  subtask->m_lastEndedRun = aStored.m_lastEndedRun;
+  subtask->m_failures = aStored.m_failures;
+  subtask->m_done = aStored.m_done;
+  subtask->m_checkpoint = aStored.m_checkpoint;
+  for (const auto& stored : aStored.m_runs) {
+    Run run;
+    run.m_number = stored.m_number;
+    run.m_server = stored.m_server;
+    run.m_phase = RunPhase::Restored;
+    run.m_sinceMs = aNowMs;
+    subtask->m_runs.push_back(run);
+    CountRun(aBook, aId, stored.m_server);
+  }
+}
+
+} // namespace
+
+/// \brief Number of phases, for the check of decoded values.
+static constexpr std::uint8_t EnumeratorCount(JobPhase /*aPhase*/) noexcept
+{
+  return 4;
+}
+
+template<typename V>
+void Fields(Resources& aNeed, V aVisit)
+{
+  aVisit(aNeed.m_cpuMillis, aNeed.m_memoryMb, aNeed.m_gpus);
+}
+
+template<typename V>
+void Fields(StepSpec& aStep, V aVisit)
+{
+  aVisit(aStep.m_count, aStep.m_need, aStep.m_estimateMs, aStep.m_after, aStep.m_image,
+         aStep.m_requiredLabel, aStep.m_dataRack, aStep.m_maxPerServer, aStep.m_tailTargetMs,
+         aStep.m_mayMiss, aStep.m_checkpointing, aStep.m_gang, aStep.m_sameRack,
+         aStep.m_speculative, aStep.m_lasting, aStep.m_filler);
+}
+
+template<typename V>
+void Fields(JobSpec& aSpec, V aVisit)
+{
+  aVisit(aSpec.m_id, aSpec.m_queue, aSpec.m_pool, aSpec.m_payload, aSpec.m_acceptedMs,
+         aSpec.m_firstDueMs, aSpec.m_intervalMs, aSpec.m_occurrences, aSpec.m_steps);
+}
+
+std::string EncodeSubmission(const JobSpec& aSpec)
+{
+  return internal::Pack(aSpec);
+}
+
+std::optional<JobSpec> DecodeSubmission(std::string_view aBytes)
+{
+  return internal::Unpack<JobSpec>(aBytes);
+}
+
+std::string EncodeProgress(const Job& aJob)
+{
+  StoredProgress progress{ aJob.m_spec.m_queue, aJob.m_phase, aJob.m_begun, aJob.m_opened, {} };
+  // Runs of an ended job must still be stopped by a later owner, so they are kept until they end.
+  const bool keep = aJob.m_phase == JobPhase::Active ||
+                    std::ranges::any_of(aJob.m_occurrences, [](const auto& aEntry) {
+                      return std::ranges::any_of(aEntry.second.m_steps, [](const auto& aStep) {
+                        return std::ranges::any_of(
+                          aStep, [](const Subtask& aSubtask) { return !aSubtask.m_runs.empty(); });
+                      });
+                    });
+  if (keep) {
+    for (const auto& [number, occurrence] : aJob.m_occurrences) {
+      progress.m_occurrences.push_back(Store(number, occurrence));
+    }
+  }
+  return internal::Pack(progress);
+}
+
+bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs)
+{
+  const auto progress = internal::Unpack<StoredProgress>(aBytes);
+  if (!progress) {
+    return false;
+  }
+  const auto known = aBook.m_jobs.contains(aId);
+  if (!known && progress->m_phase == JobPhase::Active) {
+    return false;
+  }
+  Job& job = aBook.m_jobs[aId];
+  if (!known) {
+    job.m_spec.m_id = aId;
+    job.m_spec.m_queue = progress->m_queue;
+  }
+  job.m_phase = progress->m_phase;
+  if (job.m_phase != JobPhase::Active) {
+    aBook.m_active.erase(aId);
+  }
+  job.m_phaseStored = progress->m_phase != JobPhase::Active;
+  job.m_finishedMs = aNowMs;
+  job.m_begun = progress->m_begun;
+  job.m_opened = progress->m_opened;
+  for (const auto& stored : progress->m_occurrences) {
+    auto& occurrence = job.m_occurrences[stored.m_number];
+    occurrence.m_steps.resize(std::max(occurrence.m_steps.size(), job.m_spec.m_steps.size()));
+    for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+      Subtask idle;
+      idle.m_idleSinceMs = aNowMs;
+      occurrence.m_steps[step].resize(job.m_spec.m_steps[step].m_count, idle);
+      if (step < stored.m_steps.size()) {
+        for (const auto& subtask : stored.m_steps[step]) {
+          Restore(aBook, { aId, stored.m_number, step, subtask.m_index }, subtask, aNowMs);
+        }
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/job/Reconcile.cpp
@@ -0,0 +1,159 @@
+#include "pistachiostand/job/Reconcile.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// Fillers slow down before a tail reaches its target, because a share takes effect with a delay.
+constexpr double kSlowDownAt = 0.85;
+/// Below this share of the target the fillers get room back.
+constexpr double kSpeedUpBelow = 0.6;
+constexpr int kSpeedUpStep = 20;
+/// Smaller shares are paused altogether.
+constexpr int kLeastShare = 15;
+constexpr int kFullShare = 100;
+
+void Update(Run& aRun, const StepSpec& aStep, Subtask& aSubtask, const ReportedRun& aReported,
+            Millis aNowMs)
+{
+  if (aRun.m_phase == RunPhase::Sent || aRun.m_phase == RunPhase::Restored) {
+    aRun.m_phase = RunPhase::Running;
+    aRun.m_sinceMs = aNowMs;
+    aRun.m_unansweredMs = 0;
+  }
+  aRun.m_percent = aReported.m_percent;
+  aRun.m_load = aReported.m_load;
+  if (!aReported.m_checkpoint.empty()) {
+    aSubtask.m_checkpoint = aReported.m_checkpoint;
+  }
+  if (aStep.m_lasting) {
+    const bool atWork = aReported.m_percent >= kFullShare;
+    if (!atWork) {
+      aSubtask.m_atWorkSinceMs = 0;
+    } else if (aSubtask.m_atWorkSinceMs == 0) {
+      aSubtask.m_atWorkSinceMs = aNowMs;
+    }
+  }
+}
+
+/// \brief Decides about a run that the report does not list.
+/// \return true when a stop has to be sent.
+bool ReconcileMissing(JobBook& aBook, const RunRef& aRef, Run& aRun, Millis aAskedMs, Millis aNowMs)
+{
+  switch (aRun.m_phase) {
+    case RunPhase::Planned:
+      return false;
+    case RunPhase::Restored:
+      DropRun(aBook, aRef, aNowMs);
+      return false;
+    case RunPhase::Sent:
+      return aRun.m_unansweredMs != 0 && aRun.m_unansweredMs <= aAskedMs;
+    case RunPhase::Running:
+      if (aRun.m_sinceMs < aAskedMs) {
+        DropRun(aBook, aRef, aNowMs);
+      }
+      return false;
+    case RunPhase::Stopping:
+      if (aRun.m_stopAcceptedMs != 0 && aRun.m_stopAcceptedMs < aAskedMs) {
+        DropRun(aBook, aRef, aNowMs);
+      }
+      return false;
+  }
+  return false;
+}
+
+std::vector<RunRef> RunsOn(const JobBook& aBook, const ServerId& aServer)
+{
+  std::vector<RunRef> runs;
+  const auto found = aBook.m_byServer.find(aServer);
+  if (found == aBook.m_byServer.end()) {
+    return runs;
+  }
+  for (const auto& id : found->second) {
+    const auto& subtask =
+      aBook.m_jobs.at(id.m_job).m_occurrences.at(id.m_occurrence).m_steps[id.m_step][id.m_index];
+    for (const auto& run : subtask.m_runs) {
+      if (run.m_server == aServer) {
+        runs.push_back({ id, run.m_number, aServer });
+      }
+    }
+  }
+  return runs;
+}
+
+} // namespace
+
+std::vector<RunRef> Reconcile(JobBook& aBook, const ServerId& aServer,
+                              const std::vector<ReportedRun>& aRunning, Millis aAskedMs,
+                              Millis aNowMs)
+{
+  std::vector<RunRef> stops;
+  std::set<RunRef> listed;
+  for (const auto& reported : aRunning) {
+    const RunRef ref{ reported.m_subtask, reported.m_run, aServer };
+    listed.insert(ref);
+    if (FindRun(aBook, ref) == nullptr && !AdoptRun(aBook, ref, aNowMs)) {
+      stops.push_back(ref);
+      continue;
+    }
+    Update(*FindRun(aBook, ref), *FindStep(aBook, ref.m_subtask),
+           *FindSubtask(aBook, ref.m_subtask), reported, aNowMs);
+  }
+  for (const auto& ref : RunsOn(aBook, aServer)) {
+    if (!listed.contains(ref) &&
+        ReconcileMissing(aBook, ref, *FindRun(aBook, ref), aAskedMs, aNowMs)) {
+      stops.push_back(ref);
+    }
+  }
+  return stops;
+}
+
+void DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
+{
+  for (const auto& ref : RunsOn(aBook, aServer)) {
+    const RunPhase phase = FindRun(aBook, ref)->m_phase;
+    if (phase != RunPhase::Sent && phase != RunPhase::Planned) {
+      DropRun(aBook, ref, aNowMs);
+    }
+  }
+}
+
+std::vector<PaceChange> PlanPace(const JobBook& aBook, const ServerId& aServer)
+{
+  std::vector<std::pair<RunRef, int>> fillers;
+  double worst = 0;
+  for (const auto& ref : RunsOn(aBook, aServer)) {
+    const StepSpec& step = *FindStep(aBook, ref.m_subtask);
+    const auto& subtask = aBook.m_jobs.at(ref.m_subtask.m_job)
+                            .m_occurrences.at(ref.m_subtask.m_occurrence)
+                            .m_steps[ref.m_subtask.m_step][ref.m_subtask.m_index];
+    const auto run = std::ranges::find(subtask.m_runs, ref.m_run, &Run::m_number);
+    if (run->m_phase != RunPhase::Running) {
+      continue;
+    }
+    if (step.m_filler) {
+      fillers.emplace_back(ref, run->m_pace);
+    } else if (step.m_tailTargetMs > 0) {
+      worst = std::max(worst,
+                       static_cast<double>(run->m_load) / static_cast<double>(step.m_tailTargetMs));
+    }
+  }
+  std::vector<PaceChange> changes;
+  for (const auto& [ref, pace] : fillers) {
+    int next = pace;
+    if (worst > kSlowDownAt) {
+      next = pace / 2 < kLeastShare ? 0 : pace / 2;
+    } else if (worst < kSpeedUpBelow) {
+      next = std::min(kFullShare, pace + kSpeedUpStep);
+    }
+    if (next != pace) {
+      changes.push_back({ ref, next });
+    }
+  }
+  return changes;
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/job/Scheduler.cpp
@@ -0,0 +1,391 @@
+#include "pistachiostand/job/Scheduler.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// Credit of a job that does not depend on its work, as a share of the credit of a mean job.
+constexpr double kBaseCredit = 0.3;
+/// Credit grows with work up to this many times the mean.
+constexpr double kMaxCredit = 4.0;
+/// An answer up to three times the objective still earns a little.
+constexpr int kLateFactor = 3;
+/// A copy of a speculative subtask starts when the first run takes this many times its estimate.
+constexpr int kCopyAfterFactor = 2;
+/// Shorter runs are not worth a copy, because starting one takes about this long.
+constexpr Millis kCopyAfterMs = 600;
+
+enum class Urgency : std::uint8_t
+{
+  Lasting,   ///< Earns at all times.
+  InTime,    ///< Can meet its objective.
+  Late,      ///< Earns a little.
+  Hopeless,  ///< Earns nothing but must finish.
+};
+
+struct Candidate
+{
+  Urgency m_urgency{};
+  std::uint32_t m_priority{};
+  double m_density{}; ///< Credit for each remaining core-second.
+  Millis m_objectiveEndMs{};
+  const Job* m_job{};
+  std::uint32_t m_occurrence{};
+  std::uint32_t m_step{};
+};
+
+bool Before(const Candidate& aLeft, const Candidate& aRight)
+{
+  return std::tuple{ aLeft.m_urgency, -aLeft.m_density, aLeft.m_objectiveEndMs } <
+         std::tuple{ aRight.m_urgency, -aRight.m_density, aRight.m_objectiveEndMs };
+}
+
+double RemainingWork(const Job& aJob, const Occurrence& aOccurrence)
+{
+  double work = 0;
+  for (std::size_t step = 0; step < aOccurrence.m_steps.size(); ++step) {
+    const StepSpec& spec = aJob.m_spec.m_steps[step];
+    const auto left = std::ranges::count(aOccurrence.m_steps[step], false, &Subtask::m_done);
+    work += static_cast<double>(left) * static_cast<double>(spec.m_need.m_cpuMillis) *
+            static_cast<double>(std::max<Millis>(spec.m_estimateMs, 1)) / 1e6;
+  }
+  return work;
+}
+
+bool NeedsStart(const Subtask& aSubtask)
+{
+  return !aSubtask.m_done && aSubtask.m_runs.empty();
+}
+
+bool NeedsCopy(const StepSpec& aStep, const Subtask& aSubtask, Millis aNowMs)
+{
+  if (!aStep.m_speculative || aStep.m_gang || aStep.m_lasting || aSubtask.m_done ||
+      aSubtask.m_runs.size() != 1) {
+    return false;
+  }
+  const Run& run = aSubtask.m_runs.front();
+  return run.m_phase != RunPhase::Planned &&
+         aNowMs - run.m_sinceMs >
+           std::max<Millis>(kCopyAfterFactor * aStep.m_estimateMs, kCopyAfterMs);
+}
+
+Candidate MakeCandidate(const Job& aJob, const QueueRule* aRule, std::uint32_t aOccurrence,
+                        const Occurrence& aState, std::uint32_t aStep, const SchedulerInput& aInput)
+{
+  Candidate candidate;
+  candidate.m_job = &aJob;
+  candidate.m_occurrence = aOccurrence;
+  candidate.m_step = aStep;
+  const QueueRule fallback;
+  const QueueRule& rule = aRule != nullptr ? *aRule : fallback;
+  candidate.m_priority = rule.m_priority;
+  if (aJob.m_spec.m_steps[aStep].m_lasting) {
+    candidate.m_urgency = Urgency::Lasting;
+    return candidate;
+  }
+  const auto mean = aInput.m_meanWork.find(aJob.m_spec.m_queue);
+  const double work = WorkOf(aJob.m_spec);
+  const double relative = mean == aInput.m_meanWork.end() || mean->second <= 0
+                            ? 1.0
+                            : work / mean->second;
+  const double credit = std::min(kBaseCredit + (1 - kBaseCredit) * relative, kMaxCredit);
+  candidate.m_density = credit / std::max(RemainingWork(aJob, aState), 1e-3);
+  candidate.m_objectiveEndMs = ObjectiveEndMs(aJob, rule, aOccurrence);
+  const Millis finish = aInput.m_nowMs + RemainingChainMs(aJob, aState);
+  const Millis objective = candidate.m_objectiveEndMs - aJob.m_acceptedMs;
+  if (finish <= candidate.m_objectiveEndMs) {
+    candidate.m_urgency = Urgency::InTime;
+  } else if (finish <= candidate.m_objectiveEndMs + (kLateFactor - 1) * objective) {
+    candidate.m_urgency = Urgency::Late;
+  } else {
+    candidate.m_urgency = Urgency::Hopeless;
+  }
+  return candidate;
+}
+
+std::vector<Candidate> CollectCandidates(const JobBook& aBook, const Configuration& aConfiguration,
+                                         const SchedulerInput& aInput)
+{
+  std::vector<Candidate> candidates;
+  for (const auto& id : aBook.m_active) {
+    const Job& job = aBook.m_jobs.at(id);
+    const QueueRule* rule = FindQueueByName(aConfiguration, job.m_spec.m_queue);
+    for (const auto& [number, occurrence] : job.m_occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+        const StepSpec& spec = job.m_spec.m_steps[step];
+        const bool wanted = std::ranges::any_of(occurrence.m_steps[step], [&](const auto& aSub) {
+          return NeedsStart(aSub) || NeedsCopy(spec, aSub, aInput.m_nowMs);
+        });
+        if (wanted && IsStepOpen(job, occurrence, step)) {
+          candidates.push_back(MakeCandidate(job, rule, number, occurrence, step, aInput));
+        }
+      }
+    }
+  }
+  std::ranges::sort(candidates, Before);
+  return candidates;
+}
+
+/// \brief Places the subtasks of one step.
+class StepPlacer
+{
+public:
+  StepPlacer(JobBook& aBook, std::vector<ServerRoom*> aServers, const SchedulerInput& aInput,
+             const Candidate& aCandidate, const std::map<ServerId, Ticket>* aTickets)
+    : m_book(aBook)
+    , m_servers(std::move(aServers))
+    , m_input(aInput)
+    , m_id{ aCandidate.m_job->m_spec.m_id, aCandidate.m_occurrence, aCandidate.m_step }
+    , m_spec(aCandidate.m_job->m_spec.m_steps[aCandidate.m_step])
+    , m_subtasks(
+        aBook.m_jobs.at(m_id.m_job).m_occurrences.at(m_id.m_occurrence).m_steps[m_id.m_step])
+    , m_tickets(aTickets)
+    , m_need(CountedNeed(m_spec))
+  {
+    for (const auto& subtask : m_subtasks) {
+      for (const auto& run : subtask.m_runs) {
+        ++m_ofStep[run.m_server];
+      }
+    }
+  }
+
+  void Place(std::vector<Placement>& aPlacements)
+  {
+    if (m_spec.m_gang) {
+      PlaceGang(aPlacements);
+      return;
+    }
+    for (std::uint32_t index = 0; index < m_subtasks.size(); ++index) {
+      const bool copy = NeedsCopy(m_spec, m_subtasks[index], m_input.m_nowMs);
+      if (!copy && !NeedsStart(m_subtasks[index])) {
+        continue;
+      }
+      ServerRoom* server = Choose(copy ? m_subtasks[index].m_runs.front().m_server : ServerId{});
+      if (server == nullptr) {
+        if (copy) {
+          continue;
+        }
+        return; // All subtasks of a step need the same, so no other fits either.
+      }
+      Take(*server, index, m_subtasks[index].m_lastRun + 1, copy, aPlacements);
+    }
+  }
+
+private:
+  [[nodiscard]] bool Allows(const ServerRoom& aServer, const ServerId& aExcept) const
+  {
+    const auto placed = m_ofStep.find(aServer.m_id);
+    const bool crowded = m_spec.m_maxPerServer != 0 && placed != m_ofStep.end() &&
+                         placed->second >= m_spec.m_maxPerServer;
+    const bool labelled = m_spec.m_requiredLabel.empty() ||
+                          std::ranges::find(aServer.m_labels, m_spec.m_requiredLabel) !=
+                            aServer.m_labels.end();
+    return !aServer.m_closed && !crowded && labelled && aServer.m_id != aExcept &&
+           (m_tickets == nullptr || m_tickets->contains(aServer.m_id)) &&
+           Fits(m_need, aServer.m_free);
+  }
+
+  /// \brief Lower is better. Slow-downs dominate; the rest spreads the load.
+  [[nodiscard]] double Cost(const ServerRoom& aServer) const
+  {
+    double cost = 1.0 - DominantShare(aServer.m_free, aServer.m_capacity) / 2;
+    if (!m_spec.m_dataRack.empty() && std::ranges::find(aServer.m_labels, m_spec.m_dataRack) ==
+                                        aServer.m_labels.end()) {
+      cost += m_input.m_remoteFactor;
+    }
+    if (aServer.m_avoid) {
+      cost += 10;
+    }
+    if (m_spec.m_lasting) {
+      cost += aServer.m_leavingSoon ? 2 : 0;
+      cost += m_spec.m_tailTargetMs != 0 && aServer.m_fillers != 0 ? 1 : 0;
+      cost += m_spec.m_filler && aServer.m_serving != 0 ? 1 : 0;
+    }
+    return cost;
+  }
+
+  ServerRoom* Choose(const ServerId& aExcept)
+  {
+    ServerRoom* best = nullptr;
+    double bestCost = 0;
+    for (ServerRoom* server : m_servers) {
+      if (!Allows(*server, aExcept)) {
+        continue;
+      }
+      const double cost = Cost(*server);
+      if (best == nullptr || cost < bestCost) {
+        best = server;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  void Take(ServerRoom& aServer, std::uint32_t aIndex, std::uint64_t aRun, bool aCopy,
+            std::vector<Placement>& aPlacements)
+  {
+    const SubtaskId id{ m_id.m_job, m_id.m_occurrence, m_id.m_step, aIndex };
+    PlanRun(m_book, id, aServer.m_id, aRun, m_input.m_nowMs);
+    aServer.m_free = aServer.m_free - m_need;
+    ++aServer.m_runs;
+    aServer.m_fillers += m_spec.m_filler ? 1 : 0;
+    aServer.m_serving += m_spec.m_tailTargetMs != 0 ? 1 : 0;
+    ++m_ofStep[aServer.m_id];
+    aPlacements.push_back({ id, aServer.m_id, aRun, aCopy });
+  }
+
+  /// \brief Places all members or none: a part of a gang only waits.
+  void PlaceGang(std::vector<Placement>& aPlacements)
+  {
+    if (!std::ranges::all_of(m_subtasks, NeedsStart)) {
+      return; // Earlier members have not ended yet.
+    }
+    if (m_spec.m_sameRack && PlaceGangInOneRack(aPlacements)) {
+      return;
+    }
+    PlaceGangOn(m_servers, aPlacements);
+  }
+
+  bool PlaceGangInOneRack(std::vector<Placement>& aPlacements)
+  {
+    std::set<std::string> racks;
+    for (const ServerRoom* server : m_servers) {
+      racks.insert(server->m_labels.empty() ? std::string{} : server->m_labels.back());
+    }
+    return std::ranges::any_of(racks, [&](const std::string& aRack) {
+      std::vector<ServerRoom*> inRack;
+      std::ranges::copy_if(m_servers, std::back_inserter(inRack), [&](const ServerRoom* aServer) {
+        return !aServer->m_labels.empty() && aServer->m_labels.back() == aRack;
+      });
+      return PlaceGangOn(inRack, aPlacements);
+    });
+  }
+
+  bool PlaceGangOn(const std::vector<ServerRoom*>& aServers, std::vector<Placement>& aPlacements)
+  {
+    const auto before = m_ofStep;
+    std::vector<ServerRoom*> chosen;
+    for (std::size_t i = 0; i < m_subtasks.size(); ++i) {
+      ServerRoom* best = nullptr;
+      for (ServerRoom* server : aServers) {
+        if (Allows(*server, {}) && (best == nullptr || Cost(*server) < Cost(*best))) {
+          best = server;
+        }
+      }
+      if (best == nullptr) {
+        break;
+      }
+      best->m_free = best->m_free - m_need;
+      ++m_ofStep[best->m_id];
+      chosen.push_back(best);
+    }
+    for (ServerRoom* server : chosen) {
+      server->m_free = server->m_free + m_need;
+    }
+    m_ofStep = before;
+    if (chosen.size() != m_subtasks.size()) {
+      return false;
+    }
+    const auto run = NextRunNumber(m_book, { m_id.m_job, m_id.m_occurrence, m_id.m_step, 0 });
+    for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+      Take(*chosen[index], index, run, false, aPlacements);
+    }
+    return true;
+  }
+
+  JobBook& m_book;
+  std::vector<ServerRoom*> m_servers;
+  const SchedulerInput& m_input;
+  StepId m_id;
+  const StepSpec& m_spec;
+  std::vector<Subtask>& m_subtasks;
+  const std::map<ServerId, Ticket>* m_tickets;
+  Resources m_need;
+  std::map<ServerId, std::uint32_t> m_ofStep; ///< Runs of the step on each server.
+};
+
+} // namespace
+
+SchedulerResult PlaceSubtasks(JobBook& aBook, const Configuration& aConfiguration,
+                              std::vector<ServerRoom>& aServers, const SchedulerInput& aInput)
+{
+  SchedulerResult result;
+  for (const auto& candidate : CollectCandidates(aBook, aConfiguration, aInput)) {
+    const Job& job = *candidate.m_job;
+    const PoolName& pool = PoolOf(job, aConfiguration);
+    const QueueRule* rule = FindQueueByName(aConfiguration, job.m_spec.m_queue);
+    const std::map<ServerId, Ticket>* tickets = nullptr;
+    if (rule != nullptr && rule->m_advice) {
+      const StepId step{ job.m_spec.m_id, candidate.m_occurrence, candidate.m_step };
+      const auto found = aInput.m_tickets.find(step);
+      if (found == aInput.m_tickets.end()) {
+        result.m_adviceWanted.push_back(step);
+        continue;
+      }
+      tickets = &found->second;
+    }
+    std::vector<ServerRoom*> servers;
+    for (auto& server : aServers) {
+      if (server.m_pool == pool) {
+        servers.push_back(&server);
+      }
+    }
+    StepPlacer{ aBook, std::move(servers), aInput, candidate, tickets }.Place(result.m_placements);
+  }
+  return result;
+}
+
+const PoolName& PoolOf(const Job& aJob, const Configuration& aConfiguration) noexcept
+{
+  const QueueRule* rule = FindQueueByName(aConfiguration, aJob.m_spec.m_queue);
+  return rule != nullptr ? rule->m_pool : aJob.m_spec.m_pool;
+}
+
+double WorkOf(const JobSpec& aSpec) noexcept
+{
+  double work = 0;
+  for (const auto& step : aSpec.m_steps) {
+    work += static_cast<double>(step.m_count) * static_cast<double>(step.m_need.m_cpuMillis) *
+            static_cast<double>(std::max<Millis>(step.m_estimateMs, 1)) / 1e6;
+  }
+  return work;
+}
+
+Millis RemainingChainMs(const Job& aJob, const Occurrence& aOccurrence)
+{
+  std::vector<Millis> ends(aJob.m_spec.m_steps.size(), 0);
+  Millis longest = 0;
+  for (std::size_t step = 0; step < ends.size(); ++step) {
+    const StepSpec& spec = aJob.m_spec.m_steps[step];
+    for (const auto earlier : spec.m_after) {
+      ends[step] = std::max(ends[step], earlier < step ? ends[earlier] : 0);
+    }
+    const bool done = step < aOccurrence.m_steps.size() &&
+                      std::ranges::all_of(aOccurrence.m_steps[step], &Subtask::m_done);
+    ends[step] += done ? 0 : spec.m_estimateMs;
+    longest = std::max(longest, ends[step]);
+  }
+  return longest;
+}
+
+Millis ObjectiveEndMs(const Job& aJob, const QueueRule& aRule, std::uint32_t aOccurrence) noexcept
+{
+  std::vector<Millis> ends(aJob.m_spec.m_steps.size(), 0);
+  Millis chain = 0;
+  for (std::size_t step = 0; step < ends.size(); ++step) {
+    for (const auto earlier : aJob.m_spec.m_steps[step].m_after) {
+      ends[step] = std::max(ends[step], earlier < step ? ends[earlier] : 0);
+    }
+    ends[step] += aJob.m_spec.m_steps[step].m_estimateMs;
+    chain = std::max(chain, ends[step]);
+  }
+  const Millis due = aJob.m_acceptedMs + static_cast<Millis>(aOccurrence) * aJob.m_spec.m_intervalMs;
+  return due + static_cast<Millis>(aRule.m_stretch * static_cast<double>(chain)) +
+         aRule.m_objectiveMs;
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/CallerFront.cpp
@@ -0,0 +1,277 @@
+#include "CallerFront.h"
+
+#include "EventLog.h"
+#include "FleetOwner.h"
+
+#include "platform/Wire.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/base/PercentCoding.h"
+#include "pistachiostand/job/JobCodec.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+constexpr std::size_t kJobIdDigits = 16;
+/// Time that a caller waits when it does not say.
+constexpr Millis kDefaultDeadlineMs = 3'000;
+/// The answer leaves this long before the caller stops waiting.
+constexpr Millis kAnswerMarginMs = 150;
+/// A store that refuses is tried this long; then the caller may come back.
+constexpr Millis kRefusedPatienceMs = 500;
+constexpr Millis kFirstRetryMs = 40;
+constexpr Millis kMaxRetryMs = 300;
+constexpr Millis kAppendTimeoutMs = 700;
+constexpr Millis kMinAppendTimeoutMs = 50;
+/// The owner reads a submission within this time unless the store is away.
+constexpr Millis kAcceptedMs = 10'000;
+constexpr Millis kForgetEveryMs = 1'000;
+
+bool IsJobId(std::string_view aText)
+{
+  return aText.size() == kJobIdDigits && std::ranges::all_of(aText, [](char aDigit) {
+           return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f') ||
+                  (aDigit >= 'A' && aDigit <= 'F');
+         });
+}
+
+std::string_view WithoutPort(std::string_view aHost)
+{
+  return aHost.substr(0, aHost.find(':'));
+}
+
+Millis DeadlineOf(const HttpRequest& aRequest)
+{
+  const auto text = FindHeader(aRequest.m_headers, "deadline-ms");
+  Millis value = kDefaultDeadlineMs;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc{} && value > 0 ? value : kDefaultDeadlineMs;
+}
+
+HttpResponse JsonResponse(std::uint16_t aStatus, std::string aBody)
+{
+  HttpResponse response;
+  response.m_status = aStatus;
+  SetHeader(response.m_headers, "content-type", "application/json");
+  response.m_body = std::move(aBody);
+  return response;
+}
+
+HttpResponse Refusal(std::uint16_t aStatus, std::string_view aCause)
+{
+  HttpResponse response = JsonResponse(aStatus, platform::EncodeError(aCause));
+  if (aStatus == 503 || aStatus == 429) {
+    SetHeader(response.m_headers, "retry-after", "1");
+  }
+  return response;
+}
+
+} // namespace
+
+/// \brief A job on its way into the store.
+struct CallerFront::Submission
+{
+  JobId m_id;
+  QueueName m_queue;
+  std::string m_record;
+  HttpResponder m_respond;
+  Millis m_receivedMs{};
+  Millis m_deadlineMs{}; ///< Steady clock at which the caller must have its answer.
+  unsigned m_tries{};
+  bool m_uncertain{}; ///< An append had no answer: it may still take effect.
+  asio::steady_timer m_timer;
+};
+
+CallerFront::CallerFront(FrontContext aContext)
+  : m_context(std::move(aContext))
+{
+}
+
+void CallerFront::Handle(HttpRequest aRequest, HttpResponder aRespond)
+{
+  ++m_inFlight;
+  HttpResponder respond = [this, respond = std::move(aRespond)](HttpResponse aResponse) {
+    --m_inFlight;
+    if (m_context.m_isStopping()) {
+      SetHeader(aResponse.m_headers, "connection", "close");
+    }
+    respond(std::move(aResponse));
+  };
+  Count(m_context.m_metrics, "requests_total");
+  if (m_context.m_configuration.m_revision == 0) {
+    respond(Refusal(503, "no configuration has been read yet"));
+    return;
+  }
+  const QueueRule* queue =
+    FindQueue(m_context.m_configuration,
+              WithoutPort(FindHeader(aRequest.m_headers, "host")), aRequest.m_path);
+  if (queue == nullptr) {
+    LogEvent("http", "no-queue", "host={} path={} revision={}",
+             FindHeader(aRequest.m_headers, "host"), aRequest.m_path,
+             m_context.m_configuration.m_revision);
+    respond(Refusal(404, "no queue has this host and path"));
+    return;
+  }
+  const std::string id = aRequest.m_path.substr(queue->m_pathPrefix.size());
+  if (id.empty() && aRequest.m_method == "GET") {
+    AskPending(*queue, std::move(respond));
+  } else if (!IsJobId(id)) {
+    respond(Refusal(400, "a job id has 16 hexadecimal digits"));
+  } else if (aRequest.m_method == "POST") {
+    Submit(aRequest, *queue, id, std::move(respond));
+  } else if (aRequest.m_method == "DELETE") {
+    Cancel(aRequest, id, std::move(respond));
+  } else if (aRequest.m_method == "GET") {
+    AskState(id, std::move(respond));
+  } else {
+    respond(Refusal(405, "use POST, GET or DELETE"));
+  }
+}
+
+void CallerFront::Submit(const HttpRequest& aRequest, const QueueRule& aQueue, const JobId& aId,
+                         HttpResponder aRespond)
+{
+  if (aRequest.m_body.size() > m_context.m_configuration.m_maxBodyBytes) {
+    aRespond(Refusal(413, "the body exceeds the configured limit"));
+    return;
+  }
+  if (m_accepted.contains(aId)) {
+    aRespond(JsonResponse(200, platform::EncodeJobState(ShownState::Queued)));
+    return;
+  }
+  Reason reason;
+  auto spec = platform::DecodeJob(aRequest.m_body, reason);
+  if (!spec) {
+    LogEvent("http", "malformed", "id={} queue={} cause={}", aId, aQueue.m_name, reason.m_cause);
+    aRespond(Refusal(400, reason.m_cause));
+    return;
+  }
+  spec->m_id = aId;
+  spec->m_queue = aQueue.m_name;
+  spec->m_pool = aQueue.m_pool;
+  spec->m_acceptedMs = WallMs();
+  const Millis now = MonotonicMs();
+  auto submission = std::make_shared<Submission>(Submission{
+    aId, aQueue.m_name,
+    platform::EncodeKeyed(std::string{ kSubmissionPrefix } + aId, EncodeSubmission(*spec)),
+    std::move(aRespond), now, now + DeadlineOf(aRequest) - kAnswerMarginMs, 0, false,
+    asio::steady_timer{ m_context.m_loop } });
+  Store(submission);
+}
+
+void CallerFront::Store(const std::shared_ptr<Submission>& aSubmission)
+{
+  ++aSubmission->m_tries;
+  const Millis left = aSubmission->m_deadlineMs - MonotonicMs();
+  platform::AppendRequest request;
+  request.m_topic = kSubmissionTopic;
+  request.m_records = { aSubmission->m_record };
+  request.m_timeoutMs = std::clamp(left, kMinAppendTimeoutMs, kAppendTimeoutMs);
+  m_context.m_store.Append(std::move(request),
+                           [this, aSubmission](const platform::AppendResult& aResult) {
+                             OnAppended(aSubmission, aResult.m_outcome);
+                           });
+}
+
+void CallerFront::OnAppended(const std::shared_ptr<Submission>& aSubmission,
+                             platform::AppendOutcome aOutcome)
+{
+  const Millis now = MonotonicMs();
+  if (aOutcome == platform::AppendOutcome::Stored) {
+    ForgetOldAccepted(now);
+    m_accepted.emplace(aSubmission->m_id, now);
+    Finish(*aSubmission, 200, "stored");
+    return;
+  }
+  aSubmission->m_uncertain =
+    aSubmission->m_uncertain || aOutcome == platform::AppendOutcome::Unknown;
+  const Millis delay = std::min(kFirstRetryMs << std::min(aSubmission->m_tries, 4U), kMaxRetryMs);
+  if (aSubmission->m_uncertain) {
+    // A refusal could be untrue, so the append is repeated until the caller stops waiting.
+    if (now + delay + kMinAppendTimeoutMs > aSubmission->m_deadlineMs) {
+      Finish(*aSubmission, 504, "the store has not answered");
+      return;
+    }
+  } else if (now + delay - aSubmission->m_receivedMs > kRefusedPatienceMs) {
+    Finish(*aSubmission, 503, "the store refuses");
+    return;
+  }
+  aSubmission->m_timer.expires_after(std::chrono::milliseconds{ delay });
+  aSubmission->m_timer.async_wait([this, aSubmission](const std::error_code& aError) {
+    if (!aError) {
+      Store(aSubmission);
+    }
+  });
+}
+
+void CallerFront::Finish(const Submission& aSubmission, std::uint16_t aStatus,
+                         std::string_view aReason)
+{
+  const Millis took = MonotonicMs() - aSubmission.m_receivedMs;
+  LogEvent("job", aStatus == 200 ? "accepted" : "not-accepted",
+           "id={} queue={} status={} reason={} tries={} after_ms={}", aSubmission.m_id,
+           aSubmission.m_queue, aStatus, aReason, aSubmission.m_tries, took);
+  Observe(m_context.m_metrics, "accept_ms", aSubmission.m_queue, took);
+  Count(m_context.m_metrics, aStatus == 200 ? "jobs_accepted_total" : "jobs_not_accepted_total");
+  aSubmission.m_respond(aStatus == 200
+                          ? JsonResponse(200, platform::EncodeJobState(ShownState::Queued))
+                          : Refusal(aStatus, aReason));
+}
+
+void CallerFront::Cancel(const HttpRequest& aRequest, const JobId& aId, HttpResponder aRespond)
+{
+  const Millis now = MonotonicMs();
+  auto submission = std::make_shared<Submission>(Submission{
+    aId, "cancel", platform::EncodeKeyed(std::string{ kCancelPrefix } + aId, "1"),
+    std::move(aRespond), now, now + DeadlineOf(aRequest) - kAnswerMarginMs, 0, false,
+    asio::steady_timer{ m_context.m_loop } });
+  Store(submission);
+}
+
+void CallerFront::AskState(const JobId& aId, HttpResponder aRespond)
+{
+  const bool accepted = m_accepted.contains(aId);
+  m_context.m_askOwner(OwnerJobPath(aId),
+                       [accepted, respond = std::move(aRespond)](HttpResponse aResponse) {
+                         if (accepted && aResponse.m_status == 410) {
+                           aResponse =
+                             JsonResponse(200, platform::EncodeJobState(ShownState::Queued));
+                         }
+                         respond(std::move(aResponse));
+                       });
+}
+
+void CallerFront::AskPending(const QueueRule& aQueue, HttpResponder aRespond)
+{
+  m_context.m_askOwner(OwnerPendingPath(aQueue.m_name), std::move(aRespond));
+}
+
+void CallerFront::ForgetOldAccepted(Millis aNowMs)
+{
+  if (aNowMs - m_lastForgetMs > kForgetEveryMs) {
+    m_lastForgetMs = aNowMs;
+    std::erase_if(m_accepted, [aNowMs](const auto& aEntry) {
+      return aNowMs - aEntry.second > kAcceptedMs;
+    });
+  }
+}
+
+std::string OwnerJobPath(const JobId& aId)
+{
+  return "/jobs/" + aId;
+}
+
+std::string OwnerPendingPath(const QueueName& aQueue)
+{
+  return "/queues/" + PercentEncode(aQueue);
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/CallerFront.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "EntrySettings.h"
+#include "Metrics.h"
+
+#include "platform/Store.h"
+
+#include "pistachiostand/connection/HttpServer.h"
+#include "pistachiostand/fleet/Configuration.h"
+#include "pistachiostand/job/JobSpec.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief Answers callers: takes jobs in, reports their state, cancels them.
+///
+/// A job is accepted when its submission is stored; no owner needs to be alive for that. What only
+/// the owner knows is asked of it.
+
+namespace pistachiostand::fleet {
+
+/// \brief What the front needs of the process.
+struct FrontContext
+{
+  asio::io_context& m_loop;
+  platform::Store& m_store;
+  Metrics& m_metrics;
+  const Configuration& m_configuration; ///< Revision 0: none has been read.
+  /// \brief Passes a request for a job or a count to the owner of the fleet.
+  std::function<void(const std::string& aPath, HttpResponder aDone)> m_askOwner;
+  std::function<bool()> m_isStopping;
+};
+
+class CallerFront
+{
+public:
+  explicit CallerFront(FrontContext aContext);
+
+  CallerFront(const CallerFront&) = delete;
+  CallerFront& operator=(const CallerFront&) = delete;
+  ~CallerFront() = default;
+
+  void Handle(HttpRequest aRequest, HttpResponder aRespond);
+
+  [[nodiscard]] std::size_t InFlight() const noexcept { return m_inFlight; }
+
+private:
+  struct Submission;
+
+  void Submit(const HttpRequest& aRequest, const QueueRule& aQueue, const JobId& aId,
+              HttpResponder aRespond);
+  void Store(const std::shared_ptr<Submission>& aSubmission);
+  void OnAppended(const std::shared_ptr<Submission>& aSubmission,
+                  platform::AppendOutcome aOutcome);
+  void Finish(const Submission& aSubmission, std::uint16_t aStatus, std::string_view aReason);
+  void Cancel(const HttpRequest& aRequest, const JobId& aId, HttpResponder aRespond);
+  void AskState(const JobId& aId, HttpResponder aRespond);
+  void AskPending(const QueueRule& aQueue, HttpResponder aRespond);
+  void ForgetOldAccepted(Millis aNowMs);
+
+  FrontContext m_context;
+  std::size_t m_inFlight{};
+  /// Jobs accepted here a moment ago, which the owner may not have read yet.
+  std::map<JobId, Millis> m_accepted;
+  Millis m_lastForgetMs{};
+};
+
+/// \brief Path of the owner's answer for the state of a job.
+[[nodiscard]] std::string OwnerJobPath(const JobId& aId);
+/// \brief Path of the owner's answer for the pending jobs of a queue.
+[[nodiscard]] std::string OwnerPendingPath(const QueueName& aQueue);
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/Committer.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "OwnerState.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+/// \file
+/// \brief Stores the progress of jobs in groups, and says what may happen once it is stored.
+///
+/// A run is sent only after its record is stored, and an end is acknowledged only after its record
+/// is stored. The writer's epoch is the fencing token, so the records of an earlier owner are
+/// refused from the first call of the next one on.
+
+namespace pistachiostand::fleet {
+
+/// \brief Ends of a backend server that are stored.
+struct EndMark
+{
+  ServerId m_server;
+  std::int64_t m_incarnation{};
+  std::uint64_t m_number{};
+};
+
+struct CommitBatch
+{
+  std::vector<RunRef> m_planned;
+  std::vector<EndMark> m_ends;
+  std::vector<JobId> m_finished; ///< Jobs whose terminal phase is stored.
+};
+
+class Committer
+{
+public:
+  Committer(OwnerState& aState, std::function<void(const CommitBatch&)> aOnStored);
+
+  Committer(const Committer&) = delete;
+  Committer& operator=(const Committer&) = delete;
+  ~Committer() = default;
+
+  /// \brief Shuts earlier owners out of the topic, then calls `aDone`.
+  void Open(std::function<void()> aDone);
+
+  void AddPlanned(const RunRef& aRun) { m_next.m_planned.push_back(aRun); }
+  void AddEnds(const EndMark& aMark) { m_next.m_ends.push_back(aMark); }
+
+  /// \brief Stores what has changed, soon.
+  void Wake();
+
+private:
+  void Flush();
+  void Send();
+  void OnAnswer(const platform::AppendResult& aResult);
+  void Retry();
+  [[nodiscard]] bool IsIdle() const;
+
+  OwnerState& m_state;
+  std::function<void(const CommitBatch&)> m_onStored;
+  asio::steady_timer m_timer;
+  CommitBatch m_next;
+  CommitBatch m_inFlight;
+  std::vector<std::string> m_records; ///< Of the append in flight; repeated until it is answered.
+  std::uint64_t m_sequence{ 1 };
+  Millis m_sentMs{};
+  unsigned m_failures{};
+  bool m_open{};
+  bool m_busy{};
+  bool m_armed{};
+};
+
+/// \brief Topic of the records of job progress.
+inline constexpr const char* kProgressTopic = "keyed.progress";
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/Elector.cpp
@@ -0,0 +1,135 @@
+#include "Elector.h"
+
+#include "EventLog.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/base/Hash.h"
+
+#include <utility>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+const std::string kTopic = "keyed.owner";
+constexpr std::string_view kKey = "owner";
+constexpr Millis kTickMs = 100;
+/// A read waits this long for a record; renewals come several times as often.
+constexpr Millis kReadWaitMs = 2'000;
+/// Claims of several processes are spread over this time, so that one mostly succeeds alone.
+constexpr Millis kClaimSpreadMs = 300;
+/// Below the time that an owner may act, so that a lost answer leaves time for another renewal.
+constexpr Millis kAppendTimeoutMs = 900;
+
+} // namespace
+
+Elector::Elector(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
+                 std::string aProcess, std::string aAddress, ElectorHandlers aHandlers)
+  : m_store(aStore)
+  , m_process(std::move(aProcess))
+  , m_address(std::move(aAddress))
+  , m_handlers(std::move(aHandlers))
+  , m_tail(aLoop, aClient, aStore, { kTopic, kReadWaitMs, 0 },
+           { [this](const std::string& aKey, const auto& aValue, Offset aOffset) {
+              if (aKey == kKey) {
+                OnRecord(aValue, aOffset);
+              }
+            },
+             [this](Millis /*aSentMs*/) { MarkCurrent(m_view, MonotonicMs()); } })
+  , m_ticker(aLoop, kTickMs, [this] { Tick(); })
+  , m_claimDelayMs(static_cast<Millis>(Hash(m_process) % kClaimSpreadMs))
+{
+}
+
+void Elector::Start()
+{
+  m_tail.Start();
+}
+
+void Elector::Retire()
+{
+  m_retired = true;
+  if (m_token != 0) {
+    Propose(OwnershipRecordKind::Release);
+    StepDown("retired");
+  }
+}
+
+void Elector::StepDown(std::string_view aReason)
+{
+  if (std::exchange(m_token, 0) != 0) {
+    LogEvent("owner", "stepped-down", "process={} reason={}", m_process, aReason);
+    m_handlers.m_onLost(aReason);
+  }
+}
+
+void Elector::Tick()
+{
+  const Millis now = MonotonicMs();
+  if (m_inFlight || m_retired) {
+    return;
+  }
+  if (m_token != 0) {
+    if (now - m_sentMs >= m_terms.m_renewMs) {
+      Propose(OwnershipRecordKind::Renewal);
+    }
+  } else if (MayClaim(m_view, m_terms, now, m_claimDelayMs)) {
+    Propose(OwnershipRecordKind::Claim);
+  }
+}
+
+void Elector::Propose(OwnershipRecordKind aKind)
+{
+  m_inFlight = true;
+  m_sentMs = MonotonicMs();
+  const OwnershipRecord record{ aKind, m_process, m_address, m_token, m_sentMs };
+  platform::AppendRequest request;
+  request.m_topic = kTopic;
+  request.m_records = { platform::EncodeKeyed(kKey, EncodeOwnershipRecord(record)) };
+  request.m_at = m_view.m_next;
+  request.m_timeoutMs = kAppendTimeoutMs;
+  m_store.Append(std::move(request), [this, record, alive = std::weak_ptr<int>(m_alive)](
+                                       const platform::AppendResult& aResult) {
+    if (!alive.lock()) {
+      return;
+    }
+    m_inFlight = false;
+    if (aResult.m_outcome == platform::AppendOutcome::Stored) {
+      OnRecord(EncodeOwnershipRecord(record), aResult.m_first);
+    } else {
+      // The tail of the topic shows whether an unanswered record was stored.
+      LogEvent("owner", "append-failed", "kind={} outcome={} at={}", static_cast<int>(record.m_kind),
+               static_cast<int>(aResult.m_outcome), m_view.m_next);
+    }
+  });
+}
+
+void Elector::OnRecord(const std::optional<std::string>& aValue, Offset aOffset)
+{
+  const auto record = aValue ? DecodeOwnershipRecord(*aValue) : std::nullopt;
+  if (!record || aOffset < m_view.m_next) {
+    return;
+  }
+  const FencingToken before = m_view.m_token;
+  ApplyOwnershipRecord(m_view, aOffset, *record, MonotonicMs());
+  if (m_view.m_token != before) {
+    LogEvent("owner", "changed", "token={} process={} offset={}", m_view.m_token, m_view.m_owner,
+             aOffset);
+  }
+  if (m_view.m_owner != m_process) {
+    if (m_token != 0 && m_view.m_token != m_token) {
+      StepDown("another process owns the fleet");
+    }
+    return;
+  }
+  if (m_retired) {
+    return;
+  }
+  m_confirmedMs = std::max(m_confirmedMs, record->m_sentMs);
+  if (m_token != m_view.m_token) {
+    m_token = m_view.m_token;
+    m_handlers.m_onOwner(m_token, record->m_sentMs);
+  }
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/Elector.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "TopicTail.h"
+
+#include "pistachiostand/connection/Ticker.h"
+#include "pistachiostand/ownership/Leadership.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief Claims and renews the ownership of the fleet in the store.
+
+namespace pistachiostand::fleet {
+
+struct ElectorHandlers
+{
+  std::function<void(FencingToken aToken, Millis aClaimedMs)> m_onOwner; ///< This process owns now.
+  std::function<void(std::string_view aReason)> m_onLost;                ///< It owns no longer.
+};
+
+class Elector
+{
+public:
+  Elector(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
+          std::string aProcess, std::string aAddress, ElectorHandlers aHandlers);
+
+  Elector(const Elector&) = delete;
+  Elector& operator=(const Elector&) = delete;
+  ~Elector() = default;
+
+  void Start();
+
+  /// \brief Gives the ownership up, if held, and claims no more.
+  void Retire();
+
+  /// \brief Another process has used a higher token: this one must not act any more.
+  void StepDown(std::string_view aReason);
+
+  [[nodiscard]] const OwnershipView& View() const noexcept { return m_view; }
+  [[nodiscard]] bool IsOwner() const noexcept { return m_token != 0; }
+
+  /// \brief True while this process may act as the owner.
+  [[nodiscard]] bool MayAct(Millis aNowMs) const noexcept
+  {
+    return m_token != 0 && aNowMs - m_confirmedMs < m_terms.m_actMs;
+  }
+
+  /// \brief When the last stored record of this owner was sent.
+  [[nodiscard]] Millis ConfirmedMs() const noexcept { return m_confirmedMs; }
+
+private:
+  void Tick();
+  void Propose(OwnershipRecordKind aKind);
+  void OnRecord(const std::optional<std::string>& aValue, Offset aOffset);
+
+  platform::Store& m_store;
+  std::string m_process;
+  std::string m_address;
+  ElectorHandlers m_handlers;
+  OwnershipTerms m_terms;
+  OwnershipView m_view;
+  TopicTail m_tail;
+  Ticker m_ticker;
+  std::shared_ptr<int> m_alive = std::make_shared<int>();
+  FencingToken m_token{};
+  Millis m_confirmedMs{};
+  Millis m_sentMs{};
+  Millis m_claimDelayMs{};
+  bool m_inFlight{};
+  bool m_retired{};
+};
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/EntrySettings.cpp
@@ -0,0 +1,135 @@
+#include "EntrySettings.h"
+
+#include "base/TomlReader.h"
+
+#include <cmath>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// \brief Reads one table; every missing or mistyped key becomes a reason.
+class TableReader
+{
+public:
+  TableReader(const toml::table& aFile, std::string aName, Reasons& aReasons)
+    : m_name(std::move(aName))
+    , m_table(aFile[m_name].as_table())
+    , m_reasons(aReasons)
+  {
+  }
+
+  [[nodiscard]] std::string Text(const char* aKey) const
+  {
+    const auto value = Node(aKey).value<std::string>();
+    if (!value || value->empty()) {
+      Fail(aKey, "set it to a text that is not empty");
+    }
+    return value.value_or("");
+  }
+
+  [[nodiscard]] Endpoint Address(const char* aKey) const
+  {
+    const auto address = ParseEndpoint(Text(aKey));
+    if (!address) {
+      Fail(aKey, "write an IP address with a port, such as 10.0.0.1:8080");
+    }
+    return address.value_or(Endpoint{});
+  }
+
+  [[nodiscard]] double Number(const char* aKey) const
+  {
+    const auto value = Node(aKey).value<double>();
+    if (!value || *value < 0 || !std::isfinite(*value)) {
+      Fail(aKey, "set it to a number that is not negative");
+    }
+    return value.value_or(0);
+  }
+
+  [[nodiscard]] Millis Milliseconds(const char* aKey) const
+  {
+    return static_cast<Millis>(std::llround(Number(aKey)));
+  }
+
+  [[nodiscard]] Millis Seconds(const char* aKey) const
+  {
+    return static_cast<Millis>(std::llround(Number(aKey) * 1'000));
+  }
+
+private:
+  [[nodiscard]] toml::node_view<const toml::node> Node(const char* aKey) const
+  {
+    return m_table == nullptr ? toml::node_view<const toml::node>{} : (*m_table)[aKey];
+  }
+
+  void Fail(const char* aKey, std::string aRemedy) const
+  {
+    m_reasons.push_back({ ReasonKind::MissingValue, m_name + "." + aKey + " is missing or wrong",
+                          std::move(aRemedy),
+                          m_table == nullptr ? SourcePosition{} : PositionOf(*m_table) });
+  }
+
+  std::string m_name;
+  const toml::table* m_table;
+  Reasons& m_reasons;
+};
+
+PlatformBounds ReadBounds(const TableReader& aReader)
+{
+  PlatformBounds bounds;
+  bounds.m_maxLeaseMs = aReader.Milliseconds("max_lease_ms");
+  bounds.m_stopMs = aReader.Milliseconds("stop_ms");
+  bounds.m_contactMs = aReader.Milliseconds("contact_ms");
+  bounds.m_graceMs = aReader.Seconds("grace_s");
+  bounds.m_exclusiveMs = aReader.Milliseconds("exclusive_ms");
+  bounds.m_drainMs = aReader.Milliseconds("drain_ms");
+  bounds.m_keepStateMs = aReader.Seconds("keep_state_s");
+  bounds.m_earlyMs = aReader.Milliseconds("early_ms");
+  bounds.m_remoteFactor = aReader.Number("remote_factor");
+  bounds.m_noticeMs = aReader.Milliseconds("notice_ms");
+  bounds.m_moveMs = aReader.Seconds("move_s");
+  bounds.m_maintenanceMs = aReader.Seconds("maintenance_s");
+  bounds.m_harmMs = aReader.Milliseconds("harm_ms");
+  bounds.m_paceMs = aReader.Milliseconds("pace_ms");
+  return bounds;
+}
+
+} // namespace
+
+std::optional<EntrySettings> ParseEntrySettings(std::string_view aText, Reasons& aReasons)
+{
+  const auto file = ParseToml(aText, aReasons);
+  if (!file) {
+    return std::nullopt;
+  }
+  const auto before = aReasons.size();
+  EntrySettings settings;
+  const TableReader entry{ *file, "entry", aReasons };
+  settings.m_id = entry.Text("id");
+  settings.m_zone = entry.Text("zone");
+  const TableReader listen{ *file, "listen", aReasons };
+  settings.m_callerListen = listen.Address("callers");
+  settings.m_readyListen = listen.Address("ready");
+  settings.m_entryListen = listen.Address("entries");
+  settings.m_metricsListen = listen.Address("metrics");
+  const TableReader store{ *file, "store", aReasons };
+  settings.m_store = store.Address("address");
+  settings.m_storeWritesPerS = store.Number("writes_per_s");
+  settings.m_storeReadsPerS = store.Number("reads_per_s");
+  const TableReader instances{ *file, "instances", aReasons };
+  settings.m_instances = instances.Address("address");
+  settings.m_instanceOrdersPerS = instances.Number("orders_per_s");
+  settings.m_instanceListsPerS = instances.Number("lists_per_s");
+  if (const auto advice = (*file)["advice"]["address"].value<std::string>();
+      advice && !advice->empty()) {
+    settings.m_advice = TableReader{ *file, "advice", aReasons }.Address("address");
+  }
+  settings.m_bounds = ReadBounds(TableReader{ *file, "bounds", aReasons });
+  settings.m_logLevel = (*file)["log"]["level"].value_or(settings.m_logLevel);
+  if (aReasons.size() != before) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/EntrySettings.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "pistachiostand/base/Endpoint.h"
+#include "pistachiostand/base/Reason.h"
+#include "pistachiostand/base/Types.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Settings of an entry instance on the prepared platform: TOML, read at start and reload.
+
+namespace pistachiostand::fleet {
+
+/// \brief Bounds that the platform states for the deployment, table `[bounds]`.
+struct PlatformBounds
+{
+  Millis m_maxLeaseMs{};   ///< Longest lease of a run.
+  Millis m_stopMs{};       ///< Longest time a stop takes.
+  Millis m_contactMs{};
+  Millis m_graceMs{};      ///< From SIGTERM to SIGKILL.
+  Millis m_exclusiveMs{};  ///< Two owners may not order one instance within this time.
+  Millis m_drainMs{};      ///< After this time a draining backend server gets no starts.
+  Millis m_keepStateMs{};  ///< How long the state of a finished job must be readable.
+  Millis m_earlyMs{};      ///< A due subtask may start this much early.
+  double m_remoteFactor{ 1.0 };
+  Millis m_noticeMs{};     ///< Time for which a lasting subtask counts as away after it was.
+  Millis m_moveMs{};
+  Millis m_maintenanceMs{};
+  Millis m_harmMs{};       ///< Longest time a serving subtask may miss its tail target.
+  Millis m_paceMs{};       ///< Time until a pace takes effect.
+
+  friend auto operator<=>(const PlatformBounds&, const PlatformBounds&) = default;
+};
+
+struct EntrySettings
+{
+  std::string m_id;
+  ZoneName m_zone;
+  Endpoint m_callerListen;
+  Endpoint m_readyListen;
+  Endpoint m_entryListen; ///< For other entry instances.
+  Endpoint m_metricsListen;
+  Endpoint m_store;
+  Endpoint m_instances;
+  std::optional<Endpoint> m_advice;
+  double m_storeWritesPerS{};
+  double m_storeReadsPerS{};
+  double m_instanceOrdersPerS{};
+  double m_instanceListsPerS{};
+  PlatformBounds m_bounds;
+  std::string m_logLevel{ "info" };
+
+  friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
+};
+
+/// \brief Parses and checks a settings file; `aReasons` receives all errors in one pass.
+[[nodiscard]] std::optional<EntrySettings> ParseEntrySettings(std::string_view aText,
+                                                              Reasons& aReasons);
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/EventLog.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+
+#include <spdlog/spdlog.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+/// \file
+/// \brief Structured log lines: an event name and `key=value` pairs.
+///
+/// The number of lines is limited so that a burst of requests cannot fill the output; lines beyond
+/// the limit are counted and the count is logged. Standard output does not block: a reader that
+/// stops reading loses lines and stops nothing.
+
+namespace pistachiostand::fleet {
+
+/// \brief Sends the log to standard output at `aLevel`; SIGPIPE and blocking writes are turned off.
+void OpenEventLog(const std::string& aLevel);
+
+namespace internal {
+
+/// \brief Takes one line from the budget of this second.
+[[nodiscard]] bool TakeLogLine();
+
+} // namespace internal
+
+/// \brief Logs a decision.
+///
+/// \code
+/// LogEvent("job", "accepted", "id={} queue={}", id, queue);
+/// \endcode
+template<typename... Args>
+void LogEvent(std::string_view aPart, std::string_view aEvent, fmt::format_string<Args...> aFormat,
+              Args&&... aArgs)
+{
+  if (spdlog::should_log(spdlog::level::info) && internal::TakeLogLine()) {
+    spdlog::info("{}: {} {}", aPart, aEvent, fmt::format(aFormat, std::forward<Args>(aArgs)...));
+  }
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/FleetOwner.cpp
@@ -0,0 +1,448 @@
+#include "FleetOwner.h"
+
+#include "EventLog.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/job/JobCodec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+constexpr Millis kTickMs = 100;
+/// Lets ends and submissions gather before a pass over the jobs.
+constexpr Millis kGatherMs = 5;
+constexpr Millis kSubmissionWaitMs = 1'000;
+constexpr Millis kSubmissionPauseMs = 15;
+/// Registrations change about once for each server in 1.5 s; a start may follow a drain by 2 s.
+constexpr Millis kRegistryWaitMs = 1'000;
+constexpr Millis kRegistryPauseMs = 250;
+constexpr Millis kLoadRetryMs = 100;
+/// A job may be unknown for 3 s after it was accepted; an older view must not deny it.
+constexpr Millis kCurrentMs = 2'000;
+constexpr Millis kRetireTimeoutMs = 1'000;
+constexpr std::size_t kMaxRetired = 500;
+/// A finished job is kept this much longer than its state must be readable.
+constexpr Millis kKeepMarginMs = 10'000;
+constexpr double kMeanWorkWeight = 0.05;
+constexpr std::size_t kMaxAdviceServers = 100;
+constexpr std::size_t kMaxAdviceCalls = 4;
+constexpr Millis kAdviceMarginMs = 1'000;
+
+} // namespace
+
+FleetOwner::FleetOwner(OwnerState aState)
+  : m_state(std::move(aState))
+  , m_committer(m_state, [this](const CommitBatch& aBatch) { OnStored(aBatch); })
+  , m_runs(m_state, m_committer, [this] { ScheduleSoon(); })
+  , m_submissions(m_state.m_loop, m_state.m_client, m_state.m_store,
+                  { kSubmissionTopic, kSubmissionWaitMs, kSubmissionPauseMs },
+                  { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
+                     OnSubmissionRecord(aKey, aValue);
+                   },
+                    [this](Millis /*aSentMs*/) {
+                      if (!std::exchange(m_submissionsRead, true)) {
+                        LoadProgress({});
+                      }
+                    } })
+  , m_registry(m_state.m_loop, m_state.m_client, m_state.m_store,
+               { "keyed.servers", kRegistryWaitMs, kRegistryPauseMs },
+               { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
+                  OnServerRecord(aKey, aValue);
+                },
+                 [](Millis /*aSentMs*/) {} })
+  , m_scheduleTimer(m_state.m_loop)
+  , m_loadTimer(m_state.m_loop)
+  , m_ticker(m_state.m_loop, kTickMs, [this] { Tick(); })
+{
+}
+
+void FleetOwner::Start()
+{
+  LogEvent("owner", "begin", "token={}", m_state.m_token);
+  // The epoch shuts earlier owners out before their last records are read.
+  m_committer.Open([this] {
+    m_submissions.Start();
+    m_registry.Start();
+  });
+}
+
+bool FleetOwner::IsCurrent(Millis aNowMs) const
+{
+  const auto asOf = m_submissions.CurrentAsOf();
+  return m_loaded && asOf && aNowMs - *asOf < kCurrentMs;
+}
+
+JobLookup FleetOwner::Find(const JobId& aId) const
+{
+  JobLookup lookup;
+  const auto job = m_state.m_book.m_jobs.find(aId);
+  lookup.m_current = IsCurrent(MonotonicMs());
+  if (m_loaded && job != m_state.m_book.m_jobs.end()) {
+    lookup.m_state = StateOf(job->second);
+  }
+  return lookup;
+}
+
+std::optional<std::size_t> FleetOwner::Pending(std::string_view aQueue) const
+{
+  if (!IsCurrent(MonotonicMs())) {
+    return std::nullopt;
+  }
+  return CountPending(m_state.m_book, aQueue);
+}
+
+void FleetOwner::OnSubmissionRecord(const std::string& aKey,
+                                    const std::optional<std::string>& aValue)
+{
+  const std::string_view key = aKey;
+  if (!aValue) {
+    return; // This owner's own clean-up.
+  }
+  if (key.starts_with(kCancelPrefix)) {
+    const JobId id{ key.substr(kCancelPrefix.size()) };
+    if (!m_loaded) {
+      m_cancels.insert(id);
+      return;
+    }
+    LogEvent("job", "cancel", "id={} known={}", id, m_state.m_book.m_jobs.contains(id));
+    CancelJob(m_state.m_book, id);
+    ScheduleSoon();
+    return;
+  }
+  auto spec = DecodeSubmission(*aValue);
+  if (!spec) {
+    LogEvent("job", "unreadable", "key={} bytes={}", aKey, aValue->size());
+    Count(m_state.m_metrics, "records_unreadable_total");
+    return;
+  }
+  AddSubmission(std::move(*spec));
+}
+
+void FleetOwner::AddSubmission(JobSpec aSpec)
+{
+  const JobId id = aSpec.m_id;
+  const QueueName queue = aSpec.m_queue;
+  const double work = WorkOf(aSpec);
+  const Millis age = std::max<Millis>(WallMs() - aSpec.m_acceptedMs, 0);
+  const auto steps = aSpec.m_steps.size();
+  if (!AddJob(m_state.m_book, std::move(aSpec), MonotonicMs(), age)) {
+    if (m_state.m_book.m_jobs.at(id).m_phase != JobPhase::Active) {
+      m_retired.insert(id);
+    }
+    return;
+  }
+  const auto [mean, first] = m_state.m_meanWork.try_emplace(queue, work);
+  if (!first) {
+    mean->second += kMeanWorkWeight * (work - mean->second);
+  }
+  if (m_loaded) {
+    LogEvent("job", "known", "id={} queue={} steps={} work_core_s={:.1f} age_ms={}", id, queue,
+             steps, work, age);
+    ScheduleSoon();
+  }
+}
+
+void FleetOwner::OnServerRecord(const std::string& aKey, const std::optional<std::string>& aValue)
+{
+  Reason reason;
+  const auto entry =
+    aValue ? platform::DecodeServerEntry(aKey, *aValue, reason) : std::optional<ServerEntry>{};
+  if (aValue && !entry) {
+    LogEvent("fleet", "entry-unreadable", "server={} cause={}", aKey, reason.m_cause);
+    Count(m_state.m_metrics, "entries_unreadable_total");
+  }
+  m_runs.OnServerEntry(aKey, entry);
+}
+
+void FleetOwner::LoadProgress(const std::string& aAfter)
+{
+  m_state.m_store.ListNewest(kProgressTopic, aAfter,
+                             m_state.Guard([this](const auto& aPage) { OnProgressPage(aPage); }));
+}
+
+void FleetOwner::OnProgressPage(const std::optional<platform::KeyedPage>& aPage)
+{
+  if (!aPage) {
+    m_loadTimer.expires_after(std::chrono::milliseconds{ kLoadRetryMs });
+    m_loadTimer.async_wait([this](const std::error_code& aError) {
+      if (!aError) {
+        LoadProgress({});
+      }
+    });
+    return;
+  }
+  for (const auto& item : aPage->m_items) {
+    if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs())) {
+      LogEvent("job", "progress-unreadable", "id={} bytes={}", item.m_key, item.m_value.size());
+    }
+  }
+  if (aPage->m_more && !aPage->m_items.empty()) {
+    LoadProgress(aPage->m_items.back().m_key);
+  } else {
+    FinishLoad();
+  }
+}
+
+void FleetOwner::FinishLoad()
+{
+  m_loaded = true;
+  const Millis lease =
+    LatestLeaseEndMs(m_state.m_claimedMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
+  for (const auto& [id, subtasks] : m_state.m_book.m_byServer) {
+    ServerState& server = m_state.m_servers[id];
+    server.m_entry.m_id = id;
+    server.m_leaseEndMs = std::max(server.m_leaseEndMs, lease);
+  }
+  for (const auto& id : std::exchange(m_cancels, {})) {
+    CancelJob(m_state.m_book, id);
+  }
+  for (const auto& [id, job] : m_state.m_book.m_jobs) {
+    if (job.m_phase != JobPhase::Active && !job.m_spec.m_steps.empty()) {
+      m_retired.insert(id);
+    }
+  }
+  LogEvent("owner", "loaded", "token={} jobs={} active={} servers_with_runs={} after_ms={}",
+           m_state.m_token, m_state.m_book.m_jobs.size(), m_state.m_book.m_active.size(),
+           m_state.m_book.m_byServer.size(), MonotonicMs() - m_state.m_claimedMs);
+  ScheduleSoon();
+}
+
+void FleetOwner::ScheduleSoon()
+{
+  if (m_scheduled || !m_loaded) {
+    return;
+  }
+  m_scheduled = true;
+  m_scheduleTimer.expires_after(std::chrono::milliseconds{ kGatherMs });
+  m_scheduleTimer.async_wait([this](const std::error_code& aError) {
+    if (!aError) {
+      m_scheduled = false;
+      Schedule();
+    }
+  });
+}
+
+void FleetOwner::Schedule()
+{
+  if (m_state.m_mayAct()) {
+    m_runs.StopNeedless();
+    LeaveDrainingServers();
+    Place(MonotonicMs());
+  }
+  m_committer.Wake();
+}
+
+std::vector<ServerRoom> FleetOwner::Rooms(Millis aNowMs) const
+{
+  std::vector<ServerRoom> rooms;
+  for (const auto& [id, server] : m_state.m_servers) {
+    if (!m_runs.IsUsable(server, aNowMs)) {
+      continue;
+    }
+    ServerRoom room;
+    room.m_id = id;
+    room.m_pool = server.m_entry.m_pool;
+    room.m_zone = server.m_entry.m_zone;
+    room.m_labels = server.m_entry.m_labels;
+    room.m_capacity = server.m_entry.m_capacity;
+    const auto used = m_state.m_book.m_used.find(id);
+    room.m_free = used == m_state.m_book.m_used.end() ? room.m_capacity
+                                                      : room.m_capacity - used->second;
+    const auto subtasks = m_state.m_book.m_byServer.find(id);
+    if (subtasks != m_state.m_book.m_byServer.end()) {
+      for (const auto& subtask : subtasks->second) {
+        const StepSpec& step = *FindStep(m_state.m_book, subtask);
+        ++room.m_runs;
+        room.m_fillers += step.m_filler ? 1 : 0;
+        room.m_serving += step.m_tailTargetMs > 0 ? 1 : 0;
+      }
+    }
+    room.m_avoid = server.m_failedRuns >= 3;
+    rooms.push_back(std::move(room));
+  }
+  return rooms;
+}
+
+void FleetOwner::LeaveDrainingServers()
+{
+  std::vector<RunRef> leaving;
+  for (const auto& [id, subtasks] : m_state.m_book.m_byServer) {
+    const auto server = m_state.m_servers.find(id);
+    if (server == m_state.m_servers.end() || !server->second.m_entry.m_draining) {
+      continue;
+    }
+    for (const auto& subtask : subtasks) {
+      if (!FindStep(m_state.m_book, subtask)->m_lasting) {
+        continue;
+      }
+      for (const auto& run : FindSubtask(m_state.m_book, subtask)->m_runs) {
+        if (run.m_server == id && run.m_phase == RunPhase::Running) {
+          leaving.push_back({ subtask, run.m_number, id });
+        }
+      }
+    }
+  }
+  for (const auto& run : leaving) {
+    m_runs.Stop(run, "server drains");
+  }
+}
+
+void FleetOwner::Place(Millis aNowMs)
+{
+  auto rooms = Rooms(aNowMs);
+  SchedulerInput input;
+  input.m_nowMs = aNowMs;
+  input.m_remoteFactor = m_state.m_settings.m_bounds.m_remoteFactor;
+  input.m_meanWork = m_state.m_meanWork;
+  std::erase_if(m_tickets, [&](const auto& aEntry) {
+    return m_ticketsEndMs[aEntry.first] < aNowMs;
+  });
+  input.m_tickets = m_tickets;
+  const auto result = PlaceSubtasks(m_state.m_book, m_state.m_configuration, rooms, input);
+  for (const auto& placement : result.m_placements) {
+    m_committer.AddPlanned({ placement.m_subtask, placement.m_run, placement.m_server });
+    const auto tickets = m_tickets.find({ placement.m_subtask.m_job,
+                                          placement.m_subtask.m_occurrence,
+                                          placement.m_subtask.m_step });
+    if (tickets != m_tickets.end()) {
+      m_runs.m_tickets[placement.m_subtask] = tickets->second.at(placement.m_server);
+    }
+  }
+  AskAdvice(result.m_adviceWanted, rooms);
+}
+
+void FleetOwner::AskAdvice(const std::vector<StepId>& aSteps,
+                           const std::vector<ServerRoom>& aRooms)
+{
+  if (!m_state.m_settings.m_advice) {
+    return;
+  }
+  for (const auto& step : aSteps) {
+    if (m_asking.size() >= kMaxAdviceCalls || m_asking.contains(step)) {
+      continue;
+    }
+    const Job& job = m_state.m_book.m_jobs.at(step.m_job);
+    const PoolName& pool = PoolOf(job, m_state.m_configuration);
+    std::vector<ServerId> servers;
+    for (const auto& room : aRooms) {
+      if (room.m_pool == pool && servers.size() < kMaxAdviceServers) {
+        servers.push_back(room.m_id);
+      }
+    }
+    const QueueRule* rule = FindQueueByName(m_state.m_configuration, job.m_spec.m_queue);
+    if (servers.empty() || rule == nullptr || !rule->m_advice) {
+      continue;
+    }
+    m_asking.insert(step);
+    const Millis sent = MonotonicMs();
+    const Millis timeout = rule->m_advice->m_decisionMs +
+                           static_cast<Millis>(servers.size()) * rule->m_advice->m_perServerMs +
+                           kAdviceMarginMs;
+    platform::AskAdvice(
+      m_state.m_client, ToString(*m_state.m_settings.m_advice), step, servers,
+      timeout, m_state.Guard([this, step, sent](const std::optional<platform::Advice>& aAdvice) {
+        m_asking.erase(step);
+        if (aAdvice) {
+          m_tickets[step] = aAdvice->m_tickets;
+          m_ticketsEndMs[step] = sent + aAdvice->m_validMs;
+        }
+        LogEvent("job", "advice", "id={} step={} answered={} good={} after_ms={}", step.m_job,
+                 step.m_step, aAdvice.has_value(), aAdvice ? aAdvice->m_tickets.size() : 0,
+                 MonotonicMs() - sent);
+        ScheduleSoon();
+      }));
+  }
+}
+
+void FleetOwner::OnStored(const CommitBatch& aBatch)
+{
+  for (const auto& id : aBatch.m_finished) {
+    const Job& job = m_state.m_book.m_jobs.at(id);
+    const Millis took = job.m_finishedMs - job.m_acceptedMs;
+    LogEvent("job", "finished", "id={} queue={} phase={} after_ms={}", id, job.m_spec.m_queue,
+             static_cast<int>(job.m_phase), took);
+    Observe(m_state.m_metrics, "job_ms", job.m_spec.m_queue, took);
+    m_retired.insert(id);
+  }
+  m_runs.OnStored(aBatch);
+}
+
+void FleetOwner::Tick()
+{
+  if (!m_loaded) {
+    return;
+  }
+  const Millis now = MonotonicMs();
+  OpenDueOccurrences(m_state.m_book, WallMs() + m_state.m_settings.m_bounds.m_earlyMs / 2, now);
+  m_runs.Tick(now);
+  RetireSubmissions();
+  ForgetOldJobs(now);
+  ScheduleSoon();
+}
+
+void FleetOwner::RetireSubmissions()
+{
+  if (m_retiring || m_retired.empty() || !m_state.m_mayAct()) {
+    return;
+  }
+  platform::AppendRequest request;
+  request.m_topic = kSubmissionTopic;
+  request.m_timeoutMs = kRetireTimeoutMs;
+  std::vector<JobId> ids;
+  for (const auto& id : m_retired) {
+    // A later owner needs the specification while runs of the job are left.
+    const Job& job = m_state.m_book.m_jobs.at(id);
+    const bool busy = std::ranges::any_of(job.m_occurrences, [](const auto& aEntry) {
+      return std::ranges::any_of(aEntry.second.m_steps, [](const auto& aStep) {
+        return std::ranges::any_of(aStep,
+                                   [](const auto& aSubtask) { return !aSubtask.m_runs.empty(); });
+      });
+    });
+    if (!busy && ids.size() < kMaxRetired) {
+      ids.push_back(id);
+      request.m_records.push_back(
+        platform::EncodeKeyed(std::string{ kSubmissionPrefix } + id, std::nullopt));
+      if (job.m_phase == JobPhase::Cancelled) {
+        request.m_records.push_back(
+          platform::EncodeKeyed(std::string{ kCancelPrefix } + id, std::nullopt));
+      }
+    }
+  }
+  if (ids.empty()) {
+    return;
+  }
+  m_retiring = true;
+  m_state.m_store.Append(std::move(request), m_state.Guard([this, ids](const auto& aResult) {
+    m_retiring = false;
+    if (aResult.m_outcome == platform::AppendOutcome::Stored) {
+      for (const auto& id : ids) {
+        m_retired.erase(id);
+        const auto job = m_state.m_book.m_jobs.find(id);
+        if (job != m_state.m_book.m_jobs.end()) {
+          job->second.m_spec.m_payload.clear();
+        }
+      }
+    }
+  }));
+}
+
+void FleetOwner::ForgetOldJobs(Millis aNowMs)
+{
+  const Millis keep = m_state.m_settings.m_bounds.m_keepStateMs + kKeepMarginMs;
+  std::erase_if(m_state.m_book.m_jobs, [&](const auto& aEntry) {
+    const Job& job = aEntry.second;
+    const bool old = job.m_phase != JobPhase::Active && job.m_phaseStored &&
+                     aNowMs - job.m_finishedMs > keep && !m_retired.contains(aEntry.first);
+    if (old) {
+      m_state.m_book.m_changed.insert(aEntry.first);
+    }
+    return old;
+  });
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/FleetOwner.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Committer.h"
+#include "OwnerState.h"
+#include "RunControl.h"
+#include "TopicTail.h"
+
+#include "pistachiostand/connection/Ticker.h"
+#include "pistachiostand/job/Scheduler.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+/// \file
+/// \brief The owner of the fleet: reads the jobs from the store, decides and orders.
+///
+/// One process owns the fleet at a time. Another one begins anew from the store: submissions,
+/// progress, and then what the backend servers report.
+
+namespace pistachiostand::fleet {
+
+/// \brief What is known of a job that a caller asks for.
+struct JobLookup
+{
+  bool m_current{};                ///< The jobs are read up to a recent moment.
+  std::optional<ShownState> m_state; ///< Nothing: no such job.
+};
+
+/// \brief Topic of the submissions and cancels of callers.
+inline constexpr const char* kSubmissionTopic = "keyed.jobs";
+inline constexpr std::string_view kSubmissionPrefix = "j:";
+inline constexpr std::string_view kCancelPrefix = "c:";
+
+class FleetOwner
+{
+public:
+  explicit FleetOwner(OwnerState aState);
+
+  FleetOwner(const FleetOwner&) = delete;
+  FleetOwner& operator=(const FleetOwner&) = delete;
+  ~FleetOwner() = default;
+
+  void Start();
+
+  [[nodiscard]] JobLookup Find(const JobId& aId) const;
+
+  /// \brief Pending jobs of a queue; nothing while the jobs are not read.
+  [[nodiscard]] std::optional<std::size_t> Pending(std::string_view aQueue) const;
+
+  void OnConfiguration() { ScheduleSoon(); }
+
+private:
+  void OnSubmissionRecord(const std::string& aKey, const std::optional<std::string>& aValue);
+  void OnServerRecord(const std::string& aKey, const std::optional<std::string>& aValue);
+  void LoadProgress(const std::string& aAfter);
+  void OnProgressPage(const std::optional<platform::KeyedPage>& aPage);
+  void FinishLoad();
+  void AddSubmission(JobSpec aSpec);
+  void ScheduleSoon();
+  void Schedule();
+  void Place(Millis aNowMs);
+  [[nodiscard]] std::vector<ServerRoom> Rooms(Millis aNowMs) const;
+  void LeaveDrainingServers();
+  void AskAdvice(const std::vector<StepId>& aSteps, const std::vector<ServerRoom>& aRooms);
+  void OnStored(const CommitBatch& aBatch);
+  void Tick();
+  void RetireSubmissions();
+  void ForgetOldJobs(Millis aNowMs);
+  [[nodiscard]] bool IsCurrent(Millis aNowMs) const;
+
+  OwnerState m_state;
+  Committer m_committer;
+  RunControl m_runs;
+  TopicTail m_submissions;
+  TopicTail m_registry;
+  asio::steady_timer m_scheduleTimer;
+  asio::steady_timer m_loadTimer;
+  Ticker m_ticker;
+  bool m_submissionsRead{};
+  bool m_loaded{};
+  bool m_scheduled{};
+  std::set<JobId> m_cancels;  ///< Read before the progress was.
+  std::set<JobId> m_retired;  ///< Jobs whose submission is to be removed from the store.
+  bool m_retiring{};
+  std::map<StepId, std::map<ServerId, Ticket>> m_tickets;
+  std::map<StepId, Millis> m_ticketsEndMs;
+  std::set<StepId> m_asking;
+};
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/Manager.cpp
@@ -0,0 +1,304 @@
+#include "Manager.h"
+
+#include "EventLog.h"
+
+#include "platform/Wire.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/base/Hash.h"
+#include "pistachiostand/base/PercentCoding.h"
+
+#include <asio/post.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <utility>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+constexpr Millis kConfigurationWaitMs = 20'000;
+constexpr Millis kConfigurationPauseMs = 100;
+/// An instance that has not read the store for this long is not ready; three of its reads.
+constexpr Millis kReadyMs = 4'000;
+/// An answer of the owner takes a few milliseconds; a silent one must not hold the caller.
+constexpr Millis kAskOwnerTimeoutMs = 800;
+constexpr Millis kAskOwnerConnectMs = 300;
+constexpr Millis kFlushMs = 500;
+/// The balancer needs two missed checks, one a second, before it sends no new connections.
+constexpr Millis kLeaveRotationMs = 2'300;
+constexpr Millis kStopCheckMs = 50;
+/// Part of the grace period that is left for the exit itself.
+constexpr Millis kStopMarginMs = 700;
+constexpr std::size_t kMaxCallerConnections = 2'000;
+constexpr std::size_t kMaxEntryConnections = 500;
+
+const std::string kOperatorTopic = "keyed.op";
+constexpr std::string_view kConfigurationKey = "config";
+
+std::string MakeProcessName(const std::string& aId)
+{
+  std::random_device random;
+  return fmt::format("{}@{:08x}", aId, random());
+}
+
+std::optional<EntrySettings> LoadSettings(const std::string& aPath)
+{
+  std::ifstream file{ aPath, std::ios::binary };
+  const std::string text{ std::istreambuf_iterator<char>{ file }, {} };
+  Reasons reasons;
+  auto settings = ParseEntrySettings(text, reasons);
+  for (const auto& reason : reasons) {
+    LogEvent("main", "settings-refused", "{}", Format(reason, aPath));
+  }
+  return settings;
+}
+
+} // namespace
+
+Manager::Manager(asio::io_context& aLoop, EntrySettings aSettings, std::string aSettingsPath)
+  : m_loop(aLoop)
+  , m_settings(std::move(aSettings))
+  , m_settingsPath(std::move(aSettingsPath))
+  , m_process(MakeProcessName(m_settings.m_id))
+  , m_client(HttpClient::Create(aLoop))
+  , m_store(*m_client, ToString(m_settings.m_store))
+  , m_operatorTail(aLoop, *m_client, m_store,
+                   { kOperatorTopic, kConfigurationWaitMs, kConfigurationPauseMs },
+                   { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
+                      OnConfigurationRecord(aKey, aValue);
+                    },
+                     [](Millis /*aSentMs*/) {} })
+  , m_elector(aLoop, *m_client, m_store, m_process, ToString(m_settings.m_entryListen),
+              { [this](FencingToken aToken, Millis aClaimedMs) {
+                 BeginOwnership(aToken, aClaimedMs);
+               },
+                [this](std::string_view /*aReason*/) { EndOwnership(); } })
+  , m_front({ aLoop, m_store, m_metrics, m_configuration,
+              [this](const std::string& aPath, HttpResponder aDone) {
+                AskOwner(aPath, std::move(aDone));
+              },
+              [this] { return m_stopping; } })
+  , m_signals(aLoop, SIGTERM, SIGHUP, SIGINT)
+  , m_stopTimer(aLoop)
+  , m_flushTicker(aLoop, kFlushMs, [] { spdlog::default_logger()->flush(); })
+{
+}
+
+Manager::~Manager() = default;
+
+std::unique_ptr<Manager> Manager::Create(asio::io_context& aLoop, EntrySettings aSettings,
+                                         std::string aSettingsPath, Reason& aReason)
+{
+  std::unique_ptr<Manager> manager{ new Manager{ aLoop, std::move(aSettings),
+                                                 std::move(aSettingsPath) } };
+  if (!manager->Listen(aReason)) {
+    return nullptr;
+  }
+  manager->WaitForSignal();
+  manager->m_operatorTail.Start();
+  manager->m_elector.Start();
+  LogEvent("main", "started", "process={} zone={} callers={} store={}", manager->m_process,
+           manager->m_settings.m_zone, ToString(manager->m_settings.m_callerListen),
+           ToString(manager->m_settings.m_store));
+  return manager;
+}
+
+bool Manager::Listen(Reason& aReason)
+{
+  m_callerServer = HttpServer::Create(
+    m_loop, { m_settings.m_callerListen, kMaxCallerConnections },
+    [this](HttpRequest aRequest, HttpResponder aRespond) {
+      m_front.Handle(std::move(aRequest), std::move(aRespond));
+    },
+    aReason);
+  m_readyServer = HttpServer::Create(
+    m_loop, { m_settings.m_readyListen, kMaxEntryConnections },
+    [this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+      const bool known = aRequest.m_path == "/readyz";
+      aRespond({ static_cast<std::uint16_t>(!known ? 404 : IsReady() ? 200 : 503), {}, {} });
+    },
+    aReason);
+  m_entryServer = HttpServer::Create(
+    m_loop, { m_settings.m_entryListen, kMaxEntryConnections },
+    [this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+      aRespond(AnswerEntry(aRequest));
+    },
+    aReason);
+  m_metricsServer = HttpServer::Create(
+    m_loop, { m_settings.m_metricsListen, kMaxEntryConnections },
+    [this](const HttpRequest& /*aRequest*/, const HttpResponder& aRespond) {
+      aRespond({ 200, { { "content-type", "text/plain; version=0.0.4" } },
+                 FormatMetrics(m_metrics) });
+    },
+    aReason);
+  return m_callerServer && m_readyServer && m_entryServer && m_metricsServer;
+}
+
+void Manager::OnConfigurationRecord(const std::string& aKey,
+                                    const std::optional<std::string>& aValue)
+{
+  if (aKey != kConfigurationKey) {
+    return; // Maintenance waves are the owner's.
+  }
+  Reason reason;
+  auto configuration =
+    aValue ? platform::DecodeConfiguration(*aValue, reason) : std::optional<Configuration>{};
+  if (!configuration) {
+    LogEvent("config", "unreadable", "cause={}", reason.m_cause);
+    Count(m_metrics, "configurations_unreadable_total");
+    return;
+  }
+  if (configuration->m_revision <= m_configuration.m_revision) {
+    return;
+  }
+  LogEvent("config", "in-force", "revision={} before={} queues={} pools={}",
+           configuration->m_revision, m_configuration.m_revision,
+           configuration->m_queues.size(), configuration->m_pools.size());
+  m_configuration = std::move(*configuration);
+  if (m_owner) {
+    m_owner->OnConfiguration();
+  }
+}
+
+void Manager::BeginOwnership(FencingToken aToken, Millis aClaimedMs)
+{
+  m_owner = std::make_unique<FleetOwner>(OwnerState{
+    m_loop, *m_client, m_settings, m_store, m_configuration, m_metrics,
+    [this] { return m_elector.MayAct(MonotonicMs()); },
+    [this] { return m_elector.ConfirmedMs(); },
+    [this](std::string_view aReason) {
+      // The owner must not be destroyed inside one of its own calls.
+      asio::post(m_loop, [this, reason = std::string{ aReason }] { m_elector.StepDown(reason); });
+    },
+    aToken, aClaimedMs, platform::ServerOrders{ *m_client } });
+  m_owner->Start();
+}
+
+void Manager::EndOwnership()
+{
+  asio::post(m_loop, [owner = std::shared_ptr<FleetOwner>(std::move(m_owner))] {});
+}
+
+void Manager::AskOwner(const std::string& aPath, HttpResponder aDone)
+{
+  if (m_owner) {
+    HttpRequest request;
+    if (ParseTarget(aPath, request)) {
+      aDone(AnswerEntry(request));
+      return;
+    }
+  }
+  const auto& view = m_elector.View();
+  if (view.m_address.empty()) {
+    aDone({ 503, { { "retry-after", "1" } }, platform::EncodeError("the fleet has no owner now") });
+    return;
+  }
+  ClientRequest call;
+  call.m_url = "http://" + view.m_address + aPath;
+  call.m_timeoutMs = kAskOwnerTimeoutMs;
+  call.m_connectTimeoutMs = kAskOwnerConnectMs;
+  m_client->Send(std::move(call), [done = std::move(aDone)](ClientResponse aResponse) {
+    if (aResponse.m_failure) {
+      done({ 503, { { "retry-after", "1" } },
+             platform::EncodeError("the owner of the fleet does not answer") });
+      return;
+    }
+    done({ aResponse.m_status,
+           { { "content-type", "application/json" } },
+           std::move(aResponse.m_body) });
+  });
+}
+
+HttpResponse Manager::AnswerEntry(const HttpRequest& aRequest) const
+{
+  constexpr std::string_view kJobs = "/jobs/";
+  constexpr std::string_view kQueues = "/queues/";
+  const HttpHeaders json{ { "content-type", "application/json" } };
+  const std::string_view path = aRequest.m_path;
+  if (m_owner && path.starts_with(kJobs)) {
+    const auto found = m_owner->Find(JobId{ path.substr(kJobs.size()) });
+    if (found.m_state) {
+      return { 200, json, platform::EncodeJobState(*found.m_state) };
+    }
+    if (found.m_current) {
+      return { 410, json, platform::EncodeError("no such job") };
+    }
+  } else if (m_owner && path.starts_with(kQueues)) {
+    const auto pending = m_owner->Pending(path.substr(kQueues.size()));
+    if (pending) {
+      return { 200, json, platform::EncodePendingCount(*pending) };
+    }
+  }
+  return { 503, json, platform::EncodeError("this instance cannot tell now") };
+}
+
+bool Manager::IsReady() const
+{
+  const auto seen = m_elector.View().m_lastRecordMs;
+  return !m_stopping && m_configuration.m_revision != 0 && seen && MonotonicMs() - *seen < kReadyMs;
+}
+
+void Manager::WaitForSignal()
+{
+  m_signals.async_wait([this](const std::error_code& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      Reload();
+    } else if (!m_stopping) {
+      Stop(aSignal == SIGTERM ? "SIGTERM" : "SIGINT");
+    }
+    WaitForSignal();
+  });
+}
+
+void Manager::Reload()
+{
+  const auto settings = LoadSettings(m_settingsPath);
+  LogEvent("main", "reload", "accepted={} changed={}", settings.has_value(),
+           settings && *settings != m_settings);
+  if (settings) {
+    m_settings.m_bounds = settings->m_bounds;
+    m_settings.m_advice = settings->m_advice;
+    m_settings.m_logLevel = settings->m_logLevel;
+    spdlog::set_level(spdlog::level::from_str(m_settings.m_logLevel));
+  }
+}
+
+void Manager::Stop(std::string_view aReason)
+{
+  LogEvent("main", "stopping", "process={} reason={} in_flight={}", m_process, aReason,
+           m_front.InFlight());
+  m_stopping = true;
+  m_stopSinceMs = MonotonicMs();
+  m_elector.Retire();
+  ExitWhenIdle();
+}
+
+void Manager::ExitWhenIdle()
+{
+  const Millis since = MonotonicMs() - m_stopSinceMs;
+  const bool idle = m_front.InFlight() == 0 && since >= kLeaveRotationMs;
+  if (idle || since >= m_settings.m_bounds.m_graceMs - kStopMarginMs) {
+    LogEvent("main", "stopped", "process={} after_ms={} in_flight={}", m_process, since,
+             m_front.InFlight());
+    spdlog::default_logger()->flush();
+    m_loop.stop();
+    return;
+  }
+  m_stopTimer.expires_after(std::chrono::milliseconds{ kStopCheckMs });
+  m_stopTimer.async_wait([this](const std::error_code& aError) {
+    if (!aError) {
+      ExitWhenIdle();
+    }
+  });
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/Manager.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "CallerFront.h"
+#include "Elector.h"
+#include "EntrySettings.h"
+#include "FleetOwner.h"
+#include "Metrics.h"
+#include "TopicTail.h"
+
+#include "pistachiostand/connection/HttpClient.h"
+#include "pistachiostand/connection/HttpServer.h"
+#include "pistachiostand/connection/Ticker.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief One entry instance on the prepared platform: the parts that live as long as the process.
+
+namespace pistachiostand::fleet {
+
+class Manager
+{
+public:
+  /// \brief Listens and begins to read the store; null when an address cannot be bound.
+  [[nodiscard]] static std::unique_ptr<Manager> Create(asio::io_context& aLoop,
+                                                       EntrySettings aSettings,
+                                                       std::string aSettingsPath, Reason& aReason);
+
+  Manager(const Manager&) = delete;
+  Manager& operator=(const Manager&) = delete;
+  ~Manager();
+
+private:
+  Manager(asio::io_context& aLoop, EntrySettings aSettings, std::string aSettingsPath);
+
+  bool Listen(Reason& aReason);
+  void OnConfigurationRecord(const std::string& aKey, const std::optional<std::string>& aValue);
+  void BeginOwnership(FencingToken aToken, Millis aClaimedMs);
+  void EndOwnership();
+  void AskOwner(const std::string& aPath, HttpResponder aDone);
+  [[nodiscard]] HttpResponse AnswerEntry(const HttpRequest& aRequest) const;
+  [[nodiscard]] bool IsReady() const;
+  void WaitForSignal();
+  void Reload();
+  void Stop(std::string_view aReason);
+  void ExitWhenIdle();
+
+  asio::io_context& m_loop;
+  EntrySettings m_settings;
+  std::string m_settingsPath;
+  std::string m_process; ///< Id with the incarnation.
+  Metrics m_metrics;
+  std::unique_ptr<HttpClient> m_client;
+  platform::Store m_store;
+  Configuration m_configuration; ///< Revision 0: none has been read.
+  TopicTail m_operatorTail;
+  Elector m_elector;
+  std::unique_ptr<FleetOwner> m_owner;
+  CallerFront m_front;
+  std::unique_ptr<HttpServer> m_callerServer;
+  std::unique_ptr<HttpServer> m_readyServer;
+  std::unique_ptr<HttpServer> m_entryServer;
+  std::unique_ptr<HttpServer> m_metricsServer;
+  asio::signal_set m_signals;
+  asio::steady_timer m_stopTimer;
+  Ticker m_flushTicker;
+  bool m_stopping{};
+  Millis m_stopSinceMs{};
+};
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/Metrics.cpp
@@ -0,0 +1,55 @@
+#include "Metrics.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace pistachiostand::fleet {
+
+void Count(Metrics& aMetrics, std::string_view aName, std::uint64_t aCount)
+{
+  const auto found = aMetrics.m_counters.find(aName);
+  if (found == aMetrics.m_counters.end()) {
+    aMetrics.m_counters.emplace(aName, aCount);
+  } else {
+    found->second += aCount;
+  }
+}
+
+void Observe(Metrics& aMetrics, const std::string& aName, const std::string& aQueue,
+             Millis aValueMs)
+{
+  auto key = std::pair{ aName, aQueue };
+  if (aMetrics.m_histograms.size() >= kMaxMeasuredQueues && !aMetrics.m_histograms.contains(key)) {
+    key.second = "(other)";
+  }
+  Histogram& histogram = aMetrics.m_histograms[key];
+  histogram.m_values(static_cast<double>(aValueMs));
+  const auto bucket = std::ranges::lower_bound(kBucketBoundsMs, aValueMs) - kBucketBoundsMs.begin();
+  ++histogram.m_buckets.at(static_cast<std::size_t>(bucket));
+}
+
+std::string FormatMetrics(const Metrics& aMetrics)
+{
+  std::string text;
+  auto out = std::back_inserter(text);
+  for (const auto& [name, value] : aMetrics.m_counters) {
+    fmt::format_to(out, "pistachiostand_{} {}\n", name, value);
+  }
+  for (const auto& [key, histogram] : aMetrics.m_histograms) {
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < kBucketBoundsMs.size(); ++i) {
+      total += histogram.m_buckets.at(i);
+      fmt::format_to(out, "pistachiostand_{}_bucket{{queue=\"{}\",le=\"{}\"}} {}\n", key.first,
+                     key.second, kBucketBoundsMs.at(i), total);
+    }
+    total += histogram.m_buckets.back();
+    fmt::format_to(out, "pistachiostand_{}_bucket{{queue=\"{}\",le=\"+Inf\"}} {}\n", key.first,
+                   key.second, total);
+    fmt::format_to(out, "pistachiostand_{}_count{{queue=\"{}\"}} {}\n", key.first, key.second,
+                   total);
+  }
+  return text;
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/Metrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "pistachiostand/base/Types.h"
+#include "pistachiostand/process/Histograms.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Counters and latency histograms of an entry instance.
+
+namespace pistachiostand::fleet {
+
+/// \brief Counters by name, and one histogram for each measured time and queue.
+struct Metrics
+{
+  std::map<std::string, std::uint64_t, std::less<>> m_counters;
+  std::map<std::pair<std::string, std::string>, Histogram> m_histograms; ///< By name and queue.
+};
+
+/// \brief Queues with histograms of their own; more are counted together.
+inline constexpr std::size_t kMaxMeasuredQueues = 64;
+
+void Count(Metrics& aMetrics, std::string_view aName, std::uint64_t aCount = 1);
+
+void Observe(Metrics& aMetrics, const std::string& aName, const std::string& aQueue,
+             Millis aValueMs);
+
+/// \brief The page in the text format of Prometheus.
+[[nodiscard]] std::string FormatMetrics(const Metrics& aMetrics);
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/RunControl.cpp
@@ -0,0 +1,500 @@
+#include "RunControl.h"
+
+#include "EventLog.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/job/Reconcile.h"
+#include "pistachiostand/job/Scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// Bridges the takeover by another owner (2.4 s of silence and its first looks) so that work goes
+/// on; a lost server's work waits this long before it starts elsewhere.
+constexpr Millis kLeaseMs = 4'000;
+/// Lease of a start; a look extends it. Short, so that a start without an answer ends early.
+constexpr Millis kStartLeaseMs = 1'500;
+constexpr Millis kStartTimeoutMs = 700;
+constexpr Millis kStopTimeoutMs = 600;
+constexpr Millis kPaceTimeoutMs = 600;
+/// Longest wait of a look for an end: leaves several renewals within a lease.
+constexpr Millis kLookWaitMs = 1'000;
+/// Shorter beside serving subtasks, whose tails have to be watched.
+constexpr Millis kMixedLookWaitMs = 400;
+/// Time for the answer beyond the wait.
+constexpr Millis kLookAnswerMs = 700;
+constexpr Millis kLookRetryMs = 250;
+/// A look without acknowledgement while the store delays the record of the ends.
+constexpr Millis kUnstoredLookMs = 500;
+constexpr Millis kStopRepeatMs = 500;
+/// Calls without answer after which a server gets no new work.
+constexpr unsigned kSilentCalls = 2;
+/// Failed runs in a row after which a server is used only when nothing else is left.
+constexpr unsigned kFailedRuns = 3;
+constexpr Millis kAvoidMs = 3'000;
+constexpr Millis kAvoidFullMs = 200;
+
+} // namespace
+
+RunControl::RunControl(OwnerState& aState, Committer& aCommitter, std::function<void()> aOnChange)
+  : m_state(aState)
+  , m_committer(aCommitter)
+  , m_onChange(std::move(aOnChange))
+{
+}
+
+bool RunControl::HasRuns(const ServerId& aId) const
+{
+  return m_state.m_book.m_byServer.contains(aId);
+}
+
+bool RunControl::HasMixedRuns(const ServerId& aId) const
+{
+  const auto found = m_state.m_book.m_byServer.find(aId);
+  return found != m_state.m_book.m_byServer.end() &&
+         std::ranges::any_of(found->second, [this](const SubtaskId& aSubtask) {
+           return FindStep(m_state.m_book, aSubtask)->m_tailTargetMs > 0;
+         });
+}
+
+Millis RunControl::LeaseMs(Millis aNowMs) const
+{
+  const Millis most = m_state.m_settings.m_bounds.m_maxLeaseMs;
+  const Millis wanted = std::min(kLeaseMs, most);
+  if (m_state.m_mayAct()) {
+    return wanted;
+  }
+  // An unconfirmed owner renews only up to the time that its successor waits for.
+  return std::min(wanted, m_state.m_confirmedMs() + most - aNowMs);
+}
+
+std::uint32_t RunControl::MaxFailures(const SubtaskId& aId) const
+{
+  const auto job = m_state.m_book.m_jobs.find(aId.m_job);
+  const QueueRule* rule = job == m_state.m_book.m_jobs.end()
+                            ? nullptr
+                            : FindQueueByName(m_state.m_configuration, job->second.m_spec.m_queue);
+  return rule != nullptr ? rule->m_maxFailures : 1;
+}
+
+bool RunControl::IsUsable(const ServerState& aServer, Millis aNowMs) const
+{
+  return aServer.m_listed && aServer.m_looked && !aServer.m_entry.m_draining &&
+         aServer.m_silent < kSilentCalls && aNowMs >= aServer.m_avoidUntilMs;
+}
+
+void RunControl::NoteClock(ServerState& aServer, Millis aServerMs)
+{
+  aServer.m_clock = ClockSample{ aServerMs, MonotonicMs() };
+}
+
+void RunControl::OnServerEntry(const ServerId& aId, const std::optional<ServerEntry>& aEntry)
+{
+  const Millis now = MonotonicMs();
+  if (!aEntry) {
+    const auto found = m_state.m_servers.find(aId);
+    if (found != m_state.m_servers.end() && std::exchange(found->second.m_listed, false)) {
+      LogEvent("fleet", "server-gone", "server={} runs={}", aId, HasRuns(aId));
+      m_onChange();
+    }
+    return;
+  }
+  ServerState& server = m_state.m_servers[aId];
+  const bool moved = server.m_listed && server.m_entry.m_address != aEntry->m_address;
+  const bool reborn = server.m_incarnation != 0 && aEntry->m_incarnation != 0 &&
+                      server.m_incarnation < aEntry->m_incarnation;
+  if (!server.m_listed || moved || reborn || server.m_entry.m_draining != aEntry->m_draining) {
+    LogEvent("fleet", "server", "server={} pool={} draining={} born={} known_born={}", aId,
+             aEntry->m_pool, aEntry->m_draining, aEntry->m_incarnation, server.m_incarnation);
+  }
+  if (!server.m_listed || moved || reborn) {
+    server.m_looked = false;
+    server.m_silent = 0;
+    server.m_nextLookMs = now;
+  }
+  if (reborn) {
+    server.m_clock.reset();
+  }
+  server.m_entry = *aEntry;
+  server.m_listed = true;
+  if (!server.m_clock) {
+    NoteClock(server, aEntry->m_clockMs);
+  }
+  m_onChange();
+}
+
+void RunControl::OnStored(const CommitBatch& aBatch)
+{
+  for (const auto& mark : aBatch.m_ends) {
+    const auto server = m_state.m_servers.find(mark.m_server);
+    if (server != m_state.m_servers.end() && server->second.m_incarnation == mark.m_incarnation) {
+      server->second.m_storedEnds = std::max(server->second.m_storedEnds, mark.m_number);
+      server->second.m_nextLookMs = 0;
+      if (server->second.m_lookCall == 0) {
+        Look(server->second, kLookWaitMs);
+      }
+    }
+  }
+  for (const auto& run : aBatch.m_planned) {
+    Start(run);
+  }
+}
+
+void RunControl::Start(const RunRef& aRun)
+{
+  Run* run = FindRun(m_state.m_book, aRun);
+  if (run == nullptr || run->m_phase != RunPhase::Planned) {
+    return; // Cancelled meanwhile.
+  }
+  const Millis now = MonotonicMs();
+  ServerState& server = m_state.m_servers[aRun.m_server];
+  const auto clock = ServerClockMs(server, now);
+  if (!m_state.m_mayAct() || !clock || !server.m_listed) {
+    DropRun(m_state.m_book, aRun, now);
+    return;
+  }
+  platform::StartOrder order;
+  order.m_run = aRun;
+  order.m_payload = m_state.m_book.m_jobs.at(aRun.m_subtask.m_job).m_spec.m_payload;
+  order.m_checkpoint = FindSubtask(m_state.m_book, aRun.m_subtask)->m_checkpoint;
+  const Millis lease = std::min(kStartLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
+  order.m_leaseEndMs = *clock + lease;
+  order.m_token = m_state.m_token;
+  if (const auto ticket = m_tickets.find(aRun.m_subtask); ticket != m_tickets.end()) {
+    order.m_ticket = ticket->second;
+    m_tickets.erase(ticket);
+  }
+  server.m_leaseEndMs = std::max(server.m_leaseEndMs, LatestLeaseEndMs(now, lease));
+  run->m_phase = RunPhase::Sent;
+  run->m_sinceMs = now;
+  Count(m_state.m_metrics, "starts_total");
+  LogEvent("run", "start", "task={} run={} server={} token={} lease_ms={} resumed={}",
+           ToString(aRun.m_subtask), aRun.m_run, aRun.m_server, m_state.m_token, lease,
+           !order.m_checkpoint.empty());
+  m_state.m_orders.Start(server.m_entry, order, kStartTimeoutMs,
+                         m_state.Guard([this, aRun, now](const platform::OrderResult& aResult) {
+                           OnStarted(aRun, now, aResult);
+                         }));
+}
+
+void RunControl::OnStarted(const RunRef& aRun, Millis aSentMs,
+                           const platform::OrderResult& aResult)
+{
+  using platform::CallOutcome;
+  using platform::OrderRefusal;
+  const Millis now = MonotonicMs();
+  ServerState& server = m_state.m_servers[aRun.m_server];
+  if (aResult.m_answer.m_clockMs) {
+    NoteClock(server, *aResult.m_answer.m_clockMs);
+    server.m_contactMs = now;
+    server.m_silent = 0;
+  }
+  Run* run = FindRun(m_state.m_book, aRun);
+  if (aResult.m_outcome != CallOutcome::Done) {
+    LogEvent("run", "start-failed", "task={} run={} server={} outcome={} refusal={} after_ms={}",
+             ToString(aRun.m_subtask), aRun.m_run, aRun.m_server,
+             static_cast<int>(aResult.m_outcome), static_cast<int>(aResult.m_answer.m_refusal),
+             now - aSentMs);
+    Count(m_state.m_metrics, "starts_failed_total");
+  }
+  switch (aResult.m_outcome) {
+    case CallOutcome::Done:
+      if (run != nullptr && run->m_phase == RunPhase::Sent) {
+        run->m_phase = RunPhase::Running;
+        run->m_sinceMs = now;
+      }
+      if (server.m_lookCall == 0 && server.m_appliedEnds == server.m_storedEnds) {
+        Look(server, kLookWaitMs);
+      }
+      return;
+    case CallOutcome::Unknown:
+      if (run != nullptr && run->m_phase == RunPhase::Sent) {
+        run->m_unansweredMs = now;
+      }
+      OnSilent(server);
+      LookNow(server);
+      return;
+    case CallOutcome::OtherServer:
+      DropRun(m_state.m_book, aRun, now);
+      OnOtherServer(server);
+      break;
+    case CallOutcome::NotSent:
+      DropRun(m_state.m_book, aRun, now);
+      OnSilent(server);
+      break;
+    case CallOutcome::Unhealthy:
+      DropRun(m_state.m_book, aRun, now);
+      server.m_avoidUntilMs = now + kAvoidMs;
+      break;
+    case CallOutcome::Refused:
+      if (aResult.m_answer.m_refusal == OrderRefusal::Fenced) {
+        m_state.m_stepDown("a backend server has seen a higher token");
+        return;
+      }
+      DropRun(m_state.m_book, aRun, now);
+      if (aResult.m_answer.m_refusal != OrderRefusal::OldRun &&
+          aResult.m_answer.m_refusal != OrderRefusal::NoTicket) {
+        server.m_avoidUntilMs = now + kAvoidFullMs;
+        LookNow(server);
+      }
+      break;
+  }
+  m_onChange();
+}
+
+void RunControl::Stop(const RunRef& aRun, std::string_view aReason)
+{
+  const auto server = m_state.m_servers.find(aRun.m_server);
+  if (server == m_state.m_servers.end() || !m_state.m_mayAct()) {
+    return;
+  }
+  const Millis now = MonotonicMs();
+  Run* run = FindRun(m_state.m_book, aRun);
+  if (run != nullptr && run->m_phase == RunPhase::Planned) {
+    DropRun(m_state.m_book, aRun, now);
+    return;
+  }
+  if (run != nullptr) {
+    run->m_phase = RunPhase::Stopping;
+    run->m_stopSentMs = now;
+  }
+  Count(m_state.m_metrics, "stops_total");
+  LogEvent("run", "stop", "task={} run={} server={} reason={}", ToString(aRun.m_subtask),
+           aRun.m_run, aRun.m_server, aReason);
+  m_state.m_orders.Stop(server->second.m_entry, aRun, m_state.m_token, kStopTimeoutMs,
+                        m_state.Guard([this, aRun](const platform::OrderResult& aResult) {
+                          OnStopped(aRun, aResult);
+                        }));
+}
+
+void RunControl::OnStopped(const RunRef& aRun, const platform::OrderResult& aResult)
+{
+  const Millis now = MonotonicMs();
+  ServerState& server = m_state.m_servers[aRun.m_server];
+  Run* run = FindRun(m_state.m_book, aRun);
+  if (aResult.m_outcome == platform::CallOutcome::Done) {
+    NoteClock(server, aResult.m_answer.m_clockMs.value_or(0));
+    if (run != nullptr) {
+      run->m_stopAcceptedMs = now;
+    }
+    return;
+  }
+  if (aResult.m_answer.m_refusal == platform::OrderRefusal::Fenced) {
+    m_state.m_stepDown("a backend server has seen a higher token");
+  } else if (aResult.m_outcome == platform::CallOutcome::OtherServer) {
+    OnOtherServer(server);
+  } else {
+    OnSilent(server);
+  }
+}
+
+void RunControl::StopNeedless()
+{
+  for (const auto& run : RunsToStop(m_state.m_book)) {
+    Stop(run, "job ended");
+  }
+}
+
+void RunControl::LookNow(ServerState& aServer)
+{
+  if (aServer.m_lookCall != 0) {
+    m_state.m_client.Cancel(std::exchange(aServer.m_lookCall, 0));
+  }
+  Look(aServer, 0);
+}
+
+void RunControl::Look(ServerState& aServer, Millis aWaitMs)
+{
+  const Millis now = MonotonicMs();
+  if (aServer.m_entry.m_address.m_port == 0) {
+    return; // Not registered: its runs end with their leases.
+  }
+  const Millis lease = LeaseMs(now);
+  const auto clock = ServerClockMs(aServer, now);
+  if (lease <= 0) {
+    aServer.m_nextLookMs = now + kLookRetryMs;
+    return;
+  }
+  platform::LookOrder order;
+  order.m_token = m_state.m_token;
+  order.m_acknowledged = aServer.m_looked ? aServer.m_storedEnds : 0;
+  order.m_waitMs = HasMixedRuns(aServer.m_entry.m_id) ? std::min(aWaitMs, kMixedLookWaitMs) : aWaitMs;
+  if (clock) {
+    order.m_leaseEndMs = *clock + lease;
+    aServer.m_leaseEndMs = std::max(aServer.m_leaseEndMs, LatestLeaseEndMs(now, lease));
+  }
+  aServer.m_lookSentMs = now;
+  Count(m_state.m_metrics, "looks_total");
+  const ServerId id = aServer.m_entry.m_id;
+  aServer.m_lookCall = m_state.m_orders.Look(
+    aServer.m_entry, order, order.m_waitMs + kLookAnswerMs,
+    m_state.Guard([this, id, now](const platform::LookResult& aResult) {
+      OnLooked(id, now, aResult);
+    }));
+}
+
+void RunControl::OnLooked(const ServerId& aId, Millis aSentMs,
+                          const platform::LookResult& aResult)
+{
+  const Millis now = MonotonicMs();
+  ServerState& server = m_state.m_servers[aId];
+  server.m_lookCall = 0;
+  switch (aResult.m_outcome) {
+    case platform::CallOutcome::Done:
+      server.m_nextLookMs = now;
+      ApplyReport(server, aResult.m_report, aSentMs);
+      break;
+    case platform::CallOutcome::Refused:
+      if (aResult.m_refusal == platform::OrderRefusal::Fenced) {
+        m_state.m_stepDown("a backend server has seen a higher token");
+        return;
+      }
+      LogEvent("run", "look-refused", "server={} refusal={}", aId,
+               static_cast<int>(aResult.m_refusal));
+      server.m_nextLookMs = now + kLookRetryMs;
+      break;
+    case platform::CallOutcome::OtherServer:
+      OnOtherServer(server);
+      break;
+    default:
+      OnSilent(server);
+      server.m_nextLookMs = now + kLookRetryMs * std::min(server.m_silent, 4U);
+      break;
+  }
+  m_onChange();
+}
+
+void RunControl::ApplyReport(ServerState& aServer, const ServerReport& aReport, Millis aSentMs)
+{
+  const Millis now = MonotonicMs();
+  const ServerId& id = aServer.m_entry.m_id;
+  if (aServer.m_incarnation != aReport.m_incarnation) {
+    if (aServer.m_incarnation != 0) {
+      LogEvent("fleet", "server-reborn", "server={} born={} before={}", id, aReport.m_incarnation,
+               aServer.m_incarnation);
+      DropFormerLife(m_state.m_book, id, now);
+    }
+    aServer.m_incarnation = aReport.m_incarnation;
+    aServer.m_appliedEnds = 0;
+    aServer.m_storedEnds = 0;
+  }
+  NoteClock(aServer, aReport.m_clockMs);
+  aServer.m_contactMs = now;
+  aServer.m_silent = 0;
+  aServer.m_looked = true;
+  ApplyEnds(aServer, aReport);
+  for (const auto& run : Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now)) {
+    Stop(run, "not expected there");
+  }
+  Pace(aServer);
+}
+
+void RunControl::ApplyEnds(ServerState& aServer, const ServerReport& aReport)
+{
+  const Millis now = MonotonicMs();
+  bool news = false;
+  for (const auto& [number, end] : aReport.m_ended) {
+    if (number <= aServer.m_appliedEnds) {
+      continue;
+    }
+    aServer.m_appliedEnds = number;
+    news = true;
+    const bool applied = ApplyEnd(m_state.m_book, end, MaxFailures(end.m_subtask), now);
+    if (end.m_kind == EndKind::Done) {
+      aServer.m_failedRuns = 0;
+    } else if (end.m_kind == EndKind::Failed) {
+      ++aServer.m_failedRuns;
+    }
+    Count(m_state.m_metrics, "ends_total");
+    LogEvent("run", "end", "task={} run={} server={} kind={} number={} news={}",
+             ToString(end.m_subtask), end.m_run, aServer.m_entry.m_id,
+             static_cast<int>(end.m_kind), number, applied);
+  }
+  if (news) {
+    m_committer.AddEnds({ aServer.m_entry.m_id, aServer.m_incarnation, aServer.m_appliedEnds });
+    aServer.m_nextLookMs = now + kUnstoredLookMs;
+  }
+}
+
+void RunControl::Pace(const ServerState& aServer)
+{
+  for (const auto& change : PlanPace(m_state.m_book, aServer.m_entry.m_id)) {
+    FindRun(m_state.m_book, change.m_run)->m_pace = change.m_percent;
+    LogEvent("run", "pace", "task={} server={} percent={}", ToString(change.m_run.m_subtask),
+             aServer.m_entry.m_id, change.m_percent);
+    m_state.m_orders.Pace(aServer.m_entry, change.m_run, change.m_percent, m_state.m_token,
+                          kPaceTimeoutMs, [](const platform::OrderResult&) {});
+  }
+}
+
+void RunControl::OnSilent(ServerState& aServer)
+{
+  if (++aServer.m_silent == kSilentCalls) {
+    LogEvent("fleet", "server-silent", "server={} last_contact_ms={}", aServer.m_entry.m_id,
+             MonotonicMs() - aServer.m_contactMs);
+  }
+}
+
+void RunControl::OnOtherServer(ServerState& aServer)
+{
+  // Another process listens at the address, so the life that was addressed has ended.
+  LogEvent("fleet", "server-replaced", "server={} address={}", aServer.m_entry.m_id,
+           ToString(aServer.m_entry.m_address));
+  DropServer(m_state.m_book, aServer.m_entry.m_id, MonotonicMs());
+  aServer.m_listed = false;
+  aServer.m_looked = false;
+  m_committer.Wake();
+}
+
+void RunControl::ExpireLease(ServerState& aServer, Millis aNowMs)
+{
+  LogEvent("fleet", "lease-expired", "server={} silent_ms={}", aServer.m_entry.m_id,
+           aNowMs - aServer.m_contactMs);
+  Count(m_state.m_metrics, "leases_expired_total");
+  DropServer(m_state.m_book, aServer.m_entry.m_id, aNowMs);
+  aServer.m_looked = false;
+  m_committer.Wake();
+  m_onChange();
+}
+
+void RunControl::Tick(Millis aNowMs)
+{
+  for (auto& [id, server] : m_state.m_servers) {
+    const bool runs = HasRuns(id);
+    if (runs && aNowMs > server.m_leaseEndMs) {
+      ExpireLease(server, aNowMs);
+      continue;
+    }
+    const bool unlooked = server.m_listed && !server.m_looked;
+    if ((runs || unlooked) && server.m_lookCall == 0 && aNowMs >= server.m_nextLookMs) {
+      const bool stored = server.m_appliedEnds == server.m_storedEnds;
+      Look(server, stored && server.m_looked && server.m_silent == 0 ? kLookWaitMs : 0);
+      if (!stored) {
+        server.m_nextLookMs = aNowMs + kUnstoredLookMs;
+      }
+    }
+  }
+  if (!m_state.m_mayAct()) {
+    return;
+  }
+  std::vector<RunRef> repeats;
+  for (const auto& [id, subtasks] : m_state.m_book.m_byServer) {
+    for (const auto& subtask : subtasks) {
+      for (const auto& run : FindSubtask(m_state.m_book, subtask)->m_runs) {
+        if (run.m_server == id && run.m_phase == RunPhase::Stopping &&
+            run.m_stopAcceptedMs == 0 && aNowMs - run.m_stopSentMs > kStopRepeatMs) {
+          repeats.push_back({ subtask, run.m_number, id });
+        }
+      }
+    }
+  }
+  for (const auto& run : repeats) {
+    Stop(run, "no answer to the last stop");
+  }
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/RunControl.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Committer.h"
+#include "OwnerState.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+/// \file
+/// \brief Talks to the backend servers: starts, stops, renews leases and collects ends.
+
+namespace pistachiostand::fleet {
+
+class RunControl
+{
+public:
+  /// \param aOnChange called after something has changed that may let a subtask start.
+  RunControl(OwnerState& aState, Committer& aCommitter, std::function<void()> aOnChange);
+
+  RunControl(const RunControl&) = delete;
+  RunControl& operator=(const RunControl&) = delete;
+  ~RunControl() = default;
+
+  /// \brief A registration has changed, or was removed when there is no entry.
+  void OnServerEntry(const ServerId& aId, const std::optional<ServerEntry>& aEntry);
+
+  /// \brief Sends the runs whose records are stored and lets ends be acknowledged.
+  void OnStored(const CommitBatch& aBatch);
+
+  /// \brief Sends what is due: looks, repeated stops, the end of expired leases.
+  void Tick(Millis aNowMs);
+
+  /// \brief Orders the end of a run.
+  void Stop(const RunRef& aRun, std::string_view aReason);
+
+  /// \brief Orders the end of all runs that have no reason any more.
+  void StopNeedless();
+
+  /// \brief True when the server may receive new work.
+  [[nodiscard]] bool IsUsable(const ServerState& aServer, Millis aNowMs) const;
+
+  std::map<SubtaskId, Ticket> m_tickets; ///< Tickets of planned runs of queues with advice.
+
+private:
+  void Start(const RunRef& aRun);
+  void OnStarted(const RunRef& aRun, Millis aSentMs, const platform::OrderResult& aResult);
+  void OnStopped(const RunRef& aRun, const platform::OrderResult& aResult);
+  void Look(ServerState& aServer, Millis aWaitMs);
+  void LookNow(ServerState& aServer);
+  void OnLooked(const ServerId& aId, Millis aSentMs, const platform::LookResult& aResult);
+  void ApplyReport(ServerState& aServer, const ServerReport& aReport, Millis aSentMs);
+  void ApplyEnds(ServerState& aServer, const ServerReport& aReport);
+  void Pace(const ServerState& aServer);
+  void OnSilent(ServerState& aServer);
+  void OnOtherServer(ServerState& aServer);
+  void ExpireLease(ServerState& aServer, Millis aNowMs);
+  void NoteClock(ServerState& aServer, Millis aServerMs);
+  [[nodiscard]] bool HasRuns(const ServerId& aId) const;
+  [[nodiscard]] bool HasMixedRuns(const ServerId& aId) const;
+  [[nodiscard]] Millis LeaseMs(Millis aNowMs) const;
+  [[nodiscard]] std::uint32_t MaxFailures(const SubtaskId& aId) const;
+
+  OwnerState& m_state;
+  Committer& m_committer;
+  std::function<void()> m_onChange;
+};
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/TopicTail.cpp
@@ -0,0 +1,182 @@
+#include "TopicTail.h"
+
+#include "EventLog.h"
+
+#include "pistachiostand/base/Clock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// First pause after a failed call; it doubles with each further failure.
+constexpr Millis kFirstBackOffMs = 80;
+/// Keeps the time to notice a store that is back well below the shortest bound of 2 s.
+constexpr Millis kMaxBackOffMs = 500;
+constexpr unsigned kMaxDoublings = 3;
+
+} // namespace
+
+TopicTail::TopicTail(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
+                     TopicTailOptions aOptions, TopicHandlers aHandlers)
+  : m_client(aClient)
+  , m_store(aStore)
+  , m_options(std::move(aOptions))
+  , m_handlers(std::move(aHandlers))
+  , m_timer(aLoop)
+{
+}
+
+TopicTail::~TopicTail() = default;
+
+void TopicTail::Start()
+{
+  Restart();
+}
+
+void TopicTail::Restart()
+{
+  m_listed.clear();
+  m_listEnd.reset();
+  List({});
+}
+
+Millis TopicTail::BackOffMs()
+{
+  static std::minstd_rand random{ std::random_device{}() };
+  if (!std::exchange(m_lost, true)) {
+    LogEvent("store", "lost", "topic={}", m_options.m_topic);
+  }
+  const Millis most =
+    std::min(kFirstBackOffMs << std::min(m_failures++, kMaxDoublings), kMaxBackOffMs);
+  return std::uniform_int_distribution<Millis>{ most / 2, most }(random);
+}
+
+void TopicTail::After(Millis aDelayMs, void (TopicTail::*aNext)())
+{
+  m_timer.expires_after(std::chrono::milliseconds{ aDelayMs });
+  m_timer.async_wait([this, aNext](const std::error_code& aError) {
+    if (!aError) {
+      (this->*aNext)();
+    }
+  });
+}
+
+void TopicTail::List(const std::string& aAfter)
+{
+  m_sentMs = MonotonicMs();
+  m_store.ListNewest(m_options.m_topic, aAfter,
+                     [this, alive = std::weak_ptr<int>(m_alive)](auto aPage) {
+                       if (alive.lock()) {
+                         OnPage(std::move(aPage));
+                       }
+                     });
+}
+
+void TopicTail::OnPage(std::optional<platform::KeyedPage> aPage)
+{
+  if (!aPage) {
+    After(BackOffMs(), &TopicTail::Restart);
+    return;
+  }
+  m_failures = 0;
+  if (!m_listEnd) {
+    m_listEnd = aPage->m_end;
+  }
+  for (const auto& item : aPage->m_items) {
+    m_listed.insert_or_assign(item.m_key, item.m_offset);
+    const auto known = m_offsets.find(item.m_key);
+    if (known == m_offsets.end() || known->second < item.m_offset) {
+      Apply(item.m_key, item.m_value, item.m_offset);
+    }
+  }
+  if (aPage->m_more && !aPage->m_items.empty()) {
+    List(aPage->m_items.back().m_key);
+    return;
+  }
+  FinishList();
+}
+
+void TopicTail::FinishList()
+{
+  // Keys that are no longer listed were removed while their records were not read.
+  std::vector<std::string> gone;
+  for (const auto& [key, offset] : m_offsets) {
+    if (!m_listed.contains(key)) {
+      gone.push_back(key);
+    }
+  }
+  for (const auto& key : gone) {
+    Apply(key, std::nullopt, *m_listEnd);
+  }
+  // Changes made while the pages were read are read again as records.
+  m_next = *m_listEnd;
+  m_currentMs = m_sentMs;
+  if (std::exchange(m_lost, false)) {
+    LogEvent("store", "regained", "topic={} offset={}", m_options.m_topic, m_next);
+  }
+  m_handlers.m_onCurrent(m_sentMs);
+  Read();
+}
+
+void TopicTail::Apply(const std::string& aKey, const std::optional<std::string>& aValue,
+                      Offset aOffset)
+{
+  if (aValue) {
+    m_offsets.insert_or_assign(aKey, aOffset);
+  } else {
+    m_offsets.erase(aKey);
+  }
+  m_handlers.m_onRecord(aKey, aValue, aOffset);
+}
+
+void TopicTail::Read()
+{
+  m_sentMs = MonotonicMs();
+  m_store.Read(m_options.m_topic, m_next, m_options.m_waitMs,
+               [this, alive = std::weak_ptr<int>(m_alive)](platform::ReadResult aResult) {
+                 if (alive.lock()) {
+                   OnRead(std::move(aResult));
+                 }
+               });
+}
+
+void TopicTail::OnRead(platform::ReadResult aResult)
+{
+  if (aResult.m_outcome == platform::ReadOutcome::Expired) {
+    LogEvent("store", "history-expired", "topic={} offset={}", m_options.m_topic, m_next);
+    Restart();
+    return;
+  }
+  if (aResult.m_outcome == platform::ReadOutcome::Failed) {
+    After(BackOffMs(), &TopicTail::Read);
+    return;
+  }
+  m_failures = 0;
+  if (std::exchange(m_lost, false)) {
+    LogEvent("store", "regained", "topic={} offset={}", m_options.m_topic, m_next);
+  }
+  for (const auto& record : aResult.m_batch.m_records) {
+    const auto keyed = platform::DecodeKeyed(record);
+    const Offset offset = m_next++;
+    if (keyed) {
+      Apply(keyed->first, keyed->second, offset);
+    }
+  }
+  if (m_next >= aResult.m_batch.m_end) {
+    m_currentMs = m_sentMs;
+    m_handlers.m_onCurrent(m_sentMs);
+  }
+  if (aResult.m_batch.m_records.empty() || m_options.m_pauseMs == 0) {
+    Read();
+  } else {
+    After(m_options.m_pauseMs, &TopicTail::Read);
+  }
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/TopicTail.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "platform/Store.h"
+
+#include "pistachiostand/base/Types.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief Follows a keyed topic: the newest record of each key first, then every change.
+
+namespace pistachiostand::fleet {
+
+struct TopicTailOptions
+{
+  std::string m_topic;
+  Millis m_waitMs{};  ///< Longest wait of one read for a record.
+  Millis m_pauseMs{}; ///< Pause between reads, which lets records gather.
+};
+
+struct TopicHandlers
+{
+  /// \brief A key has a new value, or none when it was removed. Records may be repeated.
+  std::function<void(const std::string& aKey, const std::optional<std::string>& aValue,
+                     Offset aOffset)>
+    m_onRecord;
+  /// \brief All records up to the end, as of `aSentMs`, have been passed on.
+  std::function<void(Millis aSentMs)> m_onCurrent;
+};
+
+class TopicTail
+{
+public:
+  TopicTail(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
+            TopicTailOptions aOptions, TopicHandlers aHandlers);
+  TopicTail(const TopicTail&) = delete;
+  TopicTail& operator=(const TopicTail&) = delete;
+  ~TopicTail();
+
+  void Start();
+
+  /// \brief When the call was sent that last showed the end of the topic; nothing before that.
+  [[nodiscard]] std::optional<Millis> CurrentAsOf() const noexcept { return m_currentMs; }
+
+private:
+  void List(const std::string& aAfter);
+  void OnPage(std::optional<platform::KeyedPage> aPage);
+  void FinishList();
+  void Read();
+  void OnRead(platform::ReadResult aResult);
+  void Apply(const std::string& aKey, const std::optional<std::string>& aValue, Offset aOffset);
+  void After(Millis aDelayMs, void (TopicTail::*aNext)());
+  void Restart();
+  [[nodiscard]] Millis BackOffMs();
+
+  HttpClient& m_client;
+  platform::Store& m_store;
+  TopicTailOptions m_options;
+  TopicHandlers m_handlers;
+  asio::steady_timer m_timer;
+  std::shared_ptr<int> m_alive = std::make_shared<int>();
+  std::map<std::string, Offset> m_offsets; ///< Offset of the record applied for each key.
+  std::map<std::string, Offset> m_listed;  ///< Keys of the list that is being read.
+  std::optional<Offset> m_listEnd;         ///< End of the topic when the list was begun.
+  Offset m_next{};
+  Millis m_sentMs{};
+  std::optional<Millis> m_currentMs;
+  unsigned m_failures{};
+  bool m_lost{};
+};
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/ownership/Leadership.cpp
@@ -0,0 +1,74 @@
+#include "pistachiostand/ownership/Leadership.h"
+
+#include "process/Pack.h"
+
+namespace pistachiostand::fleet {
+
+static constexpr std::uint8_t EnumeratorCount(OwnershipRecordKind /*aKind*/) noexcept
+{
+  return 3;
+}
+
+template<typename V>
+void Fields(OwnershipRecord& aRecord, V aVisit)
+{
+  aVisit(aRecord.m_kind, aRecord.m_process, aRecord.m_address, aRecord.m_token, aRecord.m_sentMs);
+}
+
+std::string EncodeOwnershipRecord(const OwnershipRecord& aRecord)
+{
+  return internal::Pack(aRecord);
+}
+
+std::optional<OwnershipRecord> DecodeOwnershipRecord(std::string_view aBytes)
+{
+  return internal::Unpack<OwnershipRecord>(aBytes);
+}
+
+void ApplyOwnershipRecord(OwnershipView& aView, Offset aOffset, const OwnershipRecord& aRecord,
+                          Millis aNowMs)
+{
+  if (aOffset < aView.m_next) {
+    return;
+  }
+  aView.m_next = aOffset + 1;
+  aView.m_lastRecordMs = aNowMs;
+  switch (aRecord.m_kind) {
+    case OwnershipRecordKind::Claim:
+      aView.m_token = aOffset + 1;
+      aView.m_owner = aRecord.m_process;
+      aView.m_address = aRecord.m_address;
+      break;
+    case OwnershipRecordKind::Renewal:
+      // History before this record may have expired unread.
+      aView.m_token = aRecord.m_token;
+      aView.m_owner = aRecord.m_process;
+      aView.m_address = aRecord.m_address;
+      break;
+    case OwnershipRecordKind::Release:
+      aView.m_token = 0;
+      aView.m_owner.clear();
+      aView.m_address.clear();
+      break;
+  }
+}
+
+void MarkCurrent(OwnershipView& aView, Millis aNowMs)
+{
+  aView.m_current = true;
+  if (!aView.m_lastRecordMs) {
+    aView.m_lastRecordMs = aNowMs;
+  }
+}
+
+bool MayClaim(const OwnershipView& aView, const OwnershipTerms& aTerms, Millis aNowMs,
+              Millis aDelayMs) noexcept
+{
+  if (!aView.m_current || !aView.m_lastRecordMs) {
+    return false;
+  }
+  const Millis silence = aNowMs - *aView.m_lastRecordMs;
+  return silence >= (aView.m_owner.empty() ? 0 : aTerms.m_waitMs) + aDelayMs;
+}
+
+} // namespace pistachiostand::fleet
