Move instances between pools and carry maintenance waves out

The owner lists the instances, gives empty ones to the pools whose jobs wait, sends unused ones to the spare pool, and empties instances for waves with lasting subtasks taken away one at a time.

--- /dev/null
+++ b/include/pistachiostand/fleet/CapacityPlan.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "pistachiostand/fleet/Inventory.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Which instances change their pool, and which go into maintenance.
+///
+/// Pure. Answers queues that ask by turns for more than their pool holds: instances without runs
+/// come from the spare pool and from pools that do not need them, and go back to the spare pool
+/// after a while without use. Maintenance takes the instances with the least work first.
+
+namespace pistachiostand::fleet {
+
+struct InstanceView
+{
+  InstanceId m_id;
+  PoolName m_pool; ///< The pool it is in or moves to.
+  bool m_up{};     ///< Up, and no order for it is pending.
+  bool m_usable{}; ///< Its backend server takes work.
+  bool m_down{};   ///< In maintenance, as far as is known.
+  std::uint32_t m_runs{};
+  std::uint32_t m_lasting{}; ///< Runs that last, part of `m_runs`.
+  bool m_cordoned{};         ///< Chosen for maintenance: gets no new work.
+
+  friend bool operator==(const InstanceView&, const InstanceView&) = default;
+};
+
+struct WaveView
+{
+  std::uint64_t m_number{};
+  std::set<InstanceId> m_due; ///< Instances whose maintenance has not begun.
+  std::uint32_t m_maxAtOnce{ 1 };
+  Millis m_endMs{}; ///< On the steady clock.
+
+  friend bool operator==(const WaveView&, const WaveView&) = default;
+};
+
+struct CapacityInput
+{
+  Millis m_nowMs{};
+  std::vector<InstanceView> m_instances;
+  std::map<PoolName, std::uint32_t> m_wanted; ///< Instances that each pool should have.
+  PoolName m_spare;                           ///< Empty when there is no spare pool.
+  std::vector<WaveView> m_waves;
+  Millis m_maintenanceMs{};
+};
+
+struct InstanceMove
+{
+  InstanceId m_instance;
+  PoolName m_pool;
+
+  friend auto operator<=>(const InstanceMove&, const InstanceMove&) = default;
+};
+
+struct MaintenanceStart
+{
+  InstanceId m_instance;
+  std::uint64_t m_wave{};
+
+  friend auto operator<=>(const MaintenanceStart&, const MaintenanceStart&) = default;
+};
+
+struct CapacityPlan
+{
+  std::vector<InstanceMove> m_moves;
+  std::vector<MaintenanceStart> m_maintenance;
+  std::vector<InstanceId> m_cordon; ///< To be emptied for maintenance, besides those that are.
+
+  friend bool operator==(const CapacityPlan&, const CapacityPlan&) = default;
+};
+
+[[nodiscard]] CapacityPlan PlanCapacity(const CapacityInput& aInput);
+
+/// \brief Follows a demand that rises fast and is let go of slowly.
+///
+/// An instance that is sent away too early costs two moves and the wait for its return, one that
+/// stays too long only its running cost.
+class DemandFollower
+{
+public:
+  /// \brief Instances that the pool should have for this demand.
+  std::uint32_t Update(double aInstances, Millis aNowMs);
+
+private:
+  struct Sample
+  {
+    double m_instances{};
+    Millis m_atMs{};
+  };
+
+  std::vector<Sample> m_recent; ///< Falling from front to back: the highest of the recent demands.
+};
+
+} // namespace pistachiostand::fleet
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -201,6 +201,8 @@
       cost += 10;
     }
     if (m_spec.m_lasting) {
+      // Kept together, so that other instances can leave the pool when its queue rests.
+      cost -= aServer.m_lasting != 0 ? 1 : 0;
       cost += aServer.m_leavingSoon ? 2 : 0;
       cost += m_spec.m_tailTargetMs != 0 && aServer.m_fillers != 0 ? 1 : 0;
       cost += m_spec.m_filler && aServer.m_serving != 0 ? 1 : 0;
@@ -232,6 +234,7 @@
     PlanRun(m_book, id, aServer.m_id, aRun, m_input.m_nowMs);
     aServer.m_free = aServer.m_free - m_need;
     ++aServer.m_runs;
+    aServer.m_lasting += m_spec.m_lasting ? 1 : 0;
     aServer.m_fillers += m_spec.m_filler ? 1 : 0;
     aServer.m_serving += m_spec.m_tailTargetMs != 0 ? 1 : 0;
     ++m_ofStep[aServer.m_id];
--- /dev/null
+++ b/src/manager/FleetControl.cpp
@@ -0,0 +1,383 @@
+#include "FleetControl.h"
+
+#include "EventLog.h"
+
+#include "platform/Wire.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/job/Demand.h"
+#include "pistachiostand/job/Evacuation.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// An instance is usable about 2 s after its move; a list each 700 ms adds little to that.
+constexpr Millis kListMs = 700;
+constexpr Millis kListRetryMs = 400;
+/// Orders without an answer are repeated; the platform answers a repeat as done.
+constexpr Millis kOrderRepeatMs = 1'500;
+constexpr Millis kBusyMs = 500;
+/// A lasting subtask counts as at work again after this time.
+constexpr Millis kSettleMs = 300;
+constexpr Millis kStoreTimeoutMs = 1'000;
+constexpr std::size_t kMaxOrdersAtOnce = 24;
+/// Fewest instances of a pool: one may fail or go into maintenance at any time.
+constexpr std::uint32_t kLeastInstances = 2;
+
+} // namespace
+
+FleetControl::FleetControl(OwnerState& aState, RunControl& aRuns)
+  : m_state(aState)
+  , m_runs(aRuns)
+{
+}
+
+PoolName FleetControl::SparePool() const
+{
+  const auto spare = std::ranges::find_if(m_state.m_configuration.m_pools, [](const auto& aPool) {
+    return aPool.second.m_spare;
+  });
+  return spare == m_state.m_configuration.m_pools.end() ? PoolName{} : spare->first;
+}
+
+void FleetControl::OnWave(const MaintenanceWave& aWave)
+{
+  Wave& wave = m_waves[aWave.m_number];
+  if (wave.m_seenMs == 0) {
+    wave.m_seenMs = MonotonicMs();
+    LogEvent("wave", "requested", "wave={} instances={} max_at_once={} duration_ms={}",
+             aWave.m_number, aWave.m_instances.size(), aWave.m_maxAtOnce, aWave.m_durationMs);
+  }
+  wave.m_request = aWave;
+}
+
+void FleetControl::OnStoredWave(std::uint64_t aNumber, std::string_view aBytes)
+{
+  const auto done = nlohmann::json::parse(aBytes, nullptr, false);
+  if (!done.is_array()) {
+    LogEvent("wave", "unreadable", "wave={} bytes={}", aNumber, aBytes.size());
+    return;
+  }
+  for (const auto& id : done) {
+    if (id.is_string()) {
+      m_waves[aNumber].m_done.insert(id.get<std::string>());
+    }
+  }
+}
+
+void FleetControl::List(const std::string& aPage)
+{
+  m_listingNow = true;
+  m_listSentMs = MonotonicMs();
+  if (aPage.empty()) {
+    m_listing.clear();
+  }
+  m_state.m_instances.List(aPage, m_state.Guard([this](const auto& aResult) { OnPage(aResult); }));
+}
+
+void FleetControl::OnPage(const std::optional<platform::InstancePage>& aPage)
+{
+  if (!aPage) {
+    m_listingNow = false;
+    m_listedMs = MonotonicMs() - kListMs + kListRetryMs;
+    return;
+  }
+  for (const auto& instance : aPage->m_instances) {
+    m_listing.insert_or_assign(instance.m_id, instance);
+  }
+  if (!aPage->m_nextPage.empty()) {
+    List(aPage->m_nextPage);
+    return;
+  }
+  m_listingNow = false;
+  m_listedMs = MonotonicMs();
+  m_instances = std::exchange(m_listing, {});
+  OnListed();
+}
+
+void FleetControl::OnListed()
+{
+  std::erase_if(m_orders, [this](const auto& aEntry) {
+    const auto& [id, order] = aEntry;
+    const auto instance = m_instances.find(id);
+    if (instance == m_instances.end()) {
+      return true;
+    }
+    // The list was asked for after the answer, and shows the instance back with a new server.
+    return order.m_answered && order.m_sentMs < m_listSentMs &&
+           instance->second.m_state == InstanceState::Up &&
+           (instance->second.m_server != order.m_before || instance->second.m_server.empty());
+  });
+  std::erase_if(m_cordoned, [this](const InstanceId& aId) { return !m_instances.contains(aId); });
+  for (auto& [number, wave] : m_waves) {
+    std::erase_if(wave.m_request.m_instances, [this](const InstanceId& aId) {
+      return !m_instances.contains(aId); // Gone for good: nothing is left to maintain.
+    });
+  }
+}
+
+std::map<PoolName, std::uint32_t> FleetControl::WantedInstances(Millis aNowMs)
+{
+  std::map<PoolName, Resources> capacity;
+  for (const auto& [id, instance] : m_instances) {
+    capacity.emplace(instance.m_pool, instance.m_capacity);
+  }
+  // A pool without instances is measured by those that it would get.
+  for (const auto& [name, pool] : m_state.m_configuration.m_pools) {
+    if (!m_instances.empty()) {
+      capacity.emplace(name, m_instances.begin()->second.m_capacity);
+    }
+  }
+  const auto demand = DemandByPool(m_state.m_book, m_state.m_configuration, capacity);
+  std::map<PoolName, std::uint32_t> wanted;
+  for (const auto& [name, pool] : m_state.m_configuration.m_pools) {
+    if (pool.m_spare) {
+      continue;
+    }
+    const auto found = demand.find(name);
+    const double instances =
+      found == demand.end() ? 0.0 : found->second.m_running + found->second.m_waiting;
+    wanted[name] = std::max(m_demand[name].Update(instances, aNowMs), kLeastInstances);
+  }
+  return wanted;
+}
+
+CapacityInput FleetControl::MakeInput(Millis aNowMs)
+{
+  CapacityInput input;
+  input.m_nowMs = aNowMs;
+  input.m_spare = SparePool();
+  input.m_wanted = WantedInstances(aNowMs);
+  input.m_maintenanceMs = m_state.m_settings.m_bounds.m_maintenanceMs;
+  for (const auto& [id, instance] : m_instances) {
+    InstanceView view;
+    view.m_id = id;
+    view.m_pool = instance.m_pool;
+    view.m_up = instance.m_state == InstanceState::Up;
+    view.m_down = instance.m_state == InstanceState::Maintenance;
+    view.m_cordoned = m_cordoned.contains(id);
+    if (const auto order = m_orders.find(id); order != m_orders.end()) {
+      view.m_up = false;
+      view.m_down = view.m_down || order->second.m_wave.has_value();
+      view.m_pool = order->second.m_pool.empty() ? view.m_pool : order->second.m_pool;
+    }
+    const auto server = m_state.m_servers.find(instance.m_server);
+    view.m_usable =
+      server != m_state.m_servers.end() && m_runs.IsUsable(server->second, aNowMs);
+    const auto subtasks = m_state.m_book.m_byServer.find(instance.m_server);
+    if (subtasks != m_state.m_book.m_byServer.end()) {
+      view.m_runs = static_cast<std::uint32_t>(subtasks->second.size());
+      view.m_lasting = static_cast<std::uint32_t>(
+        std::ranges::count_if(subtasks->second, [this](const SubtaskId& aId) {
+          return FindStep(m_state.m_book, aId)->m_lasting;
+        }));
+    }
+    if (instance.m_state != InstanceState::Down) {
+      input.m_instances.push_back(std::move(view));
+    }
+  }
+  for (const auto& [number, wave] : m_waves) {
+    WaveView view{ number, {}, wave.m_request.m_maxAtOnce,
+                   wave.m_seenMs + wave.m_request.m_durationMs };
+    std::ranges::copy_if(wave.m_request.m_instances, std::inserter(view.m_due, view.m_due.end()),
+                         [&wave](const InstanceId& aId) { return !wave.m_done.contains(aId); });
+    if (!view.m_due.empty()) {
+      input.m_waves.push_back(std::move(view));
+    }
+  }
+  return input;
+}
+
+void FleetControl::Plan(Millis aNowMs)
+{
+  const auto input = MakeInput(aNowMs);
+  const auto plan = PlanCapacity(input);
+  for (const auto& id : plan.m_cordon) {
+    m_cordoned.insert(id);
+    LogEvent("wave", "cordon", "instance={} server={}", id, m_instances.at(id).m_server);
+  }
+  const auto order = [&](const InstanceId& aId, PoolName aPool, std::optional<std::uint64_t> aWave) {
+    const bool added =
+      m_orders.size() < kMaxOrdersAtOnce &&
+      m_orders
+        .emplace(aId, Order{ std::move(aPool), aWave, m_instances.at(aId).m_server, false, 0 })
+        .second;
+    if (added) {
+      Send(aId);
+    }
+  };
+  for (const auto& start : plan.m_maintenance) {
+    order(start.m_instance, {}, start.m_wave);
+  }
+  for (const auto& move : plan.m_moves) {
+    order(move.m_instance, move.m_pool, {});
+  }
+}
+
+void FleetControl::Send(const InstanceId& aInstance)
+{
+  Order& order = m_orders.at(aInstance);
+  order.m_sentMs = MonotonicMs();
+  const auto done = m_state.Guard([this, aInstance](const platform::InstanceResult& aResult) {
+    OnAnswered(aInstance, aResult);
+  });
+  if (order.m_wave) {
+    LogEvent("wave", "maintain", "instance={} wave={} token={}", aInstance, *order.m_wave,
+             m_state.m_token);
+    m_state.m_instances.Maintain(aInstance, *order.m_wave, m_state.m_token, done);
+  } else {
+    LogEvent("fleet", "move", "instance={} from={} to={} token={}", aInstance,
+             m_instances.at(aInstance).m_pool, order.m_pool, m_state.m_token);
+    Count(m_state.m_metrics, "moves_total");
+    m_state.m_instances.Move(aInstance, order.m_pool, m_state.m_token, done);
+  }
+}
+
+void FleetControl::OnAnswered(const InstanceId& aInstance,
+                              const platform::InstanceResult& aResult)
+{
+  const auto found = m_orders.find(aInstance);
+  if (found == m_orders.end()) {
+    return;
+  }
+  Order& order = found->second;
+  if (aResult.m_outcome == platform::CallOutcome::Done) {
+    order.m_answered = true;
+    if (order.m_wave) {
+      Wave& wave = m_waves.at(*order.m_wave);
+      wave.m_done.insert(aInstance);
+      m_cordoned.erase(aInstance);
+      StoreWave(wave);
+    }
+    return;
+  }
+  LogEvent("fleet", "order-failed", "instance={} outcome={} reason={} wave={} to={}", aInstance,
+           static_cast<int>(aResult.m_outcome), aResult.m_reason, order.m_wave.value_or(0),
+           order.m_pool);
+  if (aResult.m_outcome == platform::CallOutcome::Refused) {
+    if (aResult.m_reason == "fence") {
+      m_state.m_stepDown("the platform has seen a higher token for an instance");
+      return;
+    }
+    m_orders.erase(found);
+  } else if (aResult.m_outcome == platform::CallOutcome::Unhealthy ||
+             aResult.m_outcome == platform::CallOutcome::NotSent) {
+    m_orders.erase(found); // Nothing was done.
+    m_refusedUntilMs = MonotonicMs() + kBusyMs;
+  }
+}
+
+void FleetControl::Evacuate(Millis aNowMs)
+{
+  std::set<ServerId> servers;
+  for (const auto& id : m_cordoned) {
+    const auto instance = m_instances.find(id);
+    if (instance != m_instances.end()) {
+      servers.insert(instance->second.m_server);
+    }
+  }
+  for (const auto& run : PlanEvacuation(m_state.m_book, servers, kSettleMs, aNowMs)) {
+    m_runs.Stop(run, "its instance is due for maintenance");
+  }
+}
+
+void FleetControl::UpdateClosed()
+{
+  m_closedServers.clear();
+  m_dueServers.clear();
+  for (const auto& id : m_cordoned) {
+    if (const auto instance = m_instances.find(id); instance != m_instances.end()) {
+      m_closedServers.insert(instance->second.m_server);
+    }
+  }
+  for (const auto& [id, order] : m_orders) {
+    m_closedServers.insert(order.m_before);
+  }
+  for (const auto& [number, wave] : m_waves) {
+    for (const auto& id : wave.m_request.m_instances) {
+      const auto instance = m_instances.find(id);
+      if (instance != m_instances.end() && !wave.m_done.contains(id)) {
+        m_dueServers.insert(instance->second.m_server);
+      }
+    }
+  }
+}
+
+void FleetControl::Tick(Millis aNowMs)
+{
+  if (!m_state.m_mayAct()) {
+    return;
+  }
+  if (!m_listingNow && aNowMs - m_listedMs >= kListMs) {
+    List({});
+  }
+  // Another owner may have ordered an instance just before this one began.
+  const bool exclusive =
+    m_state.m_token == 1 ||
+    aNowMs - m_state.m_claimedMs > m_state.m_settings.m_bounds.m_exclusiveMs;
+  if (!exclusive || m_instances.empty()) {
+    UpdateClosed();
+    return;
+  }
+  for (auto& [id, order] : m_orders) {
+    if (!order.m_answered && aNowMs - order.m_sentMs > kOrderRepeatMs) {
+      Send(id);
+    }
+  }
+  if (aNowMs >= m_refusedUntilMs) {
+    Plan(aNowMs);
+  }
+  UpdateClosed();
+  Evacuate(aNowMs);
+  for (auto& [number, wave] : m_waves) {
+    WriteStatus(wave);
+  }
+}
+
+void FleetControl::WriteStatus(Wave& aWave)
+{
+  const bool completed =
+    aWave.m_seenMs != 0 &&
+    std::ranges::all_of(aWave.m_request.m_instances, [&aWave](const InstanceId& aId) {
+      return aWave.m_done.contains(aId);
+    });
+  if (aWave.m_seenMs == 0 || aWave.m_writing || aWave.m_shown == completed) {
+    return;
+  }
+  aWave.m_writing = true;
+  platform::AppendRequest request;
+  request.m_topic = "keyed.status";
+  request.m_timeoutMs = kStoreTimeoutMs;
+  request.m_records = { platform::EncodeKeyed(
+    fmt::format("wave/{}", aWave.m_request.m_number), platform::EncodeWaveStatus(completed)) };
+  m_state.m_store.Append(
+    std::move(request),
+    m_state.Guard([this, number = aWave.m_request.m_number, completed](const auto& aResult) {
+      Wave& wave = m_waves.at(number);
+      wave.m_writing = false;
+      if (aResult.m_outcome == platform::AppendOutcome::Stored) {
+        wave.m_shown = completed;
+        LogEvent("wave", "status", "wave={} completed={}", number, completed);
+      }
+    }));
+}
+
+void FleetControl::StoreWave(const Wave& aWave)
+{
+  platform::AppendRequest request;
+  request.m_topic = kFleetTopic;
+  request.m_timeoutMs = kStoreTimeoutMs;
+  request.m_records = { platform::EncodeKeyed(fmt::format("wave/{}", aWave.m_request.m_number),
+                                              nlohmann::json(aWave.m_done).dump()) };
+  // Without this record a later owner only repeats orders, which the platform answers as done.
+  m_state.m_store.Append(std::move(request), [](const platform::AppendResult&) {});
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/FleetControl.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "OwnerState.h"
+#include "RunControl.h"
+
+#include "platform/Orders.h"
+
+#include "pistachiostand/fleet/CapacityPlan.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+/// \file
+/// \brief Lists the instances, moves them between pools and carries maintenance waves out.
+
+namespace pistachiostand::fleet {
+
+class FleetControl
+{
+public:
+  FleetControl(OwnerState& aState, RunControl& aRuns);
+
+  FleetControl(const FleetControl&) = delete;
+  FleetControl& operator=(const FleetControl&) = delete;
+  ~FleetControl() = default;
+
+  /// \brief A wave was requested, or its request was removed.
+  void OnWave(const MaintenanceWave& aWave);
+
+  /// \brief What an earlier owner stored of its waves.
+  void OnStoredWave(std::uint64_t aNumber, std::string_view aBytes);
+
+  void Tick(Millis aNowMs);
+
+  /// \brief True when the server gets no new work because its instance is to be emptied.
+  [[nodiscard]] bool IsClosed(const ServerId& aServer) const
+  {
+    return m_closedServers.contains(aServer);
+  }
+
+  /// \brief True when the instance of the server is still due for maintenance.
+  [[nodiscard]] bool IsDue(const ServerId& aServer) const { return m_dueServers.contains(aServer); }
+
+private:
+  struct Wave
+  {
+    MaintenanceWave m_request;
+    Millis m_seenMs{};
+    std::set<InstanceId> m_done;
+    std::optional<bool> m_shown; ///< Status written last: completed or not.
+    bool m_writing{};
+  };
+
+  /// \brief An order that the list does not show yet.
+  struct Order
+  {
+    PoolName m_pool;               ///< Target of a move; empty for maintenance.
+    std::optional<std::uint64_t> m_wave;
+    ServerId m_before;             ///< Backend server before the order.
+    bool m_answered{};
+    Millis m_sentMs{};
+  };
+
+  void List(const std::string& aPage);
+  void OnPage(const std::optional<platform::InstancePage>& aPage);
+  void OnListed();
+  void Plan(Millis aNowMs);
+  [[nodiscard]] CapacityInput MakeInput(Millis aNowMs);
+  [[nodiscard]] std::map<PoolName, std::uint32_t> WantedInstances(Millis aNowMs);
+  void Send(const InstanceId& aInstance);
+  void OnAnswered(const InstanceId& aInstance, const platform::InstanceResult& aResult);
+  void Evacuate(Millis aNowMs);
+  void UpdateClosed();
+  void WriteStatus(Wave& aWave);
+  void StoreWave(const Wave& aWave);
+  [[nodiscard]] PoolName SparePool() const;
+
+  OwnerState& m_state;
+  RunControl& m_runs;
+  std::map<InstanceId, InstanceEntry> m_instances;
+  std::map<InstanceId, InstanceEntry> m_listing;
+  Millis m_listedMs{};
+  Millis m_listSentMs{};
+  bool m_listingNow{};
+  std::map<std::uint64_t, Wave> m_waves;
+  std::map<InstanceId, Order> m_orders;
+  std::set<InstanceId> m_cordoned;
+  std::set<ServerId> m_closedServers;
+  std::set<ServerId> m_dueServers;
+  std::map<PoolName, DemandFollower> m_demand;
+  Millis m_refusedUntilMs{};
+};
+
+/// \brief Topic of what the owner stores about waves.
+inline constexpr const char* kFleetTopic = "keyed.fleet";
+
+} // namespace pistachiostand::fleet
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -6,6 +6,7 @@
 #include "pistachiostand/job/JobCodec.h"
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -21,6 +22,8 @@
 /// Registrations change about once for each server in 1.5 s; a start may follow a drain by 2 s.
 constexpr Millis kRegistryWaitMs = 1'000;
 constexpr Millis kRegistryPauseMs = 250;
+/// Only this owner writes the topic; it is read for what earlier owners wrote.
+constexpr Millis kFleetWaitMs = 20'000;
 constexpr Millis kLoadRetryMs = 100;
 /// A job may be unknown for 3 s after it was accepted; an older view must not deny it.
 constexpr Millis kCurrentMs = 2'000;
@@ -39,6 +42,7 @@
   : m_state(std::move(aState))
   , m_committer(m_state, [this](const CommitBatch& aBatch) { OnStored(aBatch); })
   , m_runs(m_state, m_committer, [this] { ScheduleSoon(); })
+  , m_fleet(m_state, m_runs)
   , m_submissions(m_state.m_loop, m_state.m_client, m_state.m_store,
                   { kSubmissionTopic, kSubmissionWaitMs, kSubmissionPauseMs },
                   { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
@@ -55,6 +59,12 @@
                   OnServerRecord(aKey, aValue);
                 },
                  [](Millis /*aSentMs*/) {} })
+  , m_fleetRecords(m_state.m_loop, m_state.m_client, m_state.m_store,
+                   { kFleetTopic, kFleetWaitMs, kRegistryPauseMs },
+                   { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
+                      OnFleetRecord(aKey, aValue);
+                    },
+                     [](Millis /*aSentMs*/) {} })
   , m_scheduleTimer(m_state.m_loop)
   , m_loadTimer(m_state.m_loop)
   , m_ticker(m_state.m_loop, kTickMs, [this] { Tick(); })
@@ -68,6 +78,7 @@
   m_committer.Open([this] {
     m_submissions.Start();
     m_registry.Start();
+    m_fleetRecords.Start();
   });
 }
 
@@ -159,6 +170,17 @@
   m_runs.OnServerEntry(aKey, entry);
 }
 
+void FleetOwner::OnFleetRecord(const std::string& aKey, const std::optional<std::string>& aValue)
+{
+  constexpr std::string_view kWave = "wave/";
+  std::uint64_t number = 0;
+  if (aValue && aKey.starts_with(kWave) &&
+      std::from_chars(aKey.data() + kWave.size(), aKey.data() + aKey.size(), number).ec ==
+        std::errc{}) {
+    m_fleet.OnStoredWave(number, *aValue);
+  }
+}
+
 void FleetOwner::LoadProgress(const std::string& aAfter)
 {
   m_state.m_store.ListNewest(kProgressTopic, aAfter,
@@ -241,7 +263,7 @@
 {
   std::vector<ServerRoom> rooms;
   for (const auto& [id, server] : m_state.m_servers) {
-    if (!m_runs.IsUsable(server, aNowMs)) {
+    if (!m_runs.IsUsable(server, aNowMs) || m_fleet.IsClosed(id)) {
       continue;
     }
     ServerRoom room;
@@ -258,11 +280,13 @@
       for (const auto& subtask : subtasks->second) {
         const StepSpec& step = *FindStep(m_state.m_book, subtask);
         ++room.m_runs;
+        room.m_lasting += step.m_lasting ? 1 : 0;
         room.m_fillers += step.m_filler ? 1 : 0;
         room.m_serving += step.m_tailTargetMs > 0 ? 1 : 0;
       }
     }
     room.m_avoid = server.m_failedRuns >= 3;
+    room.m_leavingSoon = m_fleet.IsDue(id);
     rooms.push_back(std::move(room));
   }
   return rooms;
@@ -380,6 +404,7 @@
   const Millis now = MonotonicMs();
   OpenDueOccurrences(m_state.m_book, WallMs() + m_state.m_settings.m_bounds.m_earlyMs / 2, now);
   m_runs.Tick(now);
+  m_fleet.Tick(now);
   RetireSubmissions();
   ForgetOldJobs(now);
   ScheduleSoon();
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Committer.h"
+#include "FleetControl.h"
 #include "OwnerState.h"
 #include "RunControl.h"
 #include "TopicTail.h"
@@ -52,10 +53,12 @@
   [[nodiscard]] std::optional<std::size_t> Pending(std::string_view aQueue) const;
 
   void OnConfiguration() { ScheduleSoon(); }
+  void OnWave(const MaintenanceWave& aWave) { m_fleet.OnWave(aWave); }
 
 private:
   void OnSubmissionRecord(const std::string& aKey, const std::optional<std::string>& aValue);
   void OnServerRecord(const std::string& aKey, const std::optional<std::string>& aValue);
+  void OnFleetRecord(const std::string& aKey, const std::optional<std::string>& aValue);
   void LoadProgress(const std::string& aAfter);
   void OnProgressPage(const std::optional<platform::KeyedPage>& aPage);
   void FinishLoad();
@@ -75,8 +78,10 @@
   OwnerState m_state;
   Committer m_committer;
   RunControl m_runs;
+  FleetControl m_fleet;
   TopicTail m_submissions;
   TopicTail m_registry;
+  TopicTail m_fleetRecords;
   asio::steady_timer m_scheduleTimer;
   asio::steady_timer m_loadTimer;
   Ticker m_ticker;
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -40,6 +40,7 @@
 
 const std::string kOperatorTopic = "keyed.op";
 constexpr std::string_view kConfigurationKey = "config";
+constexpr std::string_view kWavePrefix = "wave/";
 
 std::string MakeProcessName(const std::string& aId)
 {
@@ -143,10 +144,14 @@
 void Manager::OnConfigurationRecord(const std::string& aKey,
                                     const std::optional<std::string>& aValue)
 {
+  Reason reason;
+  if (aKey.starts_with(kWavePrefix)) {
+    OnWaveRecord(aValue);
+    return;
+  }
   if (aKey != kConfigurationKey) {
-    return; // Maintenance waves are the owner's.
+    return;
   }
-  Reason reason;
   auto configuration =
     aValue ? platform::DecodeConfiguration(*aValue, reason) : std::optional<Configuration>{};
   if (!configuration) {
@@ -166,6 +171,21 @@
   }
 }
 
+void Manager::OnWaveRecord(const std::optional<std::string>& aValue)
+{
+  Reason reason;
+  const auto wave =
+    aValue ? platform::DecodeWave(*aValue, reason) : std::optional<MaintenanceWave>{};
+  if (!wave) {
+    LogEvent("wave", "unreadable", "cause={}", reason.m_cause);
+    return;
+  }
+  m_waves.insert_or_assign(wave->m_number, *wave);
+  if (m_owner) {
+    m_owner->OnWave(*wave);
+  }
+}
+
 void Manager::BeginOwnership(FencingToken aToken, Millis aClaimedMs)
 {
   m_owner = std::make_unique<FleetOwner>(OwnerState{
@@ -176,7 +196,11 @@
       // The owner must not be destroyed inside one of its own calls.
       asio::post(m_loop, [this, reason = std::string{ aReason }] { m_elector.StepDown(reason); });
     },
-    aToken, aClaimedMs, platform::ServerOrders{ *m_client } });
+    aToken, aClaimedMs, platform::ServerOrders{ *m_client },
+    platform::InstanceOrders{ *m_client, ToString(m_settings.m_instances), m_settings.m_id } });
+  for (const auto& [number, wave] : m_waves) {
+    m_owner->OnWave(wave);
+  }
   m_owner->Start();
 }
 
--- a/src/manager/Manager.h
+++ b/src/manager/Manager.h
@@ -15,6 +15,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,7 @@
 
   bool Listen(Reason& aReason);
   void OnConfigurationRecord(const std::string& aKey, const std::optional<std::string>& aValue);
+  void OnWaveRecord(const std::optional<std::string>& aValue);
   void BeginOwnership(FencingToken aToken, Millis aClaimedMs);
   void EndOwnership();
   void AskOwner(const std::string& aPath, HttpResponder aDone);
@@ -59,6 +61,7 @@
   std::unique_ptr<HttpClient> m_client;
   platform::Store m_store;
   Configuration m_configuration; ///< Revision 0: none has been read.
+  std::map<std::uint64_t, MaintenanceWave> m_waves;
   TopicTail m_operatorTail;
   Elector m_elector;
   std::unique_ptr<FleetOwner> m_owner;
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -65,6 +65,7 @@
   FencingToken m_token{};
   Millis m_claimedMs{};
   platform::ServerOrders m_orders;
+  platform::InstanceOrders m_instances;
   JobBook m_book{};
   std::map<ServerId, ServerState> m_servers{};
   std::map<QueueName, double> m_meanWork{}; ///< Core-seconds of a job, moving average.
