Let the lease of a silent backend server end

A look to a silent server now renews nothing.

Ruled out: a lost registration, because the entry was removed at 15 s and the look went on.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -323,7 +323,9 @@
   order.m_token = m_state.m_token;
   order.m_acknowledged = aServer.m_looked ? aServer.m_storedEnds : 0;
   order.m_waitMs = HasMixedRuns(aServer.m_entry.m_id) ? std::min(aWaitMs, kMixedLookWaitMs) : aWaitMs;
-  if (clock) {
+  // A silent server's lease is left to end: a renewal without an answer may still take effect, and
+  // each one would put off the moment from which its work may start elsewhere.
+  if (clock && aServer.m_silent == 0) {
     order.m_leaseEndMs = *clock + lease;
     aServer.m_leaseEndMs = std::max(aServer.m_leaseEndMs, LatestLeaseEndMs(now, lease));
   }
@@ -346,6 +348,9 @@
   switch (aResult.m_outcome) {
     case platform::CallOutcome::Done:
       server.m_nextLookMs = now;
+      if (std::exchange(server.m_silent, 0) != 0) {
+        LogEvent("fleet", "server-answers", "server={}", aId);
+      }
       ApplyReport(server, aResult.m_report, aSentMs);
       break;
     case platform::CallOutcome::Refused:
@@ -384,7 +389,6 @@
   }
   NoteClock(aServer, aReport.m_clockMs);
   aServer.m_contactMs = now;
-  aServer.m_silent = 0;
   aServer.m_looked = true;
   ApplyEnds(aServer, aReport);
   for (const auto& run : Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now)) {
