Size pools by the work left, urgent work first

Demand counts the work that can still end in time; late work gets what is left. Runs go to the fullest server that fits, and busy instances of a pool with a surplus get no new work when another pool lacks some.

--- a/include/pistachiostand/fleet/CapacityPlan.h
+++ b/include/pistachiostand/fleet/CapacityPlan.h
@@ -47,7 +47,8 @@
 {
   Millis m_nowMs{};
   std::vector<InstanceView> m_instances;
-  std::map<PoolName, std::uint32_t> m_wanted; ///< Instances that each pool should have.
+  std::map<PoolName, std::uint32_t> m_wanted; ///< Instances for what can be done in time.
+  std::map<PoolName, std::uint32_t> m_extra;  ///< Further instances for late work.
   PoolName m_spare;                           ///< Empty when there is no spare pool.
   std::vector<WaveView> m_waves;
   Millis m_maintenanceMs{};
@@ -73,7 +74,8 @@
 {
   std::vector<InstanceMove> m_moves;
   std::vector<MaintenanceStart> m_maintenance;
-  std::vector<InstanceId> m_cordon; ///< To be emptied for maintenance, besides those that are.
+  std::vector<InstanceId> m_cordon;  ///< To be emptied for maintenance, besides those that are.
+  std::vector<InstanceId> m_release; ///< To get no new work now, so that another pool gets them.
 
   friend bool operator==(const CapacityPlan&, const CapacityPlan&) = default;
 };
--- a/include/pistachiostand/job/Demand.h
+++ b/include/pistachiostand/job/Demand.h
@@ -6,22 +6,30 @@
 #include <map>
 
 /// \file
-/// \brief How many instances the jobs of each pool could use now.
+/// \brief How much room the jobs of each pool ask for.
 
 namespace pistachiostand::fleet {
 
 struct PoolDemand
 {
-  double m_running{}; ///< Instances' worth of room that runs take.
-  double m_waiting{}; ///< Instances' worth of room that open subtasks wait for.
+  double m_lasting{};  ///< Instances' worth of room of lasting subtasks.
+  double m_running{};  ///< Instances' worth of room of other runs.
+  double m_urgentS{};  ///< Instance-seconds left of jobs that can still meet their objective.
+  double m_lateS{};    ///< Instance-seconds left of jobs that cannot.
 
   friend auto operator<=>(const PoolDemand&, const PoolDemand&) = default;
 };
 
 /// \brief Demand of each pool in instances of `aCapacity`; pools without a known capacity are left
-/// out.
+/// out. Steps that are not open yet count, because they follow within a second or two.
 [[nodiscard]] std::map<PoolName, PoolDemand> DemandByPool(
   const JobBook& aBook, const Configuration& aConfiguration,
-  const std::map<PoolName, Resources>& aCapacity);
+  const std::map<PoolName, Resources>& aCapacity, Millis aNowMs);
+
+/// \brief Instances that let the urgent work end in time.
+[[nodiscard]] double UrgentInstances(const PoolDemand& aDemand) noexcept;
+
+/// \brief Further instances that late work can use.
+[[nodiscard]] double LateInstances(const PoolDemand& aDemand) noexcept;
 
 } // namespace pistachiostand::fleet
--- a/include/pistachiostand/job/Scheduler.h
+++ b/include/pistachiostand/job/Scheduler.h
@@ -49,6 +49,19 @@
 
 using Ticket = std::string;
 
+/// \brief What a job can still earn.
+enum class Urgency : std::uint8_t
+{
+  Lasting,  ///< Earns at all times.
+  InTime,   ///< Can meet its objective.
+  Late,     ///< Earns a little.
+  Hopeless, ///< Earns nothing but must finish.
+};
+
+[[nodiscard]] Urgency UrgencyOf(const Job& aJob, const Configuration& aConfiguration,
+                                std::uint32_t aOccurrence, const Occurrence& aState,
+                                Millis aNowMs);
+
 struct SchedulerInput
 {
   Millis m_nowMs{};
--- a/src/fleet/CapacityPlan.cpp
+++ b/src/fleet/CapacityPlan.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 namespace pistachiostand::fleet {
 
@@ -12,8 +13,8 @@
 /// A demand counts this long after it was seen; a queue's pauses within its turn are shorter.
 constexpr Millis kHoldMs = 2'500;
 /// Room beyond the demand, for what arrives while another instance is on its way.
-constexpr double kHeadroom = 1.25;
-constexpr double kHeadroomInstances = 1.0;
+constexpr double kHeadroom = 1.1;
+constexpr double kHeadroomInstances = 0.8;
 /// Time to empty an instance before maintenance: the longest runs take about this long.
 constexpr Millis kEmptyMs = 2'500;
 /// Part of the time of a wave that the plan uses; the rest is for faults.
@@ -84,56 +85,125 @@
   }
 }
 
-bool IsFree(const InstanceView& aInstance, const CapacityPlan& aPlan)
+/// \brief Instances that pools have beyond what they want, by how they can be had.
+struct Surplus
 {
-  return aInstance.m_up && !aInstance.m_cordoned && aInstance.m_runs == 0 &&
-         std::ranges::find(aPlan.m_cordon, aInstance.m_id) == aPlan.m_cordon.end();
+  std::vector<const InstanceView*> m_free; ///< Without runs.
+  std::vector<const InstanceView*> m_busy; ///< With runs that end soon.
+};
+
+bool IsTaken(const InstanceView& aInstance, const CapacityPlan& aPlan)
+{
+  return !aInstance.m_up || aInstance.m_cordoned ||
+         std::ranges::find(aPlan.m_cordon, aInstance.m_id) != aPlan.m_cordon.end();
+}
+
+std::uint32_t ValueOr(const std::map<PoolName, std::uint32_t>& aValues, const PoolName& aPool)
+{
+  const auto found = aValues.find(aPool);
+  return found == aValues.end() ? 0 : found->second;
 }
 
-/// \brief Instances without runs that a pool can give away, those of the spare pool first.
-std::vector<const InstanceView*> Sources(const CapacityInput& aInput,
-                                         std::map<PoolName, PoolCount> aCounts,
-                                         const CapacityPlan& aPlan)
+/// \brief What each pool can spare beyond `aKept`, the emptiest instances first.
+Surplus FindSurplus(const CapacityInput& aInput, const std::map<PoolName, std::uint32_t>& aKept,
+                    const CapacityPlan& aPlan, std::map<PoolName, PoolCount>& aCounts)
 {
-  std::vector<const InstanceView*> sources;
+  std::vector<const InstanceView*> candidates;
   for (const auto& instance : aInput.m_instances) {
-    if (!IsFree(instance, aPlan)) {
-      continue;
+    if (!IsTaken(instance, aPlan) && instance.m_lasting == 0) {
+      candidates.push_back(&instance);
     }
-    const auto wanted = aInput.m_wanted.find(instance.m_pool);
-    auto& count = aCounts[instance.m_pool];
-    const bool spare = instance.m_pool == aInput.m_spare;
-    if (!spare && (wanted == aInput.m_wanted.end() || count.m_present <= wanted->second)) {
+  }
+  // Those of the spare pool cost nothing where they are.
+  std::ranges::sort(candidates, {}, [&aInput](const InstanceView* aInstance) {
+    return std::tuple{ aInstance->m_pool != aInput.m_spare, aInstance->m_runs, aInstance->m_id };
+  });
+  Surplus surplus;
+  for (const auto* instance : candidates) {
+    auto& count = aCounts[instance->m_pool];
+    if (instance->m_pool != aInput.m_spare &&
+        count.m_present <= ValueOr(aKept, instance->m_pool)) {
       continue;
     }
+    if (instance->m_pool != aInput.m_spare && !instance->m_usable) {
+      continue; // On its way in.
+    }
     --count.m_present;
-    sources.push_back(&instance);
+    (instance->m_runs == 0 ? surplus.m_free : surplus.m_busy).push_back(instance);
   }
-  std::ranges::stable_sort(sources, {}, [&aInput](const InstanceView* aInstance) {
-    return aInstance->m_pool != aInput.m_spare;
-  });
-  return sources;
+  return surplus;
 }
 
-void PlanMoves(const CapacityInput& aInput, const std::map<PoolName, PoolCount>& aCounts,
-               CapacityPlan& aPlan)
+/// \brief Pools that lack instances, with how many.
+std::map<PoolName, std::uint32_t> FindDeficits(const CapacityInput& aInput,
+                                               const std::map<PoolName, std::uint32_t>& aWanted,
+                                               const std::map<PoolName, PoolCount>& aCounts)
 {
-  const auto sources = Sources(aInput, aCounts, aPlan);
-  auto next = sources.begin();
-  for (const auto& [pool, wanted] : aInput.m_wanted) {
-    if (pool == aInput.m_spare) {
-      continue;
-    }
+  std::map<PoolName, std::uint32_t> deficits;
+  for (const auto& [pool, wanted] : aWanted) {
     const auto count = aCounts.find(pool);
-    std::uint32_t present = count == aCounts.end() ? 0 : count->second.m_present;
-    for (; present < wanted && next != sources.end(); ++next, ++present) {
-      aPlan.m_moves.push_back({ (*next)->m_id, pool });
+    const std::uint32_t present = count == aCounts.end() ? 0 : count->second.m_present;
+    if (pool != aInput.m_spare && present < wanted) {
+      deficits[pool] = wanted - present;
+    }
+  }
+  return deficits;
+}
+
+void Fill(std::map<PoolName, std::uint32_t> aDeficits, Surplus aSurplus, CapacityPlan& aPlan,
+          std::map<PoolName, PoolCount>& aCounts, std::set<InstanceId>& aMoved)
+{
+  auto next = aSurplus.m_free.begin();
+  // One at a time for each pool, the largest lack first, so that no pool takes all.
+  while (next != aSurplus.m_free.end()) {
+    const auto most = std::ranges::max_element(
+      aDeficits, {}, [](const auto& aDeficit) { return aDeficit.second; });
+    if (most == aDeficits.end() || most->second == 0) {
+      return;
     }
+    aPlan.m_moves.push_back({ (*next)->m_id, most->first });
+    aMoved.insert((*next)->m_id);
+    ++aCounts[most->first].m_present;
+    --aCounts[(*next)->m_pool].m_present;
+    --most->second;
+    ++next;
   }
+  std::uint32_t lacking = 0;
+  for (const auto& [pool, count] : aDeficits) {
+    lacking += count;
+  }
+  for (const auto* instance : aSurplus.m_busy) {
+    if (lacking == 0) {
+      return;
+    }
+    aPlan.m_release.push_back(instance->m_id);
+    --lacking;
+  }
+}
+
+void PlanMoves(const CapacityInput& aInput, std::map<PoolName, PoolCount> aCounts,
+               CapacityPlan& aPlan)
+{
+  std::set<InstanceId> moved;
+  auto left = aCounts;
+  Fill(FindDeficits(aInput, aInput.m_wanted, aCounts),
+       FindSurplus(aInput, aInput.m_wanted, aPlan, left), aPlan, aCounts, moved);
+  auto wantedWithExtra = aInput.m_wanted;
+  for (const auto& [pool, extra] : aInput.m_extra) {
+    wantedWithExtra[pool] += extra;
+  }
+  left = aCounts;
+  auto surplus = FindSurplus(aInput, wantedWithExtra, aPlan, left);
+  surplus.m_busy.clear();
+  std::erase_if(surplus.m_free, [&moved](const InstanceView* aInstance) {
+    return moved.contains(aInstance->m_id);
+  });
+  Fill(FindDeficits(aInput, wantedWithExtra, aCounts), surplus, aPlan, aCounts, moved);
   // What no pool needs is switched off.
-  for (; next != sources.end() && !aInput.m_spare.empty(); ++next) {
-    if ((*next)->m_pool != aInput.m_spare && (*next)->m_usable) {
-      aPlan.m_moves.push_back({ (*next)->m_id, aInput.m_spare });
+  for (const auto* instance : surplus.m_free) {
+    if (instance->m_pool != aInput.m_spare && !aInput.m_spare.empty() &&
+        !moved.contains(instance->m_id)) {
+      aPlan.m_moves.push_back({ instance->m_id, aInput.m_spare });
     }
   }
 }
@@ -147,7 +217,7 @@
   for (const auto& wave : aInput.m_waves) {
     PlanWave(aInput, wave, counts, plan);
   }
-  PlanMoves(aInput, counts, plan);
+  PlanMoves(aInput, std::move(counts), plan);
   return plan;
 }
 
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -19,14 +19,6 @@
 /// Shorter runs are not worth a copy, because starting one takes about this long.
 constexpr Millis kCopyAfterMs = 600;
 
-enum class Urgency : std::uint8_t
-{
-  Lasting,   ///< Earns at all times.
-  InTime,    ///< Can meet its objective.
-  Late,      ///< Earns a little.
-  Hopeless,  ///< Earns nothing but must finish.
-};
-
 struct Candidate
 {
   Urgency m_urgency{};
@@ -38,6 +30,18 @@
   std::uint32_t m_step{};
 };
 
+Urgency UrgencyOf(const Job& aJob, const QueueRule& aRule, std::uint32_t aOccurrence,
+                  const Occurrence& aState, Millis aNowMs)
+{
+  const Millis finish = aNowMs + RemainingChainMs(aJob, aState);
+  const Millis end = ObjectiveEndMs(aJob, aRule, aOccurrence);
+  const Millis objective = end - aJob.m_acceptedMs;
+  if (finish <= end) {
+    return Urgency::InTime;
+  }
+  return finish <= end + (kLateFactor - 1) * objective ? Urgency::Late : Urgency::Hopeless;
+}
+
 bool Before(const Candidate& aLeft, const Candidate& aRight)
 {
   return std::tuple{ aLeft.m_urgency, -aLeft.m_density, aLeft.m_objectiveEndMs } <
@@ -95,15 +99,7 @@
   const double credit = std::min(kBaseCredit + (1 - kBaseCredit) * relative, kMaxCredit);
   candidate.m_density = credit / std::max(RemainingWork(aJob, aState), 1e-3);
   candidate.m_objectiveEndMs = ObjectiveEndMs(aJob, rule, aOccurrence);
-  const Millis finish = aInput.m_nowMs + RemainingChainMs(aJob, aState);
-  const Millis objective = candidate.m_objectiveEndMs - aJob.m_acceptedMs;
-  if (finish <= candidate.m_objectiveEndMs) {
-    candidate.m_urgency = Urgency::InTime;
-  } else if (finish <= candidate.m_objectiveEndMs + (kLateFactor - 1) * objective) {
-    candidate.m_urgency = Urgency::Late;
-  } else {
-    candidate.m_urgency = Urgency::Hopeless;
-  }
+  candidate.m_urgency = UrgencyOf(aJob, rule, aOccurrence, aState, aInput.m_nowMs);
   return candidate;
 }
 
@@ -192,7 +188,8 @@
   /// \brief Lower is better. Slow-downs dominate; the rest spreads the load.
   [[nodiscard]] double Cost(const ServerRoom& aServer) const
   {
-    double cost = 1.0 - DominantShare(aServer.m_free, aServer.m_capacity) / 2;
+    // The fullest server that fits: others become empty and can leave the pool.
+    double cost = DominantShare(aServer.m_free, aServer.m_capacity) / 2;
     if (!m_spec.m_dataRack.empty() && std::ranges::find(aServer.m_labels, m_spec.m_dataRack) ==
                                         aServer.m_labels.end()) {
       cost += m_input.m_remoteFactor;
@@ -342,6 +339,16 @@
   return result;
 }
 
+Urgency UrgencyOf(const Job& aJob, const Configuration& aConfiguration, std::uint32_t aOccurrence,
+                  const Occurrence& aState, Millis aNowMs)
+{
+  if (std::ranges::any_of(aJob.m_spec.m_steps, &StepSpec::m_lasting)) {
+    return Urgency::Lasting;
+  }
+  const QueueRule* rule = FindQueueByName(aConfiguration, aJob.m_spec.m_queue);
+  return UrgencyOf(aJob, rule != nullptr ? *rule : QueueRule{}, aOccurrence, aState, aNowMs);
+}
+
 const PoolName& PoolOf(const Job& aJob, const Configuration& aConfiguration) noexcept
 {
   const QueueRule* rule = FindQueueByName(aConfiguration, aJob.m_spec.m_queue);
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pistachiostand::fleet {
@@ -24,6 +25,7 @@
 /// Orders without an answer are repeated; the platform answers a repeat as done.
 constexpr Millis kOrderRepeatMs = 1'500;
 constexpr Millis kBusyMs = 500;
+constexpr Millis kLogMs = 1'000;
 /// A lasting subtask counts as at work again after this time.
 constexpr Millis kSettleMs = 300;
 constexpr Millis kStoreTimeoutMs = 1'000;
@@ -123,8 +125,9 @@
   }
 }
 
-std::map<PoolName, std::uint32_t> FleetControl::WantedInstances(Millis aNowMs)
+void FleetControl::SetWanted(CapacityInput& aInput)
 {
+  const Millis now = aInput.m_nowMs;
   std::map<PoolName, Resources> capacity;
   for (const auto& [id, instance] : m_instances) {
     capacity.emplace(instance.m_pool, instance.m_capacity);
@@ -135,18 +138,17 @@
       capacity.emplace(name, m_instances.begin()->second.m_capacity);
     }
   }
-  const auto demand = DemandByPool(m_state.m_book, m_state.m_configuration, capacity);
-  std::map<PoolName, std::uint32_t> wanted;
+  const auto demand = DemandByPool(m_state.m_book, m_state.m_configuration, capacity, now);
   for (const auto& [name, pool] : m_state.m_configuration.m_pools) {
     if (pool.m_spare) {
       continue;
     }
     const auto found = demand.find(name);
-    const double instances =
-      found == demand.end() ? 0.0 : found->second.m_running + found->second.m_waiting;
-    wanted[name] = std::max(m_demand[name].Update(instances, aNowMs), kLeastInstances);
+    const PoolDemand one = found == demand.end() ? PoolDemand{} : found->second;
+    aInput.m_wanted[name] =
+      std::max(m_demand[name].Update(UrgentInstances(one), now), kLeastInstances);
+    aInput.m_extra[name] = static_cast<std::uint32_t>(std::ceil(LateInstances(one)));
   }
-  return wanted;
 }
 
 CapacityInput FleetControl::MakeInput(Millis aNowMs)
@@ -154,7 +156,7 @@
   CapacityInput input;
   input.m_nowMs = aNowMs;
   input.m_spare = SparePool();
-  input.m_wanted = WantedInstances(aNowMs);
+  SetWanted(input);
   input.m_maintenanceMs = m_state.m_settings.m_bounds.m_maintenanceMs;
   for (const auto& [id, instance] : m_instances) {
     InstanceView view;
@@ -195,9 +197,31 @@
   return input;
 }
 
+void FleetControl::LogCapacity(const CapacityInput& aInput)
+{
+  if (aInput.m_nowMs - m_capacityLoggedMs < kLogMs) {
+    return;
+  }
+  m_capacityLoggedMs = aInput.m_nowMs;
+  for (const auto& [pool, wanted] : aInput.m_wanted) {
+    const auto count = [&aInput, &pool = pool](auto aIs) {
+      return std::ranges::count_if(aInput.m_instances, [&](const InstanceView& aInstance) {
+        return aInstance.m_pool == pool && aIs(aInstance);
+      });
+    };
+    LogEvent("fleet", "capacity", "pool={} wanted={} usable={} present={} empty={} cordoned={} extra={}",
+             pool, wanted, count([](const auto& aOne) { return aOne.m_usable; }),
+             count([](const auto&) { return true; }),
+             count([](const auto& aOne) { return aOne.m_runs == 0; }),
+             count([](const auto& aOne) { return aOne.m_cordoned || aOne.m_down; }),
+             aInput.m_extra.at(pool));
+  }
+}
+
 void FleetControl::Plan(Millis aNowMs)
 {
   const auto input = MakeInput(aNowMs);
+  LogCapacity(input);
   const auto plan = PlanCapacity(input);
   for (const auto& id : plan.m_cordon) {
     m_cordoned.insert(id);
@@ -213,6 +237,7 @@
       Send(aId);
     }
   };
+  m_released = { plan.m_release.begin(), plan.m_release.end() };
   for (const auto& start : plan.m_maintenance) {
     order(start.m_instance, {}, start.m_wave);
   }
@@ -292,9 +317,11 @@
 {
   m_closedServers.clear();
   m_dueServers.clear();
-  for (const auto& id : m_cordoned) {
-    if (const auto instance = m_instances.find(id); instance != m_instances.end()) {
-      m_closedServers.insert(instance->second.m_server);
+  for (const auto* closed : { &m_cordoned, &m_released }) {
+    for (const auto& id : *closed) {
+      if (const auto instance = m_instances.find(id); instance != m_instances.end()) {
+        m_closedServers.insert(instance->second.m_server);
+      }
     }
   }
   for (const auto& [id, order] : m_orders) {
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -67,8 +67,9 @@
   void OnPage(const std::optional<platform::InstancePage>& aPage);
   void OnListed();
   void Plan(Millis aNowMs);
+  void LogCapacity(const CapacityInput& aInput);
   [[nodiscard]] CapacityInput MakeInput(Millis aNowMs);
-  [[nodiscard]] std::map<PoolName, std::uint32_t> WantedInstances(Millis aNowMs);
+  void SetWanted(CapacityInput& aInput);
   void Send(const InstanceId& aInstance);
   void OnAnswered(const InstanceId& aInstance, const platform::InstanceResult& aResult);
   void Evacuate(Millis aNowMs);
@@ -87,10 +88,12 @@
   std::map<std::uint64_t, Wave> m_waves;
   std::map<InstanceId, Order> m_orders;
   std::set<InstanceId> m_cordoned;
+  std::set<InstanceId> m_released; ///< Emptied for another pool.
   std::set<ServerId> m_closedServers;
   std::set<ServerId> m_dueServers;
   std::map<PoolName, DemandFollower> m_demand;
   Millis m_refusedUntilMs{};
+  Millis m_capacityLoggedMs{};
 };
 
 /// \brief Topic of what the owner stores about waves.
