Size pools by the parallel work of their jobs, and pace maintenance

Demand is the room of open subtasks or the average parallelism of the jobs, whichever is more, with room for a rise. A wave takes as many instances at a time as its time asks for, and begins with those that hold lasting subtasks.

--- a/include/pistachiostand/job/Demand.h
+++ b/include/pistachiostand/job/Demand.h
@@ -13,9 +13,10 @@
 struct PoolDemand
 {
   double m_lasting{};  ///< Instances' worth of room of lasting subtasks.
-  double m_running{};  ///< Instances' worth of room of other runs.
-  double m_urgentS{};  ///< Instance-seconds left of jobs that can still meet their objective.
-  double m_lateS{};    ///< Instance-seconds left of jobs that cannot.
+  double m_open{};     ///< Instances' worth of room of other runs and of subtasks that could start,
+                       ///< of jobs that can still meet their objective.
+  double m_parallel{}; ///< Instances that these jobs keep busy on average until they end.
+  double m_lateS{};    ///< Instance-seconds left of jobs that cannot meet it.
 
   friend auto operator<=>(const PoolDemand&, const PoolDemand&) = default;
 };
--- a/src/fleet/CapacityPlan.cpp
+++ b/src/fleet/CapacityPlan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -11,10 +12,13 @@
 namespace {
 
 /// A demand counts this long after it was seen; a queue's pauses within its turn are shorter.
-constexpr Millis kHoldMs = 2'500;
+constexpr Millis kHoldMs = 1'500;
 /// Room beyond the demand, for what arrives while another instance is on its way.
-constexpr double kHeadroom = 1.1;
-constexpr double kHeadroomInstances = 0.8;
+constexpr double kHeadroom = 1.15;
+constexpr double kHeadroomInstances = 1.0;
+/// A queue's turn begins with a steep rise, so a small demand gets half as much again.
+constexpr double kRiseShare = 0.5;
+constexpr double kMaxRiseInstances = 4.0;
 /// Time to empty an instance before maintenance: the longest runs take about this long.
 constexpr Millis kEmptyMs = 2'500;
 /// Part of the time of a wave that the plan uses; the rest is for faults.
@@ -62,11 +66,25 @@
       ++down;
     }
   }
-  const double rounds = std::ceil(static_cast<double>(aWave.m_due.size()) / aWave.m_maxAtOnce);
-  const bool late = rounds * static_cast<double>(kEmptyMs + aInput.m_maintenanceMs) >
-                    kWaveTimeShare * static_cast<double>(left);
-  std::ranges::sort(due, {}, [&aInput](const InstanceView* aInstance) {
-    return std::tuple{ aInstance->m_pool != aInput.m_spare, aInstance->m_runs, aInstance->m_id };
+  // As many at a time as let the wave end within its part of the time.
+  const double pace = static_cast<double>(aWave.m_due.size()) *
+                      static_cast<double>(kEmptyMs + aInput.m_maintenanceMs) /
+                      std::max(kWaveTimeShare * static_cast<double>(left), 1.0);
+  const bool late = pace > aWave.m_maxAtOnce;
+  const auto allowed =
+    late ? aWave.m_maxAtOnce
+         : std::min(aWave.m_maxAtOnce, static_cast<std::uint32_t>(std::ceil(pace)) + 1);
+  // Lasting subtasks leave one after the other, so their instances are begun first, one for each
+  // pool. The others go by how little runs on them.
+  std::set<PoolName> emptying;
+  for (const auto* instance : due) {
+    if (instance->m_cordoned && instance->m_lasting != 0) {
+      emptying.insert(instance->m_pool);
+    }
+  }
+  std::ranges::sort(due, {}, [&](const InstanceView* aInstance) {
+    return std::tuple{ aInstance->m_lasting == 0, aInstance->m_pool != aInput.m_spare,
+                       aInstance->m_runs, aInstance->m_id };
   });
   for (const auto* instance : due) {
     auto& count = aCounts[instance->m_pool];
@@ -74,10 +92,15 @@
     const auto wanted = aInput.m_wanted.find(instance->m_pool);
     const bool needed = wanted != aInput.m_wanted.end() && count.m_present <= wanted->second;
     const bool spare = instance->m_pool == aInput.m_spare;
-    if (instance->m_cordoned || busy >= aWave.m_maxAtOnce ||
-        (!spare && !late && (needed || count.m_taken >= share))) {
+    const bool lasting = instance->m_lasting != 0;
+    if (instance->m_cordoned || busy >= allowed ||
+        (lasting && !late && emptying.contains(instance->m_pool)) ||
+        (!lasting && !spare && !late && (needed || count.m_taken >= share))) {
       continue;
     }
+    if (lasting) {
+      emptying.insert(instance->m_pool);
+    }
     aPlan.m_cordon.push_back(instance->m_id);
     ++busy;
     ++count.m_taken;
@@ -114,9 +137,15 @@
       candidates.push_back(&instance);
     }
   }
-  // Those of the spare pool cost nothing where they are.
-  std::ranges::sort(candidates, {}, [&aInput](const InstanceView* aInstance) {
-    return std::tuple{ aInstance->m_pool != aInput.m_spare, aInstance->m_runs, aInstance->m_id };
+  // Those of the spare pool cost nothing where they are; an instance that is due for maintenance
+  // would soon have to be emptied again.
+  std::set<InstanceId> dueSoon;
+  for (const auto& wave : aInput.m_waves) {
+    dueSoon.insert(wave.m_due.begin(), wave.m_due.end());
+  }
+  std::ranges::sort(candidates, {}, [&](const InstanceView* aInstance) {
+    return std::tuple{ aInstance->m_pool != aInput.m_spare, aInstance->m_runs,
+                       dueSoon.contains(aInstance->m_id), aInstance->m_id };
   });
   Surplus surplus;
   for (const auto* instance : candidates) {
@@ -228,7 +257,9 @@
   });
   m_recent.push_back({ aInstances, aNowMs });
   const double highest = m_recent.front().m_instances;
-  return static_cast<std::uint32_t>(std::ceil(highest * kHeadroom + kHeadroomInstances));
+  return static_cast<std::uint32_t>(std::ceil(
+    highest * kHeadroom + std::min(highest * kRiseShare, kMaxRiseInstances) +
+    kHeadroomInstances));
 }
 
 } // namespace pistachiostand::fleet
--- a/src/job/Demand.cpp
+++ b/src/job/Demand.cpp
@@ -9,27 +9,30 @@
 namespace {
 
 constexpr double kMsPerS = 1'000.0;
-/// Work that is there now should be done within this time: about the run time of one subtask. An
-/// instance costs little against the credit of the work that it does in time.
-constexpr double kUrgentS = 1.0;
 /// Late work earns little; it gets instances that finish it within some seconds.
 constexpr double kLateS = 5.0;
 /// A running subtask has on average half of its work left.
 constexpr double kRunningShare = 0.5;
 
-void AddStep(PoolDemand& aDemand, double& aWorkS, const StepSpec& aSpec,
-             const std::vector<Subtask>& aSubtasks, const Resources& aCapacity)
+/// \brief Room that one occurrence of a job asks for, in instances.
+struct JobRoom
+{
+  double m_lasting{};
+  double m_open{};
+  double m_workS{};
+};
+
+void AddStep(JobRoom& aRoom, const StepSpec& aSpec, const std::vector<Subtask>& aSubtasks,
+             bool aOpen, const Resources& aCapacity)
 {
   const double share = DominantShare(CountedNeed(aSpec), aCapacity);
   const double seconds = static_cast<double>(std::max<Millis>(aSpec.m_estimateMs, 1)) / kMsPerS;
   for (const auto& subtask : aSubtasks) {
     if (aSpec.m_lasting) {
-      aDemand.m_lasting += share;
-    } else if (!subtask.m_runs.empty()) {
-      aDemand.m_running += share * static_cast<double>(subtask.m_runs.size());
-      aWorkS += share * seconds * kRunningShare;
+      aRoom.m_lasting += share;
     } else if (!subtask.m_done) {
-      aWorkS += share * seconds;
+      aRoom.m_open += aOpen ? share : 0;
+      aRoom.m_workS += share * seconds * (subtask.m_runs.empty() ? 1.0 : kRunningShare);
     }
   }
 }
@@ -50,12 +53,19 @@
     }
     PoolDemand& pool = demand[capacity->first];
     for (const auto& [number, occurrence] : job.m_occurrences) {
-      double work = 0;
+      JobRoom room;
       for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
-        AddStep(pool, work, job.m_spec.m_steps[step], occurrence.m_steps[step], capacity->second);
+        AddStep(room, job.m_spec.m_steps[step], occurrence.m_steps[step],
+                IsStepOpen(job, occurrence, step), capacity->second);
+      }
+      pool.m_lasting += room.m_lasting;
+      if (UrgencyOf(job, aConfiguration, number, occurrence, aNowMs) > Urgency::InTime) {
+        pool.m_lateS += room.m_workS;
+        continue;
       }
-      const auto urgency = UrgencyOf(job, aConfiguration, number, occurrence, aNowMs);
-      (urgency <= Urgency::InTime ? pool.m_urgentS : pool.m_lateS) += work;
+      const auto chainMs = std::max<Millis>(RemainingChainMs(job, occurrence), 1);
+      pool.m_open += room.m_open;
+      pool.m_parallel += room.m_workS * kMsPerS / static_cast<double>(chainMs);
     }
   }
   return demand;
@@ -63,7 +73,7 @@
 
 double UrgentInstances(const PoolDemand& aDemand) noexcept
 {
-  return aDemand.m_lasting + aDemand.m_urgentS / kUrgentS;
+  return aDemand.m_lasting + std::max(aDemand.m_open, aDemand.m_parallel);
 }
 
 double LateInstances(const PoolDemand& aDemand) noexcept
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -147,6 +147,11 @@
     const PoolDemand one = found == demand.end() ? PoolDemand{} : found->second;
     aInput.m_wanted[name] =
       std::max(m_demand[name].Update(UrgentInstances(one), now), kLeastInstances);
+    // The lasting subtasks of an instance that is being emptied need another one.
+    aInput.m_wanted[name] += static_cast<std::uint32_t>(
+      std::ranges::count_if(aInput.m_instances, [&name = name](const InstanceView& aInstance) {
+        return aInstance.m_pool == name && aInstance.m_cordoned && aInstance.m_lasting != 0;
+      }));
     aInput.m_extra[name] = static_cast<std::uint32_t>(std::ceil(LateInstances(one)));
   }
 }
@@ -156,7 +161,6 @@
   CapacityInput input;
   input.m_nowMs = aNowMs;
   input.m_spare = SparePool();
-  SetWanted(input);
   input.m_maintenanceMs = m_state.m_settings.m_bounds.m_maintenanceMs;
   for (const auto& [id, instance] : m_instances) {
     InstanceView view;
@@ -185,6 +189,7 @@
       input.m_instances.push_back(std::move(view));
     }
   }
+  SetWanted(input);
   for (const auto& [number, wave] : m_waves) {
     WaveView view{ number, {}, wave.m_request.m_maxAtOnce,
                    wave.m_seenMs + wave.m_request.m_durationMs };
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -21,7 +21,7 @@
 constexpr Millis kSubmissionPauseMs = 15;
 /// Registrations change about once for each server in 1.5 s; a start may follow a drain by 2 s.
 constexpr Millis kRegistryWaitMs = 1'000;
-constexpr Millis kRegistryPauseMs = 250;
+constexpr Millis kRegistryPauseMs = 100;
 /// Only this owner writes the topic; it is read for what earlier owners wrote.
 constexpr Millis kFleetWaitMs = 20'000;
 constexpr Millis kLoadRetryMs = 100;
