--- /dev/null
+++ b/tests/unit/CapacityPlanTest.cpp
@@ -0,0 +1,151 @@
+#include "pistachiostand/fleet/CapacityPlan.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace pistachiostand::fleet {
+namespace {
+
+class CapacityPlanTest : public ::testing::Test
+{
+protected:
+  CapacityPlanTest()
+  {
+    m_input.m_nowMs = 10'000;
+    m_input.m_spare = "spare";
+    m_input.m_maintenanceMs = 2'000;
+  }
+
+  InstanceView& Add(const InstanceId& aId, const PoolName& aPool, std::uint32_t aRuns = 0,
+                    std::uint32_t aLasting = 0)
+  {
+    InstanceView view;
+    view.m_id = aId;
+    view.m_pool = aPool;
+    view.m_up = true;
+    view.m_usable = true;
+    view.m_runs = aRuns;
+    view.m_lasting = aLasting;
+    return m_input.m_instances.emplace_back(view);
+  }
+
+  void AddWave(std::set<InstanceId> aDue, std::uint32_t aMaxAtOnce, Millis aLeftMs)
+  {
+    m_input.m_waves.push_back({ 1, std::move(aDue), aMaxAtOnce, m_input.m_nowMs + aLeftMs });
+  }
+
+  CapacityInput m_input;
+};
+
+// Guards against a queue's turn that its own pool has to carry alone: the spare pool and idle pools
+// give what they have.
+TEST_F(CapacityPlanTest, Rise_TakesFromSpareAndIdlePools)
+{
+  Add("m1", "lookup", 3);
+  Add("m2", "builds");
+  Add("m3", "builds");
+  Add("m4", "spare");
+  m_input.m_wanted = { { "lookup", 3 }, { "builds", 1 } };
+  const auto plan = PlanCapacity(m_input);
+  EXPECT_EQ(plan.m_moves, (std::vector<InstanceMove>{ { "m4", "lookup" }, { "m2", "lookup" } }));
+}
+
+// Guards against a move that ends work: a move ends all that runs on the instance.
+TEST_F(CapacityPlanTest, BusyInstance_IsEmptiedBeforeItMoves)
+{
+  Add("m1", "lookup", 3);
+  Add("m2", "builds", 2);
+  m_input.m_wanted = { { "lookup", 2 }, { "builds", 0 } };
+  const auto plan = PlanCapacity(m_input);
+  EXPECT_TRUE(plan.m_moves.empty());
+  EXPECT_EQ(plan.m_release, std::vector<InstanceId>{ "m2" });
+}
+
+// Guards against emptying an instance of lasting work only to shift capacity.
+TEST_F(CapacityPlanTest, LastingWork_KeepsItsInstance)
+{
+  Add("m1", "builds", 2, 2);
+  m_input.m_wanted = { { "lookup", 2 }, { "builds", 0 } };
+  const auto plan = PlanCapacity(m_input);
+  EXPECT_TRUE(plan.m_moves.empty());
+  EXPECT_TRUE(plan.m_release.empty());
+}
+
+// Guards against instances that run for nobody.
+TEST_F(CapacityPlanTest, UnusedInstance_GoesToTheSparePool)
+{
+  Add("m1", "lookup");
+  Add("m2", "lookup");
+  m_input.m_wanted = { { "lookup", 1 } };
+  const auto plan = PlanCapacity(m_input);
+  ASSERT_EQ(plan.m_moves.size(), 1U);
+  EXPECT_EQ(plan.m_moves[0].m_pool, "spare");
+}
+
+// Guards against two pools that pass one instance to and fro.
+TEST_F(CapacityPlanTest, Instance_IsMovedOnceInAPlan)
+{
+  Add("m1", "spare");
+  m_input.m_wanted = { { "lookup", 2 }, { "builds", 2 } };
+  m_input.m_extra = { { "lookup", 2 }, { "builds", 2 } };
+  EXPECT_EQ(PlanCapacity(m_input).m_moves.size(), 1U);
+}
+
+// Guards against more instances in maintenance at a time than the wave allows.
+TEST_F(CapacityPlanTest, Wave_CountsThoseThatAreDown)
+{
+  Add("m1", "lookup").m_cordoned = true;
+  Add("m2", "lookup").m_cordoned = true;
+  Add("m3", "lookup").m_down = true;
+  AddWave({ "m1", "m2" }, 2, 20'000);
+  EXPECT_EQ(PlanCapacity(m_input).m_maintenance.size(), 1U);
+}
+
+// Guards against maintenance that ends runs while there is time to let them end.
+TEST_F(CapacityPlanTest, Wave_WaitsForRuns)
+{
+  Add("m1", "lookup", 2).m_cordoned = true;
+  AddWave({ "m1" }, 1, 20'000);
+  EXPECT_TRUE(PlanCapacity(m_input).m_maintenance.empty());
+}
+
+// Guards against a wave that misses its end for runs that can be repeated, and against ending
+// lasting work for it.
+TEST_F(CapacityPlanTest, Wave_AtItsEnd_TakesInstancesWithRepeatableRunsOnly)
+{
+  Add("m1", "lookup", 2).m_cordoned = true;
+  Add("m2", "lookup", 2, 1).m_cordoned = true;
+  AddWave({ "m1", "m2" }, 2, 2'000);
+  EXPECT_EQ(PlanCapacity(m_input).m_maintenance,
+            (std::vector<MaintenanceStart>{ { "m1", 1 } }));
+}
+
+// Guards against a wave that empties a whole pool at once.
+TEST_F(CapacityPlanTest, Wave_WithTimeLeft_LeavesMostOfEachPool)
+{
+  for (int i = 0; i < 9; ++i) {
+    Add("m" + std::to_string(i), "lookup");
+  }
+  AddWave({ "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8" }, 9, 60'000);
+  EXPECT_LE(PlanCapacity(m_input).m_cordon.size(), 3U);
+}
+
+class DemandFollowerTest : public ::testing::Test
+{
+protected:
+  DemandFollower m_follower;
+};
+
+// Guards against instances that are sent away in the pauses of a turn.
+TEST_F(DemandFollowerTest, Pause_KeepsTheHighestRecentDemand)
+{
+  const auto high = m_follower.Update(20, 0);
+  EXPECT_GE(high, 20U);
+  EXPECT_EQ(m_follower.Update(2, 500), high);
+  EXPECT_LT(m_follower.Update(2, 5'000), high);
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/unit/JobFixture.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "pistachiostand/job/JobBook.h"
+#include "pistachiostand/job/Scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+/// \file
+/// \brief A book of jobs, two pools and their servers, in virtual time.
+
+namespace pistachiostand::fleet {
+
+class JobFixture : public ::testing::Test
+{
+protected:
+  static constexpr Millis kNow = 100'000;
+
+  JobFixture()
+  {
+    m_configuration.m_revision = 1;
+    QueueRule queue;
+    queue.m_name = "lookups";
+    queue.m_host = "shop.example";
+    queue.m_pathPrefix = "/lookups/";
+    queue.m_pool = "lookup";
+    queue.m_maxFailures = 3;
+    queue.m_stretch = 1.5;
+    queue.m_objectiveMs = 600;
+    m_configuration.m_queues.push_back(queue);
+    m_configuration.m_pools.emplace("lookup", PoolTerms{ "lookup", true, false });
+    m_configuration.m_pools.emplace("spare", PoolTerms{ "spare", true, true });
+  }
+
+  static StepSpec Step(std::uint32_t aCount, std::int64_t aCpuMillis = 1'000,
+                       Millis aEstimateMs = 1'000)
+  {
+    StepSpec step;
+    step.m_count = aCount;
+    step.m_need = { aCpuMillis, 1'000, 0 };
+    step.m_estimateMs = aEstimateMs;
+    return step;
+  }
+
+  static JobSpec Spec(const JobId& aId, std::vector<StepSpec> aSteps)
+  {
+    JobSpec spec;
+    spec.m_id = aId;
+    spec.m_queue = "lookups";
+    spec.m_pool = "lookup";
+    spec.m_payload = "work";
+    spec.m_steps = std::move(aSteps);
+    return spec;
+  }
+
+  void Add(const JobId& aId, std::vector<StepSpec> aSteps, Millis aAgeMs = 0)
+  {
+    ASSERT_TRUE(AddJob(m_book, Spec(aId, std::move(aSteps)), kNow, aAgeMs));
+  }
+
+  static ServerRoom Room(const ServerId& aId, std::int64_t aCpuMillis,
+                         const std::string& aRack = "r1")
+  {
+    ServerRoom room;
+    room.m_id = aId;
+    room.m_pool = "lookup";
+    room.m_labels = { "a", aRack };
+    room.m_capacity = { aCpuMillis, 100'000, 0 };
+    room.m_free = room.m_capacity;
+    return room;
+  }
+
+  std::vector<Placement> Place(std::vector<ServerRoom>& aRooms, Millis aNowMs = kNow)
+  {
+    m_input.m_nowMs = aNowMs;
+    return PlaceSubtasks(m_book, m_configuration, aRooms, m_input).m_placements;
+  }
+
+  /// \brief Starts a run and lets its server confirm it.
+  RunRef Run(const SubtaskId& aId, const ServerId& aServer)
+  {
+    const auto number = PlanRun(m_book, aId, aServer, NextRunNumber(m_book, aId), kNow);
+    const RunRef ref{ aId, number, aServer };
+    FindRun(m_book, ref)->m_phase = RunPhase::Running;
+    return ref;
+  }
+
+  bool End(const RunRef& aRun, EndKind aKind, const std::string& aCheckpoint = {})
+  {
+    return ApplyEnd(m_book, { aRun.m_subtask, aRun.m_run, aKind, aCheckpoint }, 3, kNow);
+  }
+
+  JobBook m_book;
+  Configuration m_configuration;
+  SchedulerInput m_input;
+};
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/unit/LeadershipTest.cpp
@@ -0,0 +1,76 @@
+#include "pistachiostand/ownership/Leadership.h"
+
+#include <gtest/gtest.h>
+
+namespace pistachiostand::fleet {
+namespace {
+
+class LeadershipTest : public ::testing::Test
+{
+protected:
+  void Read(Offset aOffset, OwnershipRecordKind aKind, const std::string& aProcess,
+            FencingToken aToken, Millis aNowMs)
+  {
+    ApplyOwnershipRecord(m_view, aOffset, { aKind, aProcess, "10.0.0.1:1", aToken, 0 }, aNowMs);
+  }
+
+  OwnershipView m_view;
+  OwnershipTerms m_terms;
+};
+
+// Guards against two holders of one token: each claim has an offset of its own.
+TEST_F(LeadershipTest, Claims_AtLaterOffsets_HaveHigherTokens)
+{
+  Read(0, OwnershipRecordKind::Claim, "a", 0, 0);
+  const auto first = m_view.m_token;
+  Read(7, OwnershipRecordKind::Claim, "b", 0, 0);
+  EXPECT_GT(m_view.m_token, first);
+  EXPECT_EQ(m_view.m_owner, "b");
+}
+
+// Guards against a claim while the owner may still act.
+TEST_F(LeadershipTest, MayClaim_WhileTheOwnerMayAct_IsFalse)
+{
+  MarkCurrent(m_view, 0);
+  Read(0, OwnershipRecordKind::Claim, "a", 0, 1'000);
+  EXPECT_FALSE(MayClaim(m_view, m_terms, 1'000 + m_terms.m_actMs, 0));
+  EXPECT_TRUE(MayClaim(m_view, m_terms, 1'000 + m_terms.m_waitMs, 0));
+  EXPECT_GT(m_terms.m_waitMs, m_terms.m_actMs);
+}
+
+// Guards against a claim by a process that has not read the log to its end.
+TEST_F(LeadershipTest, MayClaim_BeforeTheLogWasRead_IsFalse)
+{
+  EXPECT_FALSE(MayClaim(m_view, m_terms, 100'000, 0));
+}
+
+// Guards against a wait for an owner that has given up.
+TEST_F(LeadershipTest, MayClaim_AfterARelease_IsTrueAtOnce)
+{
+  MarkCurrent(m_view, 0);
+  Read(0, OwnershipRecordKind::Claim, "a", 0, 0);
+  Read(1, OwnershipRecordKind::Release, "a", 1, 10);
+  EXPECT_TRUE(MayClaim(m_view, m_terms, 10, 0));
+}
+
+// Guards against a record that is applied again after later ones.
+TEST_F(LeadershipTest, Record_ReadAgain_ChangesNothing)
+{
+  Read(0, OwnershipRecordKind::Claim, "a", 0, 0);
+  Read(5, OwnershipRecordKind::Claim, "b", 0, 0);
+  const auto before = m_view;
+  Read(0, OwnershipRecordKind::Claim, "a", 0, 500);
+  EXPECT_EQ(m_view, before);
+}
+
+// Guards against a record that another version cannot read being taken for an owner.
+TEST_F(LeadershipTest, Decode_DamagedRecord_IsRefused)
+{
+  const OwnershipRecord record{ OwnershipRecordKind::Renewal, "a", "10.0.0.1:1", 4, 9 };
+  const auto bytes = EncodeOwnershipRecord(record);
+  EXPECT_EQ(DecodeOwnershipRecord(bytes), record);
+  EXPECT_FALSE(DecodeOwnershipRecord(bytes.substr(0, bytes.size() - 1)));
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/unit/ReconcileTest.cpp
@@ -0,0 +1,147 @@
+#include "JobFixture.h"
+
+#include "pistachiostand/job/Reconcile.h"
+
+namespace pistachiostand::fleet {
+namespace {
+
+class ReconcileTest : public JobFixture
+{
+protected:
+  static constexpr Millis kAsked = kNow + 100;
+  static constexpr Millis kAnswered = kNow + 110;
+  const SubtaskId m_subtask{ "a", 0, 0, 0 };
+
+  ReconcileTest() { Add("a", { Step(1) }); }
+
+  std::vector<RunRef> Report(const std::vector<ReportedRun>& aRunning)
+  {
+    return Reconcile(m_book, "s1", aRunning, kAsked, kAnswered);
+  }
+
+  fleet::Run& Planned(RunPhase aPhase)
+  {
+    PlanRun(m_book, m_subtask, "s1", 1, kNow);
+    auto& run = *FindRun(m_book, { m_subtask, 1, "s1" });
+    run.m_phase = aPhase;
+    return run;
+  }
+
+  bool HasRun() { return FindRun(m_book, { m_subtask, 1, "s1" }) != nullptr; }
+};
+
+// Guards against a second run while a start without an answer may still be carried out.
+TEST_F(ReconcileTest, StartWithoutAnswer_NotListed_IsKeptAndStopped)
+{
+  Planned(RunPhase::Sent).m_unansweredMs = kNow + 50;
+  EXPECT_EQ(Report({}), (std::vector<RunRef>{ { m_subtask, 1, "s1" } }));
+  EXPECT_TRUE(HasRun());
+}
+
+// Guards against dropping a start that was sent after the report was asked for.
+TEST_F(ReconcileTest, StartInFlight_NotListed_IsKept)
+{
+  Planned(RunPhase::Sent);
+  EXPECT_TRUE(Report({}).empty());
+  EXPECT_TRUE(HasRun());
+}
+
+// Guards against waiting for ever for the end of a stopped run that had never started.
+TEST_F(ReconcileTest, StopAccepted_NotListed_IsDropped)
+{
+  Planned(RunPhase::Stopping).m_stopAcceptedMs = kNow + 60;
+  EXPECT_TRUE(Report({}).empty());
+  EXPECT_FALSE(HasRun());
+}
+
+// Guards against dropping a run whose stop has not been accepted: the order may be lost.
+TEST_F(ReconcileTest, StopNotAccepted_NotListed_IsKept)
+{
+  Planned(RunPhase::Stopping).m_stopSentMs = kNow + 60;
+  Report({});
+  EXPECT_TRUE(HasRun());
+}
+
+// Guards against a subtask that never runs again after a takeover: the server refuses the earlier
+// owner's orders once it has reported under the new token.
+TEST_F(ReconcileTest, RestoredRun_NotListed_IsDropped)
+{
+  Planned(RunPhase::Restored);
+  Report({});
+  EXPECT_FALSE(HasRun());
+}
+
+// Guards against a second run of work that an earlier owner started.
+TEST_F(ReconcileTest, RestoredRun_Listed_GoesOn)
+{
+  Planned(RunPhase::Restored);
+  Report({ { m_subtask, 1, "saved", 40, 0 } });
+  ASSERT_TRUE(HasRun());
+  EXPECT_EQ(FindRun(m_book, { m_subtask, 1, "s1" })->m_phase, RunPhase::Running);
+  EXPECT_EQ(FindSubtask(m_book, m_subtask)->m_checkpoint, "saved");
+}
+
+// Guards against runs that nobody submitted or that run elsewhere already.
+TEST_F(ReconcileTest, UnknownRuns_Listed_AreStopped)
+{
+  Run(m_subtask, "s2");
+  const SubtaskId foreign{ "b", 0, 0, 0 };
+  EXPECT_EQ(Report({ { m_subtask, 1, "", 10, 0 }, { foreign, 1, "", 10, 0 } }),
+            (std::vector<RunRef>{ { m_subtask, 1, "s1" }, { foreign, 1, "s1" } }));
+}
+
+// Guards against losing the order to a reborn server whose start is still on its way to it.
+TEST_F(ReconcileTest, FormerLife_StartInFlight_IsKept)
+{
+  Planned(RunPhase::Sent);
+  DropFormerLife(m_book, "s1", kNow);
+  EXPECT_TRUE(HasRun());
+  FindRun(m_book, { m_subtask, 1, "s1" })->m_phase = RunPhase::Running;
+  DropFormerLife(m_book, "s1", kNow);
+  EXPECT_FALSE(HasRun());
+}
+
+class PaceTest : public JobFixture
+{
+protected:
+  PaceTest()
+  {
+    StepSpec serving = Step(1);
+    serving.m_lasting = true;
+    serving.m_tailTargetMs = 100;
+    StepSpec filler = Step(1);
+    filler.m_lasting = true;
+    filler.m_filler = true;
+    Add("a", { serving, filler });
+    m_serving = Run({ "a", 0, 0, 0 }, "s1");
+    m_filler = Run({ "a", 0, 1, 0 }, "s1");
+  }
+
+  std::vector<PaceChange> Plan(int aTailMs, int aPace)
+  {
+    FindRun(m_book, m_serving)->m_load = aTailMs;
+    FindRun(m_book, m_filler)->m_pace = aPace;
+    return PlanPace(m_book, "s1");
+  }
+
+  RunRef m_serving;
+  RunRef m_filler;
+};
+
+// Guards against fillers that keep a serving subtask over its tail target.
+TEST_F(PaceTest, Tail_NearItsTarget_SlowsTheFiller)
+{
+  EXPECT_EQ(Plan(95, 100), (std::vector<PaceChange>{ { m_filler, 50 } }));
+  EXPECT_EQ(Plan(95, 20), (std::vector<PaceChange>{ { m_filler, 0 } }));
+}
+
+// Guards against fillers that stay slow for good.
+TEST_F(PaceTest, Tail_WellBelowItsTarget_SpeedsTheFillerUp)
+{
+  EXPECT_EQ(Plan(30, 50), (std::vector<PaceChange>{ { m_filler, 70 } }));
+  EXPECT_TRUE(Plan(30, 100).empty());
+  EXPECT_TRUE(Plan(70, 50).empty());
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/unit/SchedulerTest.cpp
@@ -0,0 +1,119 @@
+#include "JobFixture.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pistachiostand::fleet {
+namespace {
+
+class SchedulerTest : public JobFixture
+{
+protected:
+  static std::set<ServerId> ServersOf(const std::vector<Placement>& aPlacements)
+  {
+    std::set<ServerId> servers;
+    std::ranges::transform(aPlacements, std::inserter(servers, servers.end()),
+                           &Placement::m_server);
+    return servers;
+  }
+};
+
+// Guards against a server that gets more than its capacity, in any dimension.
+TEST_F(SchedulerTest, Subtasks_BeyondTheRoom_Wait)
+{
+  Add("a", { Step(10, 1'000) });
+  std::vector<ServerRoom> rooms{ Room("s1", 4'000) };
+  EXPECT_EQ(Place(rooms).size(), 4U);
+  EXPECT_EQ(rooms[0].m_free.m_cpuMillis, 0);
+  EXPECT_EQ(m_book.m_used.at("s1").m_cpuMillis, 4'000);
+}
+
+// Guards against work on a server of another pool, or on one that is to be emptied.
+TEST_F(SchedulerTest, Servers_ClosedOrOfAnotherPool_GetNothing)
+{
+  Add("a", { Step(1) });
+  std::vector<ServerRoom> rooms{ Room("s1", 4'000), Room("s2", 4'000) };
+  rooms[0].m_pool = "other";
+  rooms[1].m_closed = true;
+  EXPECT_TRUE(Place(rooms).empty());
+}
+
+// Guards against more subtasks of a step on one server than the job allows.
+TEST_F(SchedulerTest, AntiAffinity_LimitsEachServer)
+{
+  StepSpec step = Step(3);
+  step.m_maxPerServer = 1;
+  Add("a", { step });
+  std::vector<ServerRoom> rooms{ Room("s1", 8'000), Room("s2", 8'000) };
+  EXPECT_EQ(Place(rooms).size(), 2U);
+}
+
+// Guards against a server without the label that the step needs.
+TEST_F(SchedulerTest, RequiredLabel_IsKept)
+{
+  StepSpec step = Step(2);
+  step.m_requiredLabel = "r2";
+  Add("a", { step });
+  std::vector<ServerRoom> rooms{ Room("s1", 8'000), Room("s2", 8'000, "r2") };
+  EXPECT_EQ(ServersOf(Place(rooms)), std::set<ServerId>{ "s2" });
+}
+
+// Guards against a part of a gang that runs alone.
+TEST_F(SchedulerTest, Gang_ThatDoesNotFitWhole_Waits)
+{
+  StepSpec gang = Step(3, 2'000);
+  gang.m_gang = true;
+  Add("a", { gang });
+  std::vector<ServerRoom> rooms{ Room("s1", 4'000) };
+  EXPECT_TRUE(Place(rooms).empty());
+  EXPECT_EQ(rooms[0].m_free.m_cpuMillis, 4'000);
+  rooms.push_back(Room("s2", 2'000));
+  EXPECT_EQ(Place(rooms).size(), 3U);
+}
+
+// Guards against starts without a ticket in a queue whose placement service decides.
+TEST_F(SchedulerTest, Advice_WithoutTickets_IsAskedFor)
+{
+  m_configuration.m_queues[0].m_advice = AdviceTerms{ 50, 1, 3'000 };
+  Add("a", { Step(1) });
+  std::vector<ServerRoom> rooms{ Room("s1", 4'000), Room("s2", 4'000) };
+  m_input.m_nowMs = kNow;
+  const auto result = PlaceSubtasks(m_book, m_configuration, rooms, m_input);
+  EXPECT_TRUE(result.m_placements.empty());
+  EXPECT_EQ(result.m_adviceWanted, (std::vector<StepId>{ { "a", 0, 0 } }));
+  m_input.m_tickets[{ "a", 0, 0 }] = { { "s2", "ticket" } };
+  EXPECT_EQ(ServersOf(Place(rooms)), std::set<ServerId>{ "s2" });
+}
+
+// Guards against a second run of a subtask that is not speculative.
+TEST_F(SchedulerTest, RunningSubtask_IsNotStartedAgain)
+{
+  Add("a", { Step(1) });
+  std::vector<ServerRoom> rooms{ Room("s1", 4'000), Room("s2", 4'000) };
+  EXPECT_EQ(Place(rooms).size(), 1U);
+  EXPECT_TRUE(Place(rooms, kNow + 60'000).empty());
+}
+
+// Guards against a burst in which jobs that can no longer be in time take the room of those that
+// can: with room for one of two jobs, the fresh one must get it.
+TEST_F(SchedulerTest, Overload_JobInTime_GoesBeforeALateOne)
+{
+  Add("late", { Step(4) }, 4'000);
+  Add("fresh", { Step(4) });
+  std::vector<ServerRoom> rooms{ Room("s1", 4'000) };
+  const auto placements = Place(rooms);
+  ASSERT_EQ(placements.size(), 4U);
+  EXPECT_TRUE(std::ranges::all_of(
+    placements, [](const Placement& aOne) { return aOne.m_subtask.m_job == "fresh"; }));
+}
+
+// Guards against a pool that cannot shrink because its runs are spread thinly.
+TEST_F(SchedulerTest, SmallLoad_UsesOneServer)
+{
+  Add("a", { Step(4) });
+  std::vector<ServerRoom> rooms{ Room("s1", 8'000), Room("s2", 8'000), Room("s3", 8'000) };
+  EXPECT_EQ(ServersOf(Place(rooms)).size(), 1U);
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
