--- a/include/pistachiostand/fleet/Configuration.h
+++ b/include/pistachiostand/fleet/Configuration.h
@@ -33,11 +33,11 @@
   QueueName m_name;
   std::string m_host;
   std::string m_pathPrefix;
-  PoolName m_pool;              ///< Pool whose backend servers run the subtasks.
-  std::uint32_t m_priority{};   ///< 0 is served first and may preempt others.
+  PoolName m_pool;                  ///< Pool whose backend servers run the subtasks.
+  std::uint32_t m_priority{};       ///< 0 is served first and may preempt others.
   std::uint32_t m_maxFailures{ 1 }; ///< Failed runs of a subtask after which its job has failed.
-  double m_stretch{ 1.0 };      ///< The objective is this factor times the longest chain of work,
-  Millis m_objectiveMs{};       ///< and this much more.
+  double m_stretch{ 1.0 }; ///< The objective is this factor times the longest chain of work,
+  Millis m_objectiveMs{};  ///< and this much more.
   std::optional<AdviceTerms> m_advice;
 
   friend bool operator==(const QueueRule&, const QueueRule&) = default;
--- a/include/pistachiostand/fleet/Inventory.h
+++ b/include/pistachiostand/fleet/Inventory.h
@@ -27,8 +27,8 @@
   bool m_draining{};
   Resources m_capacity;
   std::vector<std::string> m_labels; ///< Kind of the instance and its rack.
-  std::int64_t m_incarnation{};      ///< Unix milliseconds of its start; tells lives of one id apart.
-  Millis m_clockMs{};                ///< Its own clock when it registered.
+  std::int64_t m_incarnation{}; ///< Unix milliseconds of its start; tells lives of one id apart.
+  Millis m_clockMs{};           ///< Its own clock when it registered.
 
   friend bool operator==(const ServerEntry&, const ServerEntry&) = default;
 };
--- a/include/pistachiostand/fleet/Resources.h
+++ b/include/pistachiostand/fleet/Resources.h
@@ -18,13 +18,15 @@
   friend auto operator<=>(const Resources&, const Resources&) = default;
 };
 
-[[nodiscard]] constexpr Resources operator+(const Resources& aLeft, const Resources& aRight) noexcept
+[[nodiscard]] constexpr Resources operator+(const Resources& aLeft,
+                                            const Resources& aRight) noexcept
 {
   return { aLeft.m_cpuMillis + aRight.m_cpuMillis, aLeft.m_memoryMb + aRight.m_memoryMb,
            aLeft.m_gpus + aRight.m_gpus };
 }
 
-[[nodiscard]] constexpr Resources operator-(const Resources& aLeft, const Resources& aRight) noexcept
+[[nodiscard]] constexpr Resources operator-(const Resources& aLeft,
+                                            const Resources& aRight) noexcept
 {
   return { aLeft.m_cpuMillis - aRight.m_cpuMillis, aLeft.m_memoryMb - aRight.m_memoryMb,
            aLeft.m_gpus - aRight.m_gpus };
@@ -39,7 +41,8 @@
 
 /// \brief The largest share of `aTotal` that `aNeed` takes in any dimension; at least 1 when a
 /// needed dimension is absent.
-[[nodiscard]] constexpr double DominantShare(const Resources& aNeed, const Resources& aTotal) noexcept
+[[nodiscard]] constexpr double DominantShare(const Resources& aNeed,
+                                             const Resources& aTotal) noexcept
 {
   const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
     if (aPart <= 0) {
@@ -48,7 +51,8 @@
     return aWhole <= 0 ? 1.0 : static_cast<double>(aPart) / static_cast<double>(aWhole);
   };
   return std::max({ share(aNeed.m_cpuMillis, aTotal.m_cpuMillis),
-                    share(aNeed.m_memoryMb, aTotal.m_memoryMb), share(aNeed.m_gpus, aTotal.m_gpus) });
+                    share(aNeed.m_memoryMb, aTotal.m_memoryMb),
+                    share(aNeed.m_gpus, aTotal.m_gpus) });
 }
 
 } // namespace pistachiostand::fleet
--- a/include/pistachiostand/job/JobBook.h
+++ b/include/pistachiostand/job/JobBook.h
@@ -45,11 +45,11 @@
   std::uint64_t m_number{}; ///< Counts the starts of the subtask, from 1.
   ServerId m_server;
   RunPhase m_phase{};
-  Millis m_sinceMs{};  ///< When it entered the phase, on the owner's steady clock.
-  Millis m_workMs{};   ///< When it was first seen running; 0 before.
-  int m_percent{};     ///< Progress, or for a lasting subtask 100 while it is at work.
-  int m_load{};        ///< Serving: tail in milliseconds; otherwise processor use.
-  int m_pace{ 100 };   ///< Share at which it may work.
+  Millis m_sinceMs{};        ///< When it entered the phase, on the owner's steady clock.
+  Millis m_workMs{};         ///< When it was first seen running; 0 before.
+  int m_percent{};           ///< Progress, or for a lasting subtask 100 while it is at work.
+  int m_load{};              ///< Serving: tail in milliseconds; otherwise processor use.
+  int m_pace{ 100 };         ///< Share at which it may work.
   Millis m_unansweredMs{};   ///< When its start was given up waiting for; 0: not.
   Millis m_stopSentMs{};     ///< When the last stop was sent; 0: none.
   Millis m_stopAcceptedMs{}; ///< When a stop was accepted; 0: not.
@@ -90,11 +90,11 @@
 {
   JobSpec m_spec;
   JobPhase m_phase{};
-  bool m_phaseStored{}; ///< The terminal phase is stored and may be shown.
-  bool m_begun{};       ///< Some subtask was seen to run or to have run.
-  Millis m_acceptedMs{};     ///< On the owner's steady clock.
-  Millis m_finishedMs{};     ///< When the terminal phase was stored, on the owner's steady clock.
-  std::uint32_t m_opened{};  ///< Occurrences that have become due.
+  bool m_phaseStored{};     ///< The terminal phase is stored and may be shown.
+  bool m_begun{};           ///< Some subtask was seen to run or to have run.
+  Millis m_acceptedMs{};    ///< On the owner's steady clock.
+  Millis m_finishedMs{};    ///< When the terminal phase was stored, on the owner's steady clock.
+  std::uint32_t m_opened{}; ///< Occurrences that have become due.
   std::map<std::uint32_t, Occurrence> m_occurrences;
 
   friend bool operator==(const Job&, const Job&) = default;
@@ -134,7 +134,7 @@
 struct JobBook
 {
   std::map<JobId, Job> m_jobs;
-  std::set<JobId> m_active; ///< Jobs that have not ended.
+  std::set<JobId> m_active;                           ///< Jobs that have not ended.
   std::map<ServerId, std::set<SubtaskId>> m_byServer; ///< Subtasks with a run on the server.
   std::map<ServerId, Resources> m_used;               ///< Counted need of the runs on the server.
   std::set<JobId> m_changed;                          ///< Jobs whose durable state is not stored.
--- a/include/pistachiostand/job/JobSpec.h
+++ b/include/pistachiostand/job/JobSpec.h
@@ -18,8 +18,8 @@
 struct StepSpec
 {
   std::uint32_t m_count{ 1 };
-  Resources m_need;            ///< Of each subtask.
-  Millis m_estimateMs{};       ///< Declared run time of a subtask; often far off.
+  Resources m_need;                   ///< Of each subtask.
+  Millis m_estimateMs{};              ///< Declared run time of a subtask; often far off.
   std::vector<std::uint32_t> m_after; ///< Steps that must be done first.
   std::string m_image;
   std::string m_requiredLabel;
@@ -40,11 +40,11 @@
 struct JobSpec
 {
   JobId m_id;
-  std::string m_queue;     ///< Name of the queue that accepted it.
-  PoolName m_pool;         ///< Pool of that queue at the time.
-  std::string m_payload;   ///< Passed to the subtasks unread.
-  Millis m_acceptedMs{};   ///< Wall clock of the entry instance that accepted it.
-  Millis m_firstDueMs{};   ///< Wall clock at which the first occurrence is due; 0: at once.
+  std::string m_queue;   ///< Name of the queue that accepted it.
+  PoolName m_pool;       ///< Pool of that queue at the time.
+  std::string m_payload; ///< Passed to the subtasks unread.
+  Millis m_acceptedMs{}; ///< Wall clock of the entry instance that accepted it.
+  Millis m_firstDueMs{}; ///< Wall clock at which the first occurrence is due; 0: at once.
   Millis m_intervalMs{};
   std::uint32_t m_occurrences{}; ///< 0: runs once and has no due times.
   std::vector<StepSpec> m_steps;
--- a/include/pistachiostand/job/Reconcile.h
+++ b/include/pistachiostand/job/Reconcile.h
@@ -44,9 +44,9 @@
 /// \brief Brings the runs of one server in line with its report, after its ends were applied.
 ///
 /// A run that is missing from a report is dropped only when it cannot start any more: it was seen
-/// running before the report was asked for, an earlier owner planned it (the server now refuses that
-/// owner's orders), or its stop was accepted. A start without an answer may still be on its way; it
-/// is returned to be stopped, because the server remembers a stop.
+/// running before the report was asked for, an earlier owner planned it (the server now refuses
+/// that owner's orders), or its stop was accepted. A start without an answer may still be on its
+/// way; it is returned to be stopped, because the server remembers a stop.
 ///
 /// \param aAskedMs when the report was asked for, on the owner's steady clock.
 /// \return runs to stop.
--- a/include/pistachiostand/job/Scheduler.h
+++ b/include/pistachiostand/job/Scheduler.h
@@ -27,13 +27,13 @@
   std::vector<std::string> m_labels;
   Resources m_capacity;
   Resources m_free;
-  std::uint32_t m_runs{};     ///< Runs on it.
-  std::uint32_t m_lasting{};  ///< Lasting runs, part of `m_runs`.
-  std::uint32_t m_fillers{};  ///< Runs whose processor need is not counted.
-  std::uint32_t m_serving{};  ///< Lasting runs with users of their own.
-  bool m_avoid{};             ///< Fails or hangs; used only when nothing else is left.
-  bool m_leavingSoon{};       ///< Due for maintenance: no lasting work.
-  bool m_closed{};            ///< Takes no new work.
+  std::uint32_t m_runs{};    ///< Runs on it.
+  std::uint32_t m_lasting{}; ///< Lasting runs, part of `m_runs`.
+  std::uint32_t m_fillers{}; ///< Runs whose processor need is not counted.
+  std::uint32_t m_serving{}; ///< Lasting runs with users of their own.
+  bool m_avoid{};            ///< Fails or hangs; used only when nothing else is left.
+  bool m_leavingSoon{};      ///< Due for maintenance: no lasting work.
+  bool m_closed{};           ///< Takes no new work.
 
   friend bool operator==(const ServerRoom&, const ServerRoom&) = default;
 };
@@ -59,14 +59,13 @@
 };
 
 [[nodiscard]] Urgency UrgencyOf(const Job& aJob, const Configuration& aConfiguration,
-                                std::uint32_t aOccurrence, const Occurrence& aState,
-                                Millis aNowMs);
+                                std::uint32_t aOccurrence, const Occurrence& aState, Millis aNowMs);
 
 struct SchedulerInput
 {
   Millis m_nowMs{};
   double m_remoteFactor{ 3.0 }; ///< Slow-down of work away from its data or its gang's rack.
-  std::map<QueueName, double> m_meanWork; ///< Mean core-seconds of a job, by queue.
+  std::map<QueueName, double> m_meanWork;                 ///< Mean core-seconds of a job, by queue.
   std::map<StepId, std::map<ServerId, Ticket>> m_tickets; ///< Valid tickets of queues with advice.
 };
 
--- a/include/pistachiostand/ownership/CallTimeout.h
+++ b/include/pistachiostand/ownership/CallTimeout.h
@@ -7,9 +7,9 @@
 /// \file
 /// \brief A timeout that follows the speed of the callee.
 ///
-/// Answers the load of a slow store: a call that is repeated before its first copy has been answered
-/// adds to the callee's queue, and with a fixed timeout below the waiting time no copy is ever
-/// answered in time, also after the cause has gone.
+/// Answers the load of a slow store: a call that is repeated before its first copy has been
+/// answered adds to the callee's queue, and with a fixed timeout below the waiting time no copy is
+/// ever answered in time, also after the cause has gone.
 
 namespace pistachiostand::fleet {
 
--- a/include/pistachiostand/ownership/Leadership.h
+++ b/include/pistachiostand/ownership/Leadership.h
@@ -15,9 +15,9 @@
 /// succeeds only when nobody has renewed since. The offset of a claim gives its fencing token,
 /// which therefore grows with each change of owner and never has two holders.
 ///
-/// Each record says for how long its author acts after it was sent. Others claim when they have seen
-/// no record for that time and a margin. Both count on their own steady clocks. An owner whose calls
-/// take long says a longer time, so a slow store does not change the owner.
+/// Each record says for how long its author acts after it was sent. Others claim when they have
+/// seen no record for that time and a margin. Both count on their own steady clocks. An owner whose
+/// calls take long says a longer time, so a slow store does not change the owner.
 
 namespace pistachiostand::fleet {
 
@@ -33,8 +33,8 @@
 struct OwnershipRecord
 {
   OwnershipRecordKind m_kind{};
-  std::string m_process; ///< Entry instance and its incarnation.
-  std::string m_address; ///< Where the owner answers other entry instances.
+  std::string m_process;  ///< Entry instance and its incarnation.
+  std::string m_address;  ///< Where the owner answers other entry instances.
   FencingToken m_token{}; ///< Of the owner; unused in a claim.
   Millis m_sentMs{};      ///< When it was sent, on the steady clock of its author.
   Millis m_actMs{};       ///< For how long its author acts after that.
@@ -60,13 +60,13 @@
 /// \brief What a process has read of the log of ownership.
 struct OwnershipView
 {
-  Offset m_next{};               ///< Offset after the last record read.
-  FencingToken m_token{};        ///< Of the current owner; 0 when nobody is.
-  std::string m_owner;           ///< Its process; empty when nobody is.
+  Offset m_next{};        ///< Offset after the last record read.
+  FencingToken m_token{}; ///< Of the current owner; 0 when nobody is.
+  std::string m_owner;    ///< Its process; empty when nobody is.
   std::string m_address;
   std::optional<Millis> m_lastRecordMs; ///< When the last record was read.
   Millis m_actMs{ kMaxActMs };          ///< For how long its author acts.
-  bool m_current{};              ///< The log was read to its end at least once.
+  bool m_current{};                     ///< The log was read to its end at least once.
 
   friend bool operator==(const OwnershipView&, const OwnershipView&) = default;
 };
--- a/src/fleet/CapacityPlan.cpp
+++ b/src/fleet/CapacityPlan.cpp
@@ -56,8 +56,8 @@
     }
   }
   const Millis left = aWave.m_endMs - aInput.m_nowMs;
-  std::uint32_t down = static_cast<std::uint32_t>(
-    std::ranges::count_if(aInput.m_instances, &InstanceView::m_down));
+  std::uint32_t down =
+    static_cast<std::uint32_t>(std::ranges::count_if(aInput.m_instances, &InstanceView::m_down));
   for (const auto* instance : due) {
     const bool empty = instance->m_runs == 0;
     const bool last = instance->m_lasting == 0 && left < kLastMomentMs;
@@ -150,8 +150,7 @@
   Surplus surplus;
   for (const auto* instance : candidates) {
     auto& count = aCounts[instance->m_pool];
-    if (instance->m_pool != aInput.m_spare &&
-        count.m_present <= ValueOr(aKept, instance->m_pool)) {
+    if (instance->m_pool != aInput.m_spare && count.m_present <= ValueOr(aKept, instance->m_pool)) {
       continue;
     }
     if (instance->m_pool != aInput.m_spare && !instance->m_usable) {
@@ -185,8 +184,8 @@
   auto next = aSurplus.m_free.begin();
   // One at a time for each pool, the largest lack first, so that no pool takes all.
   while (next != aSurplus.m_free.end()) {
-    const auto most = std::ranges::max_element(
-      aDeficits, {}, [](const auto& aDeficit) { return aDeficit.second; });
+    const auto most =
+      std::ranges::max_element(aDeficits, {}, [](const auto& aDeficit) { return aDeficit.second; });
     if (most == aDeficits.end() || most->second == 0) {
       return;
     }
@@ -257,9 +256,9 @@
   });
   m_recent.push_back({ aInstances, aNowMs });
   const double highest = m_recent.front().m_instances;
-  return static_cast<std::uint32_t>(std::ceil(
-    aSteady + highest * kHeadroom + std::min(highest * kRiseShare, kMaxRiseInstances) +
-    kHeadroomInstances));
+  return static_cast<std::uint32_t>(std::ceil(aSteady + highest * kHeadroom +
+                                              std::min(highest * kRiseShare, kMaxRiseInstances) +
+                                              kHeadroomInstances));
 }
 
 } // namespace pistachiostand::fleet
--- a/src/job/Evacuation.cpp
+++ b/src/job/Evacuation.cpp
@@ -11,9 +11,8 @@
 bool IsAway(const Subtask& aSubtask, Millis aSettleMs, Millis aNowMs)
 {
   return aSubtask.m_atWorkSinceMs == 0 || aNowMs - aSubtask.m_atWorkSinceMs < aSettleMs ||
-         std::ranges::none_of(aSubtask.m_runs, [](const Run& aRun) {
-           return aRun.m_phase == RunPhase::Running;
-         });
+         std::ranges::none_of(aSubtask.m_runs,
+                              [](const Run& aRun) { return aRun.m_phase == RunPhase::Running; });
 }
 
 } // namespace
--- a/src/job/JobBook.cpp
+++ b/src/job/JobBook.cpp
@@ -51,9 +51,8 @@
     auto& used = aBook.m_used[aRef.m_server];
     used = used - CountedNeed(*FindStep(aBook, aRef.m_subtask));
   }
-  if (std::ranges::none_of(aSubtask.m_runs, [&aRef](const Run& aRun) {
-        return aRun.m_server == aRef.m_server;
-      })) {
+  if (std::ranges::none_of(aSubtask.m_runs,
+                           [&aRef](const Run& aRun) { return aRun.m_server == aRef.m_server; })) {
     const auto found = aBook.m_byServer.find(aRef.m_server);
     if (found != aBook.m_byServer.end()) {
       found->second.erase(aRef.m_subtask);
@@ -350,8 +349,7 @@
 {
   return static_cast<std::size_t>(std::ranges::count_if(aBook.m_active, [&](const JobId& aId) {
     const Job& job = aBook.m_jobs.at(aId);
-    return !job.m_begun && job.m_spec.m_occurrences == 0 &&
-           job.m_spec.m_queue == aQueue;
+    return !job.m_begun && job.m_spec.m_occurrences == 0 && job.m_spec.m_queue == aQueue;
   }));
 }
 
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -93,9 +93,8 @@
   }
   const auto mean = aInput.m_meanWork.find(aJob.m_spec.m_queue);
   const double work = WorkOf(aJob.m_spec);
-  const double relative = mean == aInput.m_meanWork.end() || mean->second <= 0
-                            ? 1.0
-                            : work / mean->second;
+  const double relative =
+    mean == aInput.m_meanWork.end() || mean->second <= 0 ? 1.0 : work / mean->second;
   const double credit = std::min(kBaseCredit + (1 - kBaseCredit) * relative, kMaxCredit);
   candidate.m_density = credit / std::max(RemainingWork(aJob, aState), 1e-3);
   candidate.m_objectiveEndMs = ObjectiveEndMs(aJob, rule, aOccurrence);
@@ -177,9 +176,9 @@
     const auto placed = m_ofStep.find(aServer.m_id);
     const bool crowded = m_spec.m_maxPerServer != 0 && placed != m_ofStep.end() &&
                          placed->second >= m_spec.m_maxPerServer;
-    const bool labelled = m_spec.m_requiredLabel.empty() ||
-                          std::ranges::find(aServer.m_labels, m_spec.m_requiredLabel) !=
-                            aServer.m_labels.end();
+    const bool labelled =
+      m_spec.m_requiredLabel.empty() ||
+      std::ranges::find(aServer.m_labels, m_spec.m_requiredLabel) != aServer.m_labels.end();
     return !aServer.m_closed && !crowded && labelled && aServer.m_id != aExcept &&
            (m_tickets == nullptr || m_tickets->contains(aServer.m_id)) &&
            Fits(m_need, aServer.m_free);
@@ -190,8 +189,8 @@
   {
     // The fullest server that fits: others become empty and can leave the pool.
     double cost = DominantShare(aServer.m_free, aServer.m_capacity) / 2;
-    if (!m_spec.m_dataRack.empty() && std::ranges::find(aServer.m_labels, m_spec.m_dataRack) ==
-                                        aServer.m_labels.end()) {
+    if (!m_spec.m_dataRack.empty() &&
+        std::ranges::find(aServer.m_labels, m_spec.m_dataRack) == aServer.m_labels.end()) {
       cost += m_input.m_remoteFactor;
     }
     if (aServer.m_avoid) {
@@ -393,7 +392,8 @@
     ends[step] += aJob.m_spec.m_steps[step].m_estimateMs;
     chain = std::max(chain, ends[step]);
   }
-  const Millis due = aJob.m_acceptedMs + static_cast<Millis>(aOccurrence) * aJob.m_spec.m_intervalMs;
+  const Millis due =
+    aJob.m_acceptedMs + static_cast<Millis>(aOccurrence) * aJob.m_spec.m_intervalMs;
   return due + static_cast<Millis>(aRule.m_stretch * static_cast<double>(chain)) +
          aRule.m_objectiveMs;
 }
--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -86,9 +86,9 @@
   Millis m_receivedMs{};
   Millis m_deadlineMs{}; ///< Steady clock at which the caller must have its answer.
   unsigned m_tries{};
-  bool m_relayed{};   ///< The last try went through the owner.
-  bool m_uncertain{}; ///< An append had no answer: it may still take effect.
-  asio::steady_timer m_timer;      ///< Ends it at its deadline.
+  bool m_relayed{};           ///< The last try went through the owner.
+  bool m_uncertain{};         ///< An append had no answer: it may still take effect.
+  asio::steady_timer m_timer; ///< Ends it at its deadline.
   asio::steady_timer m_retryTimer;
 };
 
@@ -117,8 +117,8 @@
     return;
   }
   const QueueRule* queue =
-    FindQueue(m_context.m_configuration,
-              WithoutPort(FindHeader(aRequest.m_headers, "host")), aRequest.m_path);
+    FindQueue(m_context.m_configuration, WithoutPort(FindHeader(aRequest.m_headers, "host")),
+              aRequest.m_path);
   if (queue == nullptr) {
     LogEvent("http", "no-queue", "host={} path={} revision={}",
              FindHeader(aRequest.m_headers, "host"), aRequest.m_path,
@@ -169,8 +169,7 @@
     aId, aQueue.m_name,
     platform::EncodeKeyed(std::string{ kSubmissionPrefix } + aId, EncodeSubmission(*spec)),
     std::move(aRespond), now, now + DeadlineOf(aRequest) - kAnswerMarginMs, 0, false, false,
-    asio::steady_timer{ m_context.m_loop },
-    asio::steady_timer{ m_context.m_loop } });
+    asio::steady_timer{ m_context.m_loop }, asio::steady_timer{ m_context.m_loop } });
   Begin(submission);
 }
 
@@ -200,10 +199,9 @@
 void CallerFront::Store(const std::shared_ptr<Submission>& aSubmission)
 {
   ++aSubmission->m_tries;
-  m_context.m_writer.Append(aSubmission->m_record, aSubmission->m_deadlineMs,
-                            [this, aSubmission](platform::AppendOutcome aOutcome) {
-                              OnAppended(aSubmission, aOutcome);
-                            });
+  m_context.m_writer.Append(
+    aSubmission->m_record, aSubmission->m_deadlineMs,
+    [this, aSubmission](platform::AppendOutcome aOutcome) { OnAppended(aSubmission, aOutcome); });
 }
 
 void CallerFront::Relay(const std::shared_ptr<Submission>& aSubmission)
@@ -212,10 +210,9 @@
   aSubmission->m_relayed = true;
   const Millis left = aSubmission->m_deadlineMs - MonotonicMs();
   Count(m_context.m_metrics, "submissions_relayed_total");
-  m_context.m_relay(aSubmission->m_record, std::clamp(left, kMinAppendTimeoutMs, kAppendTimeoutMs),
-                    [this, aSubmission](platform::AppendOutcome aOutcome) {
-                      OnAppended(aSubmission, aOutcome);
-                    });
+  m_context.m_relay(
+    aSubmission->m_record, std::clamp(left, kMinAppendTimeoutMs, kAppendTimeoutMs),
+    [this, aSubmission](platform::AppendOutcome aOutcome) { OnAppended(aSubmission, aOutcome); });
 }
 
 void CallerFront::OnAppended(const std::shared_ptr<Submission>& aSubmission,
@@ -234,8 +231,8 @@
   aSubmission->m_uncertain =
     aSubmission->m_uncertain || aOutcome == platform::AppendOutcome::Unknown;
   // The store may turn this instance away and serve the owner.
-  const bool relay = !std::exchange(aSubmission->m_relayed, false) &&
-                     aOutcome == platform::AppendOutcome::Refused;
+  const bool relay =
+    !std::exchange(aSubmission->m_relayed, false) && aOutcome == platform::AppendOutcome::Refused;
   if (relay && now + kMinAppendTimeoutMs < aSubmission->m_deadlineMs) {
     Relay(aSubmission);
     return;
@@ -271,8 +268,8 @@
   Observe(m_context.m_metrics, "accept_ms", aSubmission->m_queue, took);
   Count(m_context.m_metrics, aStatus == 200 ? "jobs_accepted_total" : "jobs_not_accepted_total");
   aSubmission->m_respond(aStatus == 200
-                          ? JsonResponse(200, platform::EncodeJobState(ShownState::Queued))
-                          : Refusal(aStatus, aReason));
+                           ? JsonResponse(200, platform::EncodeJobState(ShownState::Queued))
+                           : Refusal(aStatus, aReason));
 }
 
 void CallerFront::Cancel(const HttpRequest& aRequest, const JobId& aId, HttpResponder aRespond)
@@ -281,22 +278,20 @@
   auto submission = std::make_shared<Submission>(Submission{
     aId, "cancel", platform::EncodeKeyed(std::string{ kCancelPrefix } + aId, "1"),
     std::move(aRespond), now, now + DeadlineOf(aRequest) - kAnswerMarginMs, 0, false, false,
-    asio::steady_timer{ m_context.m_loop },
-    asio::steady_timer{ m_context.m_loop } });
+    asio::steady_timer{ m_context.m_loop }, asio::steady_timer{ m_context.m_loop } });
   Begin(submission);
 }
 
 void CallerFront::AskState(const JobId& aId, HttpResponder aRespond)
 {
   const bool accepted = m_accepted.contains(aId);
-  m_context.m_askOwner(OwnerJobPath(aId),
-                       [accepted, respond = std::move(aRespond)](HttpResponse aResponse) {
-                         if (accepted && aResponse.m_status == 410) {
-                           aResponse =
-                             JsonResponse(200, platform::EncodeJobState(ShownState::Queued));
-                         }
-                         respond(std::move(aResponse));
-                       });
+  m_context.m_askOwner(
+    OwnerJobPath(aId), [accepted, respond = std::move(aRespond)](HttpResponse aResponse) {
+      if (accepted && aResponse.m_status == 410) {
+        aResponse = JsonResponse(200, platform::EncodeJobState(ShownState::Queued));
+      }
+      respond(std::move(aResponse));
+    });
 }
 
 void CallerFront::AskPending(const QueueRule& aQueue, HttpResponder aRespond)
@@ -308,9 +303,8 @@
 {
   if (aNowMs - m_lastForgetMs > kForgetEveryMs) {
     m_lastForgetMs = aNowMs;
-    std::erase_if(m_accepted, [aNowMs](const auto& aEntry) {
-      return aNowMs - aEntry.second > kAcceptedMs;
-    });
+    std::erase_if(m_accepted,
+                  [aNowMs](const auto& aEntry) { return aNowMs - aEntry.second > kAcceptedMs; });
   }
 }
 
--- a/src/manager/CallerFront.h
+++ b/src/manager/CallerFront.h
@@ -4,10 +4,10 @@
 #include "Metrics.h"
 #include "SubmissionWriter.h"
 
-#include "platform/Store.h"
 #include "pistachiostand/connection/HttpServer.h"
 #include "pistachiostand/fleet/Configuration.h"
 #include "pistachiostand/job/JobSpec.h"
+#include "platform/Store.h"
 
 #include <asio/io_context.hpp>
 
@@ -66,8 +66,7 @@
   void Begin(const std::shared_ptr<Submission>& aSubmission);
   void Store(const std::shared_ptr<Submission>& aSubmission);
   void Relay(const std::shared_ptr<Submission>& aSubmission);
-  void OnAppended(const std::shared_ptr<Submission>& aSubmission,
-                  platform::AppendOutcome aOutcome);
+  void OnAppended(const std::shared_ptr<Submission>& aSubmission, platform::AppendOutcome aOutcome);
   void Finish(const std::shared_ptr<Submission>& aSubmission, std::uint16_t aStatus,
               std::string_view aReason);
   void Cancel(const HttpRequest& aRequest, const JobId& aId, HttpResponder aRespond);
--- a/src/manager/Committer.cpp
+++ b/src/manager/Committer.cpp
@@ -120,10 +120,9 @@
   request.m_records = m_records;
   request.m_writer = platform::Writer{ kWriterName, m_state.m_token, m_sequence };
   request.m_timeoutMs = m_timeout.CurrentMs();
-  m_state.m_store.Append(std::move(request),
-                         m_state.Guard([this](const platform::AppendResult& aResult) {
-                           OnAnswer(aResult);
-                         }));
+  m_state.m_store.Append(
+    std::move(request),
+    m_state.Guard([this](const platform::AppendResult& aResult) { OnAnswer(aResult); }));
 }
 
 void Committer::Retry()
--- a/src/manager/Elector.cpp
+++ b/src/manager/Elector.cpp
@@ -15,7 +15,7 @@
 constexpr std::string_view kKey = "owner";
 constexpr Millis kTickMs = 50;
 /// A read waits this long for a record; renewals come several times as often.
-constexpr Millis kReadWaitMs = 2'000;
+constexpr Millis kReadWaitMs = 800;
 /// Claims of several processes are spread over this time, so that one mostly succeeds alone.
 constexpr Millis kClaimSpreadMs = 200;
 /// A slow store takes up to 0.7 s; the tail shows sooner whether an unanswered record was stored.
@@ -83,8 +83,7 @@
 {
   m_inFlight = true;
   m_sentMs = MonotonicMs();
-  const OwnershipRecord record{ aKind,   m_process, m_address,
-                                m_token, m_sentMs,  ActMs(m_callMs) };
+  const OwnershipRecord record{ aKind, m_process, m_address, m_token, m_sentMs, ActMs(m_callMs) };
   platform::AppendRequest request;
   request.m_topic = kTopic;
   request.m_records = { platform::EncodeKeyed(kKey, EncodeOwnershipRecord(record)) };
@@ -102,8 +101,8 @@
       OnRecord(EncodeOwnershipRecord(record), aResult.m_first);
     } else {
       // The tail of the topic shows whether an unanswered record was stored.
-      LogEvent("owner", "append-failed", "kind={} outcome={} at={}", static_cast<int>(record.m_kind),
-               static_cast<int>(aResult.m_outcome), m_view.m_next);
+      LogEvent("owner", "append-failed", "kind={} outcome={} at={}",
+               static_cast<int>(record.m_kind), static_cast<int>(aResult.m_outcome), m_view.m_next);
     }
   });
 }
--- a/src/manager/Elector.h
+++ b/src/manager/Elector.h
@@ -65,8 +65,8 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>();
   FencingToken m_token{};
   Millis m_confirmedMs{};
-  Millis m_actMs{};   ///< Of the last stored record of this owner.
-  Millis m_callMs{};  ///< Recent longest time of an append.
+  Millis m_actMs{};  ///< Of the last stored record of this owner.
+  Millis m_callMs{}; ///< Recent longest time of an append.
   Millis m_sentMs{};
   Millis m_claimDelayMs{};
   bool m_inFlight{};
--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -16,20 +16,20 @@
 /// \brief Bounds that the platform states for the deployment, table `[bounds]`.
 struct PlatformBounds
 {
-  Millis m_maxLeaseMs{};   ///< Longest lease of a run.
-  Millis m_stopMs{};       ///< Longest time a stop takes.
+  Millis m_maxLeaseMs{}; ///< Longest lease of a run.
+  Millis m_stopMs{};     ///< Longest time a stop takes.
   Millis m_contactMs{};
-  Millis m_graceMs{};      ///< From SIGTERM to SIGKILL.
-  Millis m_exclusiveMs{};  ///< Two owners may not order one instance within this time.
-  Millis m_drainMs{};      ///< After this time a draining backend server gets no starts.
-  Millis m_keepStateMs{};  ///< How long the state of a finished job must be readable.
-  Millis m_earlyMs{};      ///< A due subtask may start this much early.
+  Millis m_graceMs{};     ///< From SIGTERM to SIGKILL.
+  Millis m_exclusiveMs{}; ///< Two owners may not order one instance within this time.
+  Millis m_drainMs{};     ///< After this time a draining backend server gets no starts.
+  Millis m_keepStateMs{}; ///< How long the state of a finished job must be readable.
+  Millis m_earlyMs{};     ///< A due subtask may start this much early.
   double m_remoteFactor{ 1.0 };
-  Millis m_noticeMs{};     ///< Time for which a lasting subtask counts as away after it was.
+  Millis m_noticeMs{}; ///< Time for which a lasting subtask counts as away after it was.
   Millis m_moveMs{};
   Millis m_maintenanceMs{};
-  Millis m_harmMs{};       ///< Longest time a serving subtask may miss its tail target.
-  Millis m_paceMs{};       ///< Time until a pace takes effect.
+  Millis m_harmMs{}; ///< Longest time a serving subtask may miss its tail target.
+  Millis m_paceMs{}; ///< Time until a pace takes effect.
 
   friend auto operator<=>(const PlatformBounds&, const PlatformBounds&) = default;
 };
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -45,9 +45,8 @@
 
 PoolName FleetControl::SparePool() const
 {
-  const auto spare = std::ranges::find_if(m_state.m_configuration.m_pools, [](const auto& aPool) {
-    return aPool.second.m_spare;
-  });
+  const auto spare = std::ranges::find_if(m_state.m_configuration.m_pools,
+                                          [](const auto& aPool) { return aPool.second.m_spare; });
   return spare == m_state.m_configuration.m_pools.end() ? PoolName{} : spare->first;
 }
 
@@ -194,8 +193,7 @@
       view.m_pool = order->second.m_pool.empty() ? view.m_pool : order->second.m_pool;
     }
     const auto server = m_state.m_servers.find(instance.m_server);
-    view.m_usable =
-      server != m_state.m_servers.end() && m_runs.IsUsable(server->second, aNowMs);
+    view.m_usable = server != m_state.m_servers.end() && m_runs.IsUsable(server->second, aNowMs);
     const auto subtasks = m_state.m_book.m_byServer.find(instance.m_server);
     if (subtasks != m_state.m_book.m_byServer.end()) {
       view.m_runs = static_cast<std::uint32_t>(subtasks->second.size());
@@ -210,8 +208,9 @@
   }
   SetWanted(input);
   for (const auto& [number, wave] : m_waves) {
-    WaveView view{ number, {}, wave.m_request.m_maxAtOnce,
-                   wave.m_seenMs + wave.m_request.m_durationMs };
+    WaveView view{
+      number, {}, wave.m_request.m_maxAtOnce, wave.m_seenMs + wave.m_request.m_durationMs
+    };
     std::ranges::copy_if(wave.m_request.m_instances, std::inserter(view.m_due, view.m_due.end()),
                          [&wave](const InstanceId& aId) { return !wave.m_done.contains(aId); });
     if (!view.m_due.empty()) {
@@ -233,8 +232,9 @@
         return aInstance.m_pool == pool && aIs(aInstance);
       });
     };
-    LogEvent("fleet", "capacity", "pool={} wanted={} usable={} present={} empty={} cordoned={} extra={}",
-             pool, wanted, count([](const auto& aOne) { return aOne.m_usable; }),
+    LogEvent("fleet", "capacity",
+             "pool={} wanted={} usable={} present={} empty={} cordoned={} extra={}", pool, wanted,
+             count([](const auto& aOne) { return aOne.m_usable; }),
              count([](const auto&) { return true; }),
              count([](const auto& aOne) { return aOne.m_runs == 0; }),
              count([](const auto& aOne) { return aOne.m_cordoned || aOne.m_down; }),
@@ -252,7 +252,8 @@
     LogEvent("wave", "cordon", "instance={} server={}", id, m_instances.at(id).m_server);
   }
   std::vector<InstanceId> ordered;
-  const auto order = [&](const InstanceId& aId, PoolName aPool, std::optional<std::uint64_t> aWave) {
+  const auto order = [&](const InstanceId& aId, PoolName aPool,
+                         std::optional<std::uint64_t> aWave) {
     const bool added =
       m_orders.size() < kMaxOrdersAtOnce &&
       m_orders
@@ -300,9 +301,8 @@
 {
   Order& order = m_orders.at(aInstance);
   order.m_sentMs = MonotonicMs();
-  const auto done = m_state.Guard([this, aInstance](const platform::InstanceResult& aResult) {
-    OnAnswered(aInstance, aResult);
-  });
+  const auto done = m_state.Guard(
+    [this, aInstance](const platform::InstanceResult& aResult) { OnAnswered(aInstance, aResult); });
   if (order.m_wave) {
     LogEvent("wave", "maintain", "instance={} wave={} token={}", aInstance, *order.m_wave,
              m_state.m_token);
@@ -315,8 +315,7 @@
   }
 }
 
-void FleetControl::OnAnswered(const InstanceId& aInstance,
-                              const platform::InstanceResult& aResult)
+void FleetControl::OnAnswered(const InstanceId& aInstance, const platform::InstanceResult& aResult)
 {
   const auto found = m_orders.find(aInstance);
   if (found == m_orders.end()) {
@@ -418,9 +417,8 @@
 {
   const bool completed =
     aWave.m_seenMs != 0 &&
-    std::ranges::all_of(aWave.m_request.m_instances, [&aWave](const InstanceId& aId) {
-      return aWave.m_done.contains(aId);
-    });
+    std::ranges::all_of(aWave.m_request.m_instances,
+                        [&aWave](const InstanceId& aId) { return aWave.m_done.contains(aId); });
   if (aWave.m_seenMs == 0 || aWave.m_writing || aWave.m_shown == completed) {
     return;
   }
@@ -428,18 +426,17 @@
   platform::AppendRequest request;
   request.m_topic = "keyed.status";
   request.m_timeoutMs = kStoreTimeoutMs;
-  request.m_records = { platform::EncodeKeyed(
-    fmt::format("wave/{}", aWave.m_request.m_number), platform::EncodeWaveStatus(completed)) };
-  m_state.m_store.Append(
-    std::move(request),
-    m_state.Guard([this, number = aWave.m_request.m_number, completed](const auto& aResult) {
-      Wave& wave = m_waves.at(number);
-      wave.m_writing = false;
-      if (aResult.m_outcome == platform::AppendOutcome::Stored) {
-        wave.m_shown = completed;
-        LogEvent("wave", "status", "wave={} completed={}", number, completed);
-      }
-    }));
+  request.m_records = { platform::EncodeKeyed(fmt::format("wave/{}", aWave.m_request.m_number),
+                                              platform::EncodeWaveStatus(completed)) };
+  m_state.m_store.Append(std::move(request), m_state.Guard([this, number = aWave.m_request.m_number,
+                                                            completed](const auto& aResult) {
+    Wave& wave = m_waves.at(number);
+    wave.m_writing = false;
+    if (aResult.m_outcome == platform::AppendOutcome::Stored) {
+      wave.m_shown = completed;
+      LogEvent("wave", "status", "wave={} completed={}", number, completed);
+    }
+  }));
 }
 
 void FleetControl::StoreWave(const Wave& aWave)
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -64,9 +64,9 @@
   /// \brief An order that the list does not show yet.
   struct Order
   {
-    PoolName m_pool;               ///< Target of a move; empty for maintenance.
+    PoolName m_pool; ///< Target of a move; empty for maintenance.
     std::optional<std::uint64_t> m_wave;
-    ServerId m_before;             ///< Backend server before the order.
+    ServerId m_before; ///< Backend server before the order.
     bool m_answered{};
     Millis m_sentMs{}; ///< 0: its record is not stored yet.
   };
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -17,10 +17,11 @@
 constexpr Millis kTickMs = 100;
 /// Lets ends and submissions gather before a pass over the jobs.
 constexpr Millis kGatherMs = 5;
-constexpr Millis kSubmissionWaitMs = 1'000;
+/// A read may miss a record that is being stored; see the configuration's wait.
+constexpr Millis kSubmissionWaitMs = 300;
 constexpr Millis kSubmissionPauseMs = 15;
 /// Registrations change about once for each server in 1.5 s; a start may follow a drain by 2 s.
-constexpr Millis kRegistryWaitMs = 1'000;
+constexpr Millis kRegistryWaitMs = 500;
 constexpr Millis kRegistryPauseMs = 100;
 /// Only this owner writes the topic; it is read for what earlier owners wrote.
 constexpr Millis kFleetWaitMs = 20'000;
@@ -279,8 +280,8 @@
     room.m_labels = server.m_entry.m_labels;
     room.m_capacity = server.m_entry.m_capacity;
     const auto used = m_state.m_book.m_used.find(id);
-    room.m_free = used == m_state.m_book.m_used.end() ? room.m_capacity
-                                                      : room.m_capacity - used->second;
+    room.m_free =
+      used == m_state.m_book.m_used.end() ? room.m_capacity : room.m_capacity - used->second;
     const auto subtasks = m_state.m_book.m_byServer.find(id);
     if (subtasks != m_state.m_book.m_byServer.end()) {
       for (const auto& subtask : subtasks->second) {
@@ -329,16 +330,14 @@
   input.m_nowMs = aNowMs;
   input.m_remoteFactor = m_state.m_settings.m_bounds.m_remoteFactor;
   input.m_meanWork = m_state.m_meanWork;
-  std::erase_if(m_tickets, [&](const auto& aEntry) {
-    return m_ticketsEndMs[aEntry.first] < aNowMs;
-  });
+  std::erase_if(m_tickets,
+                [&](const auto& aEntry) { return m_ticketsEndMs[aEntry.first] < aNowMs; });
   input.m_tickets = m_tickets;
   const auto result = PlaceSubtasks(m_state.m_book, m_state.m_configuration, rooms, input);
   for (const auto& placement : result.m_placements) {
     m_committer.AddPlanned({ placement.m_subtask, placement.m_run, placement.m_server });
-    const auto tickets = m_tickets.find({ placement.m_subtask.m_job,
-                                          placement.m_subtask.m_occurrence,
-                                          placement.m_subtask.m_step });
+    const auto tickets = m_tickets.find(
+      { placement.m_subtask.m_job, placement.m_subtask.m_occurrence, placement.m_subtask.m_step });
     if (tickets != m_tickets.end()) {
       m_runs.m_tickets[placement.m_subtask] = tickets->second.at(placement.m_server);
     }
@@ -346,8 +345,7 @@
   AskAdvice(result.m_adviceWanted, rooms);
 }
 
-void FleetOwner::AskAdvice(const std::vector<StepId>& aSteps,
-                           const std::vector<ServerRoom>& aRooms)
+void FleetOwner::AskAdvice(const std::vector<StepId>& aSteps, const std::vector<ServerRoom>& aRooms)
 {
   if (!m_state.m_settings.m_advice) {
     return;
@@ -374,8 +372,8 @@
                            static_cast<Millis>(servers.size()) * rule->m_advice->m_perServerMs +
                            kAdviceMarginMs;
     platform::AskAdvice(
-      m_state.m_client, ToString(*m_state.m_settings.m_advice), step, servers,
-      timeout, m_state.Guard([this, step, sent](const std::optional<platform::Advice>& aAdvice) {
+      m_state.m_client, ToString(*m_state.m_settings.m_advice), step, servers, timeout,
+      m_state.Guard([this, step, sent](const std::optional<platform::Advice>& aAdvice) {
         m_asking.erase(step);
         if (aAdvice) {
           m_tickets[step] = aAdvice->m_tickets;
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -28,7 +28,7 @@
 /// \brief What is known of a job that a caller asks for.
 struct JobLookup
 {
-  bool m_current{};                ///< The jobs are read up to a recent moment.
+  bool m_current{};                  ///< The jobs are read up to a recent moment.
   std::optional<ShownState> m_state; ///< Nothing: no such job.
 };
 
@@ -88,8 +88,8 @@
   bool m_submissionsRead{};
   bool m_loaded{};
   bool m_scheduled{};
-  std::set<JobId> m_cancels;  ///< Read before the progress was.
-  std::set<JobId> m_retired;  ///< Jobs whose submission is to be removed from the store.
+  std::set<JobId> m_cancels; ///< Read before the progress was.
+  std::set<JobId> m_retired; ///< Jobs whose submission is to be removed from the store.
   bool m_retiring{};
   std::map<StepId, std::map<ServerId, Ticket>> m_tickets;
   std::map<StepId, Millis> m_ticketsEndMs;
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -22,7 +22,9 @@
 
 namespace {
 
-constexpr Millis kConfigurationWaitMs = 20'000;
+/// A read that reaches the store while a record is being stored may miss it and wait to the end, so
+/// no wait may exceed what a change may take: 2 s for a configuration.
+constexpr Millis kConfigurationWaitMs = 800;
 constexpr Millis kConfigurationPauseMs = 100;
 /// An instance that has not read the store for this long is not ready; three of its reads.
 constexpr Millis kReadyMs = 4'000;
@@ -80,11 +82,10 @@
                       OnConfigurationRecord(aKey, aValue);
                     },
                      [](Millis /*aSentMs*/) {} })
-  , m_elector(aLoop, *m_client, m_store, m_process, ToString(m_settings.m_entryListen),
-              { [this](FencingToken aToken, Millis aClaimedMs) {
-                 BeginOwnership(aToken, aClaimedMs);
-               },
-                [this](std::string_view /*aReason*/) { EndOwnership(); } })
+  , m_elector(
+      aLoop, *m_client, m_store, m_process, ToString(m_settings.m_entryListen),
+      { [this](FencingToken aToken, Millis aClaimedMs) { BeginOwnership(aToken, aClaimedMs); },
+        [this](std::string_view /*aReason*/) { EndOwnership(); } })
   , m_writer(m_store)
   , m_front({ aLoop, m_writer, m_metrics, m_configuration,
               [this](const std::string& aPath, HttpResponder aDone) {
@@ -147,8 +148,8 @@
   m_metricsServer = HttpServer::Create(
     m_loop, { m_settings.m_metricsListen, kMaxEntryConnections },
     [this](const HttpRequest& /*aRequest*/, const HttpResponder& aRespond) {
-      aRespond({ 200, { { "content-type", "text/plain; version=0.0.4" } },
-                 FormatMetrics(m_metrics) });
+      aRespond(
+        { 200, { { "content-type", "text/plain; version=0.0.4" } }, FormatMetrics(m_metrics) });
     },
     aReason);
   return m_callerServer && m_readyServer && m_entryServer && m_metricsServer;
@@ -176,8 +177,8 @@
     return;
   }
   LogEvent("config", "in-force", "revision={} before={} queues={} pools={}",
-           configuration->m_revision, m_configuration.m_revision,
-           configuration->m_queues.size(), configuration->m_pools.size());
+           configuration->m_revision, m_configuration.m_revision, configuration->m_queues.size(),
+           configuration->m_pools.size());
   m_configuration = std::move(*configuration);
   if (m_owner) {
     m_owner->OnConfiguration();
@@ -203,8 +204,7 @@
 {
   m_owner = std::make_unique<FleetOwner>(OwnerState{
     m_loop, *m_client, m_settings, m_store, m_configuration, m_metrics,
-    [this] { return m_elector.MayAct(MonotonicMs()); },
-    [this] { return m_elector.ConfirmedMs(); },
+    [this] { return m_elector.MayAct(MonotonicMs()); }, [this] { return m_elector.ConfirmedMs(); },
     [this](std::string_view aReason) {
       // The owner must not be destroyed inside one of its own calls.
       asio::post(m_loop, [this, reason = std::string{ aReason }] { m_elector.StepDown(reason); });
@@ -242,7 +242,8 @@
   call.m_connectTimeoutMs = kAskOwnerConnectMs;
   m_client->Send(std::move(call), [done = std::move(aDone)](ClientResponse aResponse) {
     if (aResponse.m_failure) {
-      done({ 503, { { "retry-after", "1" } },
+      done({ 503,
+             { { "retry-after", "1" } },
              platform::EncodeError("the owner of the fleet does not answer") });
       return;
     }
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -38,15 +38,15 @@
   bool m_looked{};              ///< Has reported under this ownership.
   std::int64_t m_incarnation{}; ///< 0: not known yet.
   std::optional<ClockSample> m_clock;
-  Millis m_leaseEndMs{};        ///< Latest end of any lease there, on the owner's steady clock.
+  Millis m_leaseEndMs{};         ///< Latest end of any lease there, on the owner's steady clock.
   std::uint64_t m_appliedEnds{}; ///< Ends up to this number are in the book,
   std::uint64_t m_storedEnds{};  ///< and up to this one in the store.
   std::uint64_t m_lookCall{};    ///< Call in flight; 0: none.
   Millis m_lookSentMs{};
   Millis m_nextLookMs{};
-  Millis m_contactMs{};         ///< Last answer.
-  unsigned m_silent{};          ///< Calls without an answer in a row.
-  unsigned m_failedRuns{};      ///< Failed runs in a row.
+  Millis m_contactMs{};    ///< Last answer.
+  unsigned m_silent{};     ///< Calls without an answer in a row.
+  unsigned m_failedRuns{}; ///< Failed runs in a row.
   Millis m_avoidUntilMs{};
 };
 
@@ -59,9 +59,9 @@
   platform::Store& m_store;
   const Configuration& m_configuration;
   Metrics& m_metrics;
-  std::function<bool()> m_mayAct;                       ///< The ownership is confirmed.
-  std::function<Millis()> m_confirmedMs;                ///< When it was last confirmed.
-  std::function<void(std::string_view)> m_stepDown;     ///< Ends this ownership, later.
+  std::function<bool()> m_mayAct;                   ///< The ownership is confirmed.
+  std::function<Millis()> m_confirmedMs;            ///< When it was last confirmed.
+  std::function<void(std::string_view)> m_stepDown; ///< Ends this ownership, later.
   FencingToken m_token{};
   Millis m_claimedMs{};
   platform::ServerOrders m_orders;
@@ -85,7 +85,8 @@
 };
 
 /// \brief Clock of a server now, never ahead of the true one.
-[[nodiscard]] std::optional<Millis> ServerClockMs(const ServerState& aServer, Millis aNowMs) noexcept;
+[[nodiscard]] std::optional<Millis> ServerClockMs(const ServerState& aServer,
+                                                  Millis aNowMs) noexcept;
 
 /// \brief Latest moment of the owner's steady clock at which a lease granted now may still run.
 [[nodiscard]] Millis LatestLeaseEndMs(Millis aNowMs, Millis aLeaseMs) noexcept;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -181,8 +181,7 @@
                          }));
 }
 
-void RunControl::OnStarted(const RunRef& aRun, Millis aSentMs,
-                           const platform::OrderResult& aResult)
+void RunControl::OnStarted(const RunRef& aRun, Millis aSentMs, const platform::OrderResult& aResult)
 {
   using platform::CallOutcome;
   using platform::OrderRefusal;
@@ -319,7 +318,8 @@
   platform::LookOrder order;
   order.m_token = m_state.m_token;
   order.m_acknowledged = aServer.m_looked ? aServer.m_storedEnds : 0;
-  order.m_waitMs = HasMixedRuns(aServer.m_entry.m_id) ? std::min(aWaitMs, kMixedLookWaitMs) : aWaitMs;
+  order.m_waitMs =
+    HasMixedRuns(aServer.m_entry.m_id) ? std::min(aWaitMs, kMixedLookWaitMs) : aWaitMs;
   // A silent server's lease is left to end: a renewal without an answer may still take effect, and
   // each one would put off the moment from which its work may start elsewhere.
   if (clock && aServer.m_silent == 0) {
@@ -329,15 +329,14 @@
   aServer.m_lookSentMs = now;
   Count(m_state.m_metrics, "looks_total");
   const ServerId id = aServer.m_entry.m_id;
-  aServer.m_lookCall = m_state.m_orders.Look(
-    aServer.m_entry, order, order.m_waitMs + kLookAnswerMs,
-    m_state.Guard([this, id, now](const platform::LookResult& aResult) {
-      OnLooked(id, now, aResult);
-    }));
+  aServer.m_lookCall =
+    m_state.m_orders.Look(aServer.m_entry, order, order.m_waitMs + kLookAnswerMs,
+                          m_state.Guard([this, id, now](const platform::LookResult& aResult) {
+                            OnLooked(id, now, aResult);
+                          }));
 }
 
-void RunControl::OnLooked(const ServerId& aId, Millis aSentMs,
-                          const platform::LookResult& aResult)
+void RunControl::OnLooked(const ServerId& aId, Millis aSentMs, const platform::LookResult& aResult)
 {
   const Millis now = MonotonicMs();
   ServerState& server = m_state.m_servers[aId];
@@ -412,8 +411,8 @@
     }
     Count(m_state.m_metrics, "ends_total");
     LogEvent("run", "end", "task={} run={} server={} kind={} number={} news={}",
-             ToString(end.m_subtask), end.m_run, aServer.m_entry.m_id,
-             static_cast<int>(end.m_kind), number, applied);
+             ToString(end.m_subtask), end.m_run, aServer.m_entry.m_id, static_cast<int>(end.m_kind),
+             number, applied);
   }
   if (news) {
     m_committer.AddEnds({ aServer.m_entry.m_id, aServer.m_incarnation, aServer.m_appliedEnds });
@@ -486,8 +485,8 @@
   for (const auto& [id, subtasks] : m_state.m_book.m_byServer) {
     for (const auto& subtask : subtasks) {
       for (const auto& run : FindSubtask(m_state.m_book, subtask)->m_runs) {
-        if (run.m_server == id && run.m_phase == RunPhase::Stopping &&
-            run.m_stopAcceptedMs == 0 && aNowMs - run.m_stopSentMs > kStopRepeatMs) {
+        if (run.m_server == id && run.m_phase == RunPhase::Stopping && run.m_stopAcceptedMs == 0 &&
+            aNowMs - run.m_stopSentMs > kStopRepeatMs) {
           repeats.push_back({ subtask, run.m_number, id });
         }
       }
--- a/src/manager/SubmissionWriter.h
+++ b/src/manager/SubmissionWriter.h
@@ -29,7 +29,8 @@
   SubmissionWriter& operator=(const SubmissionWriter&) = delete;
   ~SubmissionWriter() = default;
 
-  /// \brief Stores a record. One that is not sent by `aDeadlineMs`, on the steady clock, is refused.
+  /// \brief Stores a record. One that is not sent by `aDeadlineMs`, on the steady clock, is
+  /// refused.
   void Append(std::string aRecord, Millis aDeadlineMs, Done aDone);
 
 private:
--- a/src/manager/main.cpp
+++ b/src/manager/main.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-constexpr const char* kUsage = R"(pistachiostand-entry, one entry instance of pistachiostand on the prepared platform.
+constexpr const char* kUsage =
+  R"(pistachiostand-entry, one entry instance of pistachiostand on the prepared platform.
 
 Usage:
   pistachiostand-entry [SETTINGS]
@@ -44,8 +45,10 @@
   using namespace pistachiostand::fleet;
   std::ifstream file{ aPath, std::ios::binary };
   if (!file) {
-    std::cerr << Format({ ReasonKind::Unreachable, "the file cannot be read",
-                          "check the path and its permissions", {} },
+    std::cerr << Format({ ReasonKind::Unreachable,
+                          "the file cannot be read",
+                          "check the path and its permissions",
+                          {} },
                         aPath)
               << '\n';
     return std::nullopt;
--- a/src/ownership/Leadership.cpp
+++ b/src/ownership/Leadership.cpp
@@ -14,8 +14,8 @@
 template<typename V>
 void Fields(OwnershipRecord& aRecord, V aVisit)
 {
-  aVisit(aRecord.m_kind, aRecord.m_process, aRecord.m_address, aRecord.m_token,
-         aRecord.m_sentMs, aRecord.m_actMs);
+  aVisit(aRecord.m_kind, aRecord.m_process, aRecord.m_address, aRecord.m_token, aRecord.m_sentMs,
+         aRecord.m_actMs);
 }
 
 std::string EncodeOwnershipRecord(const OwnershipRecord& aRecord)
--- a/tests/unit/CapacityPlanTest.cpp
+++ b/tests/unit/CapacityPlanTest.cpp
@@ -118,8 +118,7 @@
   Add("m1", "lookup", 2).m_cordoned = true;
   Add("m2", "lookup", 2, 1).m_cordoned = true;
   AddWave({ "m1", "m2" }, 2, 2'000);
-  EXPECT_EQ(PlanCapacity(m_input).m_maintenance,
-            (std::vector<MaintenanceStart>{ { "m1", 1 } }));
+  EXPECT_EQ(PlanCapacity(m_input).m_maintenance, (std::vector<MaintenanceStart>{ { "m1", 1 } }));
 }
 
 // Guards against a wave that empties a whole pool at once.
--- a/tests/unit/LeadershipTest.cpp
+++ b/tests/unit/LeadershipTest.cpp
@@ -11,7 +11,8 @@
   void Read(Offset aOffset, OwnershipRecordKind aKind, const std::string& aProcess,
             FencingToken aToken, Millis aNowMs)
   {
-    ApplyOwnershipRecord(m_view, aOffset, { aKind, aProcess, "10.0.0.1:1", aToken, 0, kMinActMs }, aNowMs);
+    ApplyOwnershipRecord(m_view, aOffset, { aKind, aProcess, "10.0.0.1:1", aToken, 0, kMinActMs },
+                         aNowMs);
   }
 
   OwnershipView m_view;
