--- a/src/fleet/CapacityPlan.cpp
+++ b/src/fleet/CapacityPlan.cpp
@@ -12,13 +12,13 @@
 namespace {
 
 /// A demand counts this long after it was seen; a queue's pauses within its turn are shorter.
-constexpr Millis kHoldMs = 1'500;
+constexpr Millis kHoldMs = 1'000;
 /// Room beyond the demand, for what arrives while another instance is on its way.
-constexpr double kHeadroom = 1.15;
+constexpr double kHeadroom = 1.05;
 constexpr double kHeadroomInstances = 1.0;
 /// A queue's turn begins with a steep rise, so a small demand gets half as much again.
 constexpr double kRiseShare = 0.5;
-constexpr double kMaxRiseInstances = 4.0;
+constexpr double kMaxRiseInstances = 3.0;
 /// Time to empty an instance before maintenance: the longest runs take about this long.
 constexpr Millis kEmptyMs = 2'500;
 /// Part of the time of a wave that the plan uses; the rest is for faults.
