Start the job first whose objective ends first

Cause: among jobs that could still be in time, those with the most credit for their work went first, which in a burst leaves the large jobs and those that have waited until they are late.

--- a/include/pistachiostand/job/Scheduler.h
+++ b/include/pistachiostand/job/Scheduler.h
@@ -13,8 +13,8 @@
 /// \brief Which subtask starts next, and where.
 ///
 /// Pure. Answers the load of queues that ask for several times the room of their pool for some
-/// seconds: jobs that can still meet their objective come first, those with the most credit for
-/// their remaining work before others, so that a burst costs as few objectives as possible.
+/// seconds: jobs that can still meet their objective come first, by the end of it, so that a burst
+/// costs as few objectives as possible and large jobs get their turn like small ones.
 
 namespace pistachiostand::fleet {
 
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -44,8 +44,8 @@
 
 bool Before(const Candidate& aLeft, const Candidate& aRight)
 {
-  return std::tuple{ aLeft.m_urgency, -aLeft.m_density, aLeft.m_objectiveEndMs } <
-         std::tuple{ aRight.m_urgency, -aRight.m_density, aRight.m_objectiveEndMs };
+  return std::tuple{ aLeft.m_urgency, aLeft.m_objectiveEndMs, -aLeft.m_density } <
+         std::tuple{ aRight.m_urgency, aRight.m_objectiveEndMs, -aRight.m_density };
 }
 
 double RemainingWork(const Job& aJob, const Occurrence& aOccurrence)
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -107,6 +107,18 @@
     placements, [](const Placement& aOne) { return aOne.m_subtask.m_job == "fresh"; }));
 }
 
+// Guards against a burst that is served in the order of size: with room for one of two jobs that can
+// both be in time, the one whose objective ends first must get it.
+TEST_F(SchedulerTest, Overload_EarlierObjective_GoesFirst)
+{
+  Add("small", { Step(4, 1'000, 500) });
+  Add("older", { Step(4) }, 800);
+  std::vector<ServerRoom> rooms{ Room("s1", 4'000) };
+  const auto placements = Place(rooms);
+  ASSERT_EQ(placements.size(), 4U);
+  EXPECT_EQ(placements.front().m_subtask.m_job, "older");
+}
+
 // Guards against a pool that cannot shrink because its runs are spread thinly.
 TEST_F(SchedulerTest, SmallLoad_UsesOneServer)
 {
