--- /dev/null
+++ b/tests/manager/ManagerTest.cpp
@@ -0,0 +1,266 @@
+#include "../standins/PreparedServer.h"
+#include "../standins/PreparedStore.h"
+
+#include "src/manager/Manager.h"
+
+#include "pistachiostand/connection/HttpClient.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pistachiostand::fleet {
+namespace {
+
+/// \brief An entry instance with a loop of its own, so that its end ends all that it does.
+struct Entry
+{
+  asio::io_context m_loop{ 1 };
+  std::unique_ptr<Manager> m_manager;
+};
+
+/// \brief Entry instances, a store and two backend servers on one loop, over loopback HTTP.
+class ManagerTest : public ::testing::Test
+{
+protected:
+  static constexpr std::uint16_t kPort = 21'400;
+  static constexpr const char* kJob = "00000000000000aa";
+
+  static Endpoint At(int aOffset)
+  {
+    return { "127.0.0.1", static_cast<std::uint16_t>(kPort + aOffset) };
+  }
+
+  ManagerTest()
+    : m_client(HttpClient::Create(m_loop))
+    , m_store(m_loop, At(0))
+    , m_first(m_loop, At(1), 400)
+    , m_second(m_loop, At(2), 400)
+  {
+    m_store.Put("keyed.op", "config", Configuration(1, "/lookups/"));
+    m_store.Put("keyed.servers", "s1", m_first.Entry("lookup"));
+    m_store.Put("keyed.servers", "s2", m_second.Entry("lookup"));
+  }
+
+  void SetUp() override
+  {
+    ASSERT_TRUE(m_store.IsListening() && m_first.IsListening() && m_second.IsListening());
+  }
+
+  static std::string Configuration(int aRevision, const std::string& aPrefix)
+  {
+    return nlohmann::json{
+      { "version", aRevision },
+      { "routes",
+        { { { "name", "r" },
+            { "host", "shop.example" },
+            { "path-prefix", aPrefix },
+            { "upstream", "lookup" },
+            { "attempts", 2 } } } },
+      { "upstreams", { { { "name", "lookup" }, { "admission-check", true } } } }
+    }.dump();
+  }
+
+  static EntrySettings Settings(int aNumber)
+  {
+    const int base = 10 * aNumber;
+    EntrySettings settings;
+    settings.m_id = "entry-" + std::to_string(aNumber);
+    settings.m_zone = "z1";
+    settings.m_callerListen = At(base);
+    settings.m_readyListen = At(base + 1);
+    settings.m_entryListen = At(base + 2);
+    settings.m_metricsListen = At(base + 3);
+    settings.m_store = At(0);
+    settings.m_instances = At(9); // Nobody listens: capacity stays as it is.
+    settings.m_bounds.m_maxLeaseMs = 6'000;
+    settings.m_bounds.m_graceMs = 6'000;
+    settings.m_bounds.m_exclusiveMs = 3'000;
+    settings.m_bounds.m_keepStateMs = 120'000;
+    return settings;
+  }
+
+  void Start(int aNumber)
+  {
+    Reason reason;
+    auto& entry = m_entries[aNumber];
+    entry = std::make_unique<Entry>();
+    entry->m_manager = Manager::Create(entry->m_loop, Settings(aNumber), {}, reason);
+    ASSERT_TRUE(entry->m_manager) << reason.m_cause;
+  }
+
+  /// \brief Runs the loop until the condition holds; false after the time limit.
+  template<typename Condition>
+  bool RunUntil(Condition aCondition, Millis aLimitMs = 10'000)
+  {
+    const Millis end = MonotonicMs() + aLimitMs;
+    while (!aCondition() && MonotonicMs() < end) {
+      m_loop.run_for(std::chrono::milliseconds{ 1 });
+      for (const auto& [number, entry] : m_entries) {
+        entry->m_loop.poll();
+      }
+    }
+    return aCondition();
+  }
+
+  ClientResponse Call(int aInstance, const std::string& aMethod, const std::string& aPath,
+                      const std::string& aBody = {})
+  {
+    std::optional<ClientResponse> response;
+    ClientRequest request;
+    request.m_method = aMethod;
+    request.m_url = "http://" + pistachiostand::ToString(At(10 * aInstance)) + aPath;
+    request.m_headers = { { "host", "shop.example" } };
+    request.m_body = aBody;
+    request.m_timeoutMs = 4'000;
+    m_client->Send(request, [&response](ClientResponse aResponse) { response = aResponse; });
+    RunUntil([&response] { return response.has_value(); }, 5'000);
+    return response.value_or(ClientResponse{});
+  }
+
+  bool IsReady(int aInstance)
+  {
+    return RunUntil([&] { return Call(aInstance, "GET", "/lookups/").m_status == 200; });
+  }
+
+  std::string StateAt(int aInstance)
+  {
+    const auto response = Call(aInstance, "GET", std::string{ "/lookups/" } + kJob);
+    const auto body = nlohmann::json::parse(response.m_body, nullptr, false);
+    return body.is_object() ? body.value("state", "") : "";
+  }
+
+  bool Completes(int aInstance)
+  {
+    return RunUntil([&] { return StateAt(aInstance) == "completed"; }, 20'000);
+  }
+
+  [[nodiscard]] int DoneCount(const std::string& aSubtask)
+  {
+    return m_first.m_done[aSubtask] + m_second.m_done[aSubtask];
+  }
+
+  static std::string TwoSteps()
+  {
+    return R"({"spec":"work","steps":[{"count":3,"cpu":1000,"mem-mb":100,"estimated-ms":400},)"
+           R"({"count":2,"cpu":1000,"mem-mb":100,"estimated-ms":400,"after":[0]}]})";
+  }
+
+  static std::vector<std::string> AllSubtasks()
+  {
+    const std::string id = kJob;
+    return { id + ".0.0.0", id + ".0.0.1", id + ".0.0.2", id + ".0.1.0", id + ".0.1.1" };
+  }
+
+  asio::io_context m_loop{ 1 };
+  std::unique_ptr<HttpClient> m_client;
+  standin::PreparedStore m_store;
+  standin::PreparedServer m_first;
+  standin::PreparedServer m_second;
+  std::map<int, std::unique_ptr<Entry>> m_entries;
+};
+
+// Guards the whole path: a job taken at one instance runs once and is shown at another.
+TEST_F(ManagerTest, JobOfTwoSteps_TwoInstances_RunsOnceAndIsShownByBoth)
+{
+  Start(1);
+  Start(2);
+  ASSERT_TRUE(IsReady(1) && IsReady(2));
+  ASSERT_EQ(Call(2, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()).m_status, 200);
+  EXPECT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()).m_status, 200);
+  EXPECT_TRUE(Completes(1));
+  EXPECT_EQ(StateAt(2), "completed");
+  for (const auto& subtask : AllSubtasks()) {
+    EXPECT_EQ(DoneCount(subtask), 1) << subtask;
+  }
+}
+
+// Guards against work that is lost or done twice when the owner dies in the middle of a job.
+TEST_F(ManagerTest, OwnerDies_InTheMiddleOfAJob_AnotherOneFinishesIt)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Start(2);
+  ASSERT_TRUE(IsReady(2));
+  ASSERT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()).m_status, 200);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() + m_second.Running() == 3; }));
+  m_entries.erase(1);
+  EXPECT_TRUE(Completes(2));
+  for (const auto& subtask : AllSubtasks()) {
+    EXPECT_EQ(DoneCount(subtask), 1) << subtask;
+  }
+}
+
+// Guards against a second run of a subtask whose start was carried out without an answer.
+TEST_F(ManagerTest, StartAnswersLost_RunsGoOnOnce)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  m_first.m_loseStartAnswers = 2;
+  m_second.m_loseStartAnswers = 2;
+  ASSERT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()).m_status, 200);
+  EXPECT_TRUE(Completes(1));
+  for (const auto& subtask : AllSubtasks()) {
+    EXPECT_EQ(DoneCount(subtask), 1) << subtask;
+  }
+}
+
+// Guards against runs that go on after their job was cancelled.
+TEST_F(ManagerTest, Cancel_RunningJob_StopsItsRuns)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()).m_status, 200);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() + m_second.Running() == 3; }));
+  EXPECT_EQ(Call(1, "DELETE", std::string{ "/lookups/" } + kJob).m_status, 200);
+  EXPECT_TRUE(RunUntil([this] { return m_first.Running() + m_second.Running() == 0; }, 2'000));
+  EXPECT_TRUE(RunUntil([this] { return StateAt(1) == "cancelled"; }, 2'000));
+}
+
+// Guards against a job that is refused and runs all the same, and against one that is held while
+// nothing can be stored.
+TEST_F(ManagerTest, StoreDown_Submission_IsRefusedSoonAndNeverRuns)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  m_store.m_down = true;
+  const Millis before = MonotonicMs();
+  EXPECT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()).m_status, 503);
+  EXPECT_LT(MonotonicMs() - before, 1'000);
+  m_store.m_down = false;
+  ASSERT_TRUE(IsReady(1));
+  EXPECT_EQ(Call(1, "GET", std::string{ "/lookups/" } + kJob).m_status, 410);
+  EXPECT_TRUE(m_first.m_starts.empty() && m_second.m_starts.empty());
+}
+
+// Guards against an instance that goes by an old configuration because its read missed the record
+// (found by a hunt: a new queue was answered 404 for 4 s).
+TEST_F(ManagerTest, Configuration_MissedByAWaitingRead_IsInForceWithinTwoSeconds)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  RunUntil([] { return false; }, 300);
+  m_store.Put("keyed.op", "config", Configuration(2, "/quotes/"), false);
+  EXPECT_TRUE(RunUntil([this] { return Call(1, "GET", "/quotes/").m_status == 200; }, 2'000));
+  EXPECT_EQ(Call(1, "GET", "/lookups/").m_status, 404);
+}
+
+// Guards against malformed input that ends the process or is taken for a job.
+TEST_F(ManagerTest, MalformedRequests_AreAnsweredWithTheirReason)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  EXPECT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob, "{\"steps\":7").m_status, 400);
+  EXPECT_EQ(
+    Call(1, "POST", std::string{ "/lookups/" } + kJob, R"({"spec":"x","steps":[]})").m_status, 400);
+  EXPECT_EQ(Call(1, "POST", "/lookups/short", TwoSteps()).m_status, 400);
+  EXPECT_EQ(Call(1, "POST", std::string{ "/nothing/" } + kJob, TwoSteps()).m_status, 404);
+  m_store.Put("keyed.servers", "s9", "{\"upstream\":3");
+  EXPECT_EQ(Call(1, "GET", "/lookups/").m_status, 200);
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/standins/PreparedStore.h
@@ -0,0 +1,217 @@
+#pragma once
+
+#include "platform/Wire.h"
+
+#include "pistachiostand/base/Base64.h"
+#include "pistachiostand/connection/HttpServer.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Stand-in for the store of the prepared platform: keyed topics with one partition.
+
+namespace pistachiostand::fleet::standin {
+
+class PreparedStore
+{
+public:
+  PreparedStore(asio::io_context& aLoop, const Endpoint& aListen)
+    : m_loop(aLoop)
+  {
+    Reason reason;
+    m_server = HttpServer::Create(
+      aLoop, { aListen, 200 },
+      [this](const HttpRequest& aRequest, HttpResponder aRespond) {
+        Handle(aRequest, std::move(aRespond));
+      },
+      reason);
+  }
+
+  [[nodiscard]] bool IsListening() const { return m_server != nullptr; }
+
+  /// \brief Writes a record of a keyed topic, as operator and backend servers do.
+  void Put(const std::string& aTopic, const std::string& aKey, std::optional<std::string> aValue,
+           bool aWake = true)
+  {
+    m_topics[aTopic].m_records.push_back(platform::EncodeKeyed(
+      aKey, aValue ? std::optional<std::string_view>{ *aValue } : std::nullopt));
+    if (aWake) {
+      Wake();
+    }
+  }
+
+  bool m_down{}; ///< Answers 503 to everything.
+
+private:
+  struct Topic
+  {
+    std::vector<std::string> m_records;
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_writers; ///< Epoch, sequence.
+  };
+
+  /// \brief A read that waits for a record.
+  struct Waiting
+  {
+    std::string m_topic;
+    Offset m_from{};
+    HttpResponder m_respond;
+    std::unique_ptr<asio::steady_timer> m_timer;
+  };
+
+  static std::uint64_t Number(const HttpRequest& aRequest, std::string_view aName)
+  {
+    const auto found = aRequest.m_query.find(aName);
+    std::uint64_t value = 0;
+    if (found != aRequest.m_query.end()) {
+      const auto& text = found->second;
+      std::from_chars(text.data(), text.data() + text.size(), value);
+    }
+    return value;
+  }
+
+  static HttpResponse Json(std::uint16_t aStatus, const nlohmann::json& aBody)
+  {
+    return { aStatus, { { "content-type", "application/json" } }, aBody.dump() };
+  }
+
+  void Handle(const HttpRequest& aRequest, HttpResponder aRespond)
+  {
+    if (m_down) {
+      aRespond({ 503, {}, {} });
+      return;
+    }
+    Topic& topic = m_topics[aRequest.m_query.at("topic")];
+    if (aRequest.m_path == "/log-append") {
+      aRespond(Append(aRequest, topic));
+      Wake();
+    } else if (aRequest.m_path == "/log-newest") {
+      aRespond(Newest(topic));
+    } else if (aRequest.m_path == "/log-read") {
+      Read(aRequest, std::move(aRespond));
+    } else {
+      aRespond({ 404, {}, {} });
+    }
+  }
+
+  static HttpResponse Append(const HttpRequest& aRequest, Topic& aTopic)
+  {
+    const Offset end = aTopic.m_records.size();
+    if (aRequest.m_query.contains("at") && Number(aRequest, "at") != end) {
+      return Json(412, { { "end", end } });
+    }
+    if (aRequest.m_query.contains("producer")) {
+      auto& [epoch, sequence] = aTopic.m_writers[aRequest.m_query.at("producer")];
+      const auto given = Number(aRequest, "epoch");
+      if (given < epoch) {
+        return Json(409, { { "reason", "fenced" } });
+      }
+      if (given == epoch && !aRequest.m_body.empty() && sequence != 0 &&
+          Number(aRequest, "sequence") != sequence + 1) {
+        return Json(409, { { "reason", "seq" }, { "sequence", sequence + 1 } });
+      }
+      sequence = aRequest.m_body.empty() ? 0 : Number(aRequest, "sequence");
+      epoch = given;
+    }
+    // The body has the same form as the records of an answer, without the two offsets.
+    const auto batch = platform::DecodeRecords(std::string(16, '\0') + aRequest.m_body);
+    for (const auto& record : batch->m_records) {
+      aTopic.m_records.push_back(record);
+    }
+    return Json(200, { { "offset", end }, { "end", aTopic.m_records.size() } });
+  }
+
+  static HttpResponse Newest(const Topic& aTopic)
+  {
+    std::map<std::string, nlohmann::json> items;
+    for (Offset offset = 0; offset < aTopic.m_records.size(); ++offset) {
+      const auto keyed = platform::DecodeKeyed(aTopic.m_records[offset]);
+      items.erase(keyed->first);
+      if (keyed->second) {
+        items[keyed->first] = { { "key", keyed->first },
+                                { "value", EncodeBase64(*keyed->second) },
+                                { "offset", offset } };
+      }
+    }
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [key, item] : items) {
+      list.push_back(item);
+    }
+    return Json(200,
+                { { "items", list }, { "has-more", false }, { "end", aTopic.m_records.size() } });
+  }
+
+  static std::string BigEndian(Offset aValue)
+  {
+    std::string bytes;
+    for (unsigned shift = 64; shift != 0; shift -= 8) {
+      bytes += static_cast<char>((aValue >> (shift - 8)) & 0xffU);
+    }
+    return bytes;
+  }
+
+  HttpResponse Records(const std::string& aTopic, Offset aFrom)
+  {
+    const auto& records = m_topics[aTopic].m_records;
+    const auto from =
+      records.begin() + static_cast<std::ptrdiff_t>(std::min<Offset>(aFrom, records.size()));
+    return { 200,
+             {},
+             BigEndian(records.size()) + BigEndian(0) +
+               platform::EncodeRecords({ from, records.end() }) };
+  }
+
+  void Read(const HttpRequest& aRequest, HttpResponder aRespond)
+  {
+    const auto& name = aRequest.m_query.at("topic");
+    const Offset from = Number(aRequest, "from");
+    const auto wait = Number(aRequest, "wait-ms");
+    if (wait == 0 || m_topics[name].m_records.size() > from) {
+      aRespond(Records(name, from));
+      return;
+    }
+    const auto entry =
+      m_waiting.insert(m_waiting.end(), Waiting{ name, from, std::move(aRespond),
+                                                 std::make_unique<asio::steady_timer>(m_loop) });
+    entry->m_timer->expires_after(std::chrono::milliseconds{ wait });
+    entry->m_timer->async_wait([this, entry](const std::error_code& aError) {
+      if (!aError) {
+        const Waiting waiting = std::move(*entry);
+        m_waiting.erase(entry);
+        waiting.m_respond(Records(waiting.m_topic, waiting.m_from));
+      }
+    });
+  }
+
+  void Wake()
+  {
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+      const auto next = std::next(entry);
+      if (m_topics[entry->m_topic].m_records.size() > entry->m_from) {
+        const Waiting waiting = std::move(*entry);
+        m_waiting.erase(entry);
+        waiting.m_timer->cancel();
+        waiting.m_respond(Records(waiting.m_topic, waiting.m_from));
+      }
+      entry = next;
+    }
+  }
+
+  asio::io_context& m_loop;
+  std::map<std::string, Topic> m_topics;
+  std::list<Waiting> m_waiting;
+  std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace pistachiostand::fleet::standin
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -107,8 +107,8 @@
     placements, [](const Placement& aOne) { return aOne.m_subtask.m_job == "fresh"; }));
 }
 
-// Guards against a burst that is served in the order of size: with room for one of two jobs that can
-// both be in time, the one whose objective ends first must get it.
+// Guards against a burst that is served in the order of size: with room for one of two jobs that
+// can both be in time, the one whose objective ends first must get it.
 TEST_F(SchedulerTest, Overload_EarlierObjective_GoesFirst)
 {
   Add("small", { Step(4, 1'000, 500) });
