--- a/src/manager/CallerFront.h
+++ b/src/manager/CallerFront.h
@@ -36,7 +36,7 @@
   /// \brief Passes a request for a job or a count to the owner of the fleet.
   std::function<void(const std::string& aPath, HttpResponder aDone)> m_askOwner;
   /// \brief Lets the owner store a record of the submission topic, when this instance cannot.
-  std::function<void(std::string aRecord, Millis aTimeoutMs,
+  std::function<void(const std::string& aRecord, Millis aTimeoutMs,
                      std::function<void(platform::AppendOutcome)> aDone)>
     m_relay;
   std::function<bool()> m_isStopping;
--- a/src/manager/Elector.cpp
+++ b/src/manager/Elector.cpp
@@ -24,13 +24,13 @@
 
 } // namespace
 
-Elector::Elector(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
-                 std::string aProcess, std::string aAddress, ElectorHandlers aHandlers)
+Elector::Elector(asio::io_context& aLoop, platform::Store& aStore, std::string aProcess,
+                 std::string aAddress, ElectorHandlers aHandlers)
   : m_store(aStore)
   , m_process(std::move(aProcess))
   , m_address(std::move(aAddress))
   , m_handlers(std::move(aHandlers))
-  , m_tail(aLoop, aClient, aStore, { kTopic, kReadWaitMs, 0 },
+  , m_tail(aLoop, aStore, { kTopic, kReadWaitMs, 0 },
            { [this](const std::string& aKey, const auto& aValue, Offset aOffset) {
               if (aKey == kKey) {
                 OnRecord(aValue, aOffset);
--- a/src/manager/Elector.h
+++ b/src/manager/Elector.h
@@ -23,8 +23,8 @@
 class Elector
 {
 public:
-  Elector(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
-          std::string aProcess, std::string aAddress, ElectorHandlers aHandlers);
+  Elector(asio::io_context& aLoop, platform::Store& aStore, std::string aProcess,
+          std::string aAddress, ElectorHandlers aHandlers);
 
   Elector(const Elector&) = delete;
   Elector& operator=(const Elector&) = delete;
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -29,6 +29,9 @@
 /// A job may be unknown for 3 s after it was accepted; an older view must not deny it.
 constexpr Millis kCurrentMs = 2'000;
 constexpr Millis kRetireTimeoutMs = 1'000;
+/// Failed runs in a row after which a server is used only when nothing else is left; a job that can
+/// never be done fails two or three times itself.
+constexpr unsigned kFailedRuns = 3;
 constexpr std::size_t kMaxRetired = 500;
 /// A finished job is kept this much longer than its state must be readable.
 constexpr Millis kKeepMarginMs = 10'000;
@@ -44,7 +47,7 @@
   , m_committer(m_state, [this](const CommitBatch& aBatch) { OnStored(aBatch); })
   , m_runs(m_state, m_committer, [this] { ScheduleSoon(); })
   , m_fleet(m_state, m_runs)
-  , m_submissions(m_state.m_loop, m_state.m_client, m_state.m_store,
+  , m_submissions(m_state.m_loop, m_state.m_store,
                   { kSubmissionTopic, kSubmissionWaitMs, kSubmissionPauseMs },
                   { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                      OnSubmissionRecord(aKey, aValue);
@@ -54,14 +57,13 @@
                         LoadProgress({});
                       }
                     } })
-  , m_registry(m_state.m_loop, m_state.m_client, m_state.m_store,
+  , m_registry(m_state.m_loop, m_state.m_store,
                { "keyed.servers", kRegistryWaitMs, kRegistryPauseMs },
                { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                   OnServerRecord(aKey, aValue);
                 },
                  [](Millis /*aSentMs*/) {} })
-  , m_fleetRecords(m_state.m_loop, m_state.m_client, m_state.m_store,
-                   { kFleetTopic, kFleetWaitMs, kRegistryPauseMs },
+  , m_fleetRecords(m_state.m_loop, m_state.m_store, { kFleetTopic, kFleetWaitMs, kRegistryPauseMs },
                    { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                       OnFleetRecord(aKey, aValue);
                     },
@@ -292,7 +294,7 @@
         room.m_serving += step.m_tailTargetMs > 0 ? 1 : 0;
       }
     }
-    room.m_avoid = server.m_failedRuns >= 3;
+    room.m_avoid = server.m_failedRuns >= kFailedRuns;
     room.m_leavingSoon = m_fleet.IsDue(id);
     rooms.push_back(std::move(room));
   }
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -76,14 +76,13 @@
   , m_process(MakeProcessName(m_settings.m_id))
   , m_client(HttpClient::Create(aLoop))
   , m_store(*m_client, ToString(m_settings.m_store))
-  , m_operatorTail(aLoop, *m_client, m_store,
-                   { kOperatorTopic, kConfigurationWaitMs, kConfigurationPauseMs },
+  , m_operatorTail(aLoop, m_store, { kOperatorTopic, kConfigurationWaitMs, kConfigurationPauseMs },
                    { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                       OnConfigurationRecord(aKey, aValue);
                     },
                      [](Millis /*aSentMs*/) {} })
   , m_elector(
-      aLoop, *m_client, m_store, m_process, ToString(m_settings.m_entryListen),
+      aLoop, m_store, m_process, ToString(m_settings.m_entryListen),
       { [this](FencingToken aToken, Millis aClaimedMs) { BeginOwnership(aToken, aClaimedMs); },
         [this](std::string_view /*aReason*/) { EndOwnership(); } })
   , m_writer(m_store)
@@ -91,8 +90,8 @@
               [this](const std::string& aPath, HttpResponder aDone) {
                 AskOwner(aPath, std::move(aDone));
               },
-              [this](std::string aRecord, Millis aTimeoutMs, auto aDone) {
-                RelaySubmission(std::move(aRecord), aTimeoutMs, std::move(aDone));
+              [this](const std::string& aRecord, Millis aTimeoutMs, auto aDone) {
+                RelaySubmission(aRecord, aTimeoutMs, std::move(aDone));
               },
               [this] { return m_stopping; } })
   , m_signals(aLoop, SIGTERM, SIGHUP, SIGINT)
@@ -253,7 +252,7 @@
   });
 }
 
-void Manager::RelaySubmission(std::string aRecord, Millis aTimeoutMs,
+void Manager::RelaySubmission(const std::string& aRecord, Millis aTimeoutMs,
                               std::function<void(platform::AppendOutcome)> aDone)
 {
   const auto& view = m_elector.View();
@@ -264,7 +263,7 @@
   ClientRequest call;
   call.m_method = "POST";
   call.m_url = "http://" + view.m_address + std::string{ kRelayPath };
-  call.m_body = std::move(aRecord);
+  call.m_body = aRecord;
   call.m_timeoutMs = aTimeoutMs;
   call.m_connectTimeoutMs = kAskOwnerConnectMs;
   m_client->Send(std::move(call), [done = std::move(aDone)](const ClientResponse& aResponse) {
--- a/src/manager/Manager.h
+++ b/src/manager/Manager.h
@@ -46,7 +46,7 @@
   void BeginOwnership(FencingToken aToken, Millis aClaimedMs);
   void EndOwnership();
   void AskOwner(const std::string& aPath, HttpResponder aDone);
-  void RelaySubmission(std::string aRecord, Millis aTimeoutMs,
+  void RelaySubmission(const std::string& aRecord, Millis aTimeoutMs,
                        std::function<void(platform::AppendOutcome)> aDone);
   void StoreForEntry(const HttpRequest& aRequest, HttpResponder aRespond);
   [[nodiscard]] HttpResponse AnswerEntry(const HttpRequest& aRequest) const;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -33,8 +33,6 @@
 constexpr Millis kStopRepeatMs = 500;
 /// Calls without answer after which a server gets no new work.
 constexpr unsigned kSilentCalls = 2;
-/// Failed runs in a row after which a server is used only when nothing else is left.
-constexpr unsigned kFailedRuns = 3;
 constexpr Millis kAvoidMs = 3'000;
 constexpr Millis kAvoidFullMs = 200;
 
--- a/src/manager/TopicTail.cpp
+++ b/src/manager/TopicTail.cpp
@@ -22,10 +22,9 @@
 
 } // namespace
 
-TopicTail::TopicTail(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
-                     TopicTailOptions aOptions, TopicHandlers aHandlers)
-  : m_client(aClient)
-  , m_store(aStore)
+TopicTail::TopicTail(asio::io_context& aLoop, platform::Store& aStore, TopicTailOptions aOptions,
+                     TopicHandlers aHandlers)
+  : m_store(aStore)
   , m_options(std::move(aOptions))
   , m_handlers(std::move(aHandlers))
   , m_timer(aLoop)
@@ -71,14 +70,14 @@
 {
   m_sentMs = MonotonicMs();
   m_store.ListNewest(m_options.m_topic, aAfter,
-                     [this, alive = std::weak_ptr<int>(m_alive)](auto aPage) {
+                     [this, alive = std::weak_ptr<int>(m_alive)](const auto& aPage) {
                        if (alive.lock()) {
-                         OnPage(std::move(aPage));
+                         OnPage(aPage);
                        }
                      });
 }
 
-void TopicTail::OnPage(std::optional<platform::KeyedPage> aPage)
+void TopicTail::OnPage(const std::optional<platform::KeyedPage>& aPage)
 {
   if (!aPage) {
     After(BackOffMs(), &TopicTail::Restart);
@@ -139,14 +138,14 @@
 {
   m_sentMs = MonotonicMs();
   m_store.Read(m_options.m_topic, m_next, m_options.m_waitMs,
-               [this, alive = std::weak_ptr<int>(m_alive)](platform::ReadResult aResult) {
+               [this, alive = std::weak_ptr<int>(m_alive)](const platform::ReadResult& aResult) {
                  if (alive.lock()) {
-                   OnRead(std::move(aResult));
+                   OnRead(aResult);
                  }
                });
 }
 
-void TopicTail::OnRead(platform::ReadResult aResult)
+void TopicTail::OnRead(const platform::ReadResult& aResult)
 {
   if (aResult.m_outcome == platform::ReadOutcome::Expired) {
     LogEvent("store", "history-expired", "topic={} offset={}", m_options.m_topic, m_next);
--- a/src/manager/TopicTail.h
+++ b/src/manager/TopicTail.h
@@ -37,8 +37,8 @@
 class TopicTail
 {
 public:
-  TopicTail(asio::io_context& aLoop, HttpClient& aClient, platform::Store& aStore,
-            TopicTailOptions aOptions, TopicHandlers aHandlers);
+  TopicTail(asio::io_context& aLoop, platform::Store& aStore, TopicTailOptions aOptions,
+            TopicHandlers aHandlers);
   TopicTail(const TopicTail&) = delete;
   TopicTail& operator=(const TopicTail&) = delete;
   ~TopicTail();
@@ -50,16 +50,15 @@
 
 private:
   void List(const std::string& aAfter);
-  void OnPage(std::optional<platform::KeyedPage> aPage);
+  void OnPage(const std::optional<platform::KeyedPage>& aPage);
   void FinishList();
   void Read();
-  void OnRead(platform::ReadResult aResult);
+  void OnRead(const platform::ReadResult& aResult);
   void Apply(const std::string& aKey, const std::optional<std::string>& aValue, Offset aOffset);
   void After(Millis aDelayMs, void (TopicTail::*aNext)());
   void Restart();
   [[nodiscard]] Millis BackOffMs();
 
-  HttpClient& m_client;
   platform::Store& m_store;
   TopicTailOptions m_options;
   TopicHandlers m_handlers;
--- a/tests/manager/ManagerTest.cpp
+++ b/tests/manager/ManagerTest.cpp
@@ -116,7 +116,7 @@
     request.m_headers = { { "host", "shop.example" } };
     request.m_body = aBody;
     request.m_timeoutMs = 4'000;
-    m_client->Send(request, [&response](ClientResponse aResponse) { response = aResponse; });
+    m_client->Send(request, [&response](const ClientResponse& aResponse) { response = aResponse; });
     RunUntil([&response] { return response.has_value(); }, 5'000);
     return response.value_or(ClientResponse{});
   }
--- a/tests/standins/PreparedStore.h
+++ b/tests/standins/PreparedStore.h
@@ -48,7 +48,7 @@
     m_topics[aTopic].m_records.push_back(platform::EncodeKeyed(
       aKey, aValue ? std::optional<std::string_view>{ *aValue } : std::nullopt));
     if (aWake) {
-      Wake();
+      Wake(aTopic);
     }
   }
 
@@ -95,7 +95,7 @@
     Topic& topic = m_topics[aRequest.m_query.at("topic")];
     if (aRequest.m_path == "/log-append") {
       aRespond(Append(aRequest, topic));
-      Wake();
+      Wake(aRequest.m_query.at("topic"));
     } else if (aRequest.m_path == "/log-newest") {
       aRespond(Newest(topic));
     } else if (aRequest.m_path == "/log-read") {
@@ -194,11 +194,12 @@
     });
   }
 
-  void Wake()
+  /// \brief Answers the reads that wait for records of the topic.
+  void Wake(const std::string& aTopic)
   {
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
       const auto next = std::next(entry);
-      if (m_topics[entry->m_topic].m_records.size() > entry->m_from) {
+      if (entry->m_topic == aTopic && m_topics[aTopic].m_records.size() > entry->m_from) {
         const Waiting waiting = std::move(*entry);
         m_waiting.erase(entry);
         waiting.m_timer->cancel();
--- a/tests/unit/JobFixture.h
+++ b/tests/unit/JobFixture.h
@@ -83,7 +83,7 @@
   RunRef Run(const SubtaskId& aId, const ServerId& aServer)
   {
     const auto number = PlanRun(m_book, aId, aServer, NextRunNumber(m_book, aId), kNow);
-    const RunRef ref{ aId, number, aServer };
+    RunRef ref{ aId, number, aServer };
     FindRun(m_book, ref)->m_phase = RunPhase::Sent;
     MarkRunning(m_book, ref, kNow);
     return ref;
