Keep the platform's topics and headers in its folder

The names of the operator's, registry and status topics, the check's path and the deadline header stood in src/manager. They are constants of platform/Topics.h now; nothing else changes.

--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -3,6 +3,7 @@
 #include "EventLog.h"
 #include "FleetOwner.h"
 
+#include "platform/Topics.h"
 #include "platform/Wire.h"
 
 #include "pistachiostand/base/Clock.h"
@@ -50,7 +51,7 @@
 
 Millis DeadlineOf(const HttpRequest& aRequest)
 {
-  const auto text = FindHeader(aRequest.m_headers, "deadline-ms");
+  const auto text = FindHeader(aRequest.m_headers, platform::kCallerDeadlineHeader);
   Millis value = kDefaultDeadlineMs;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   return error == std::errc{} && value > 0 ? value : kDefaultDeadlineMs;
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -2,6 +2,7 @@
 
 #include "EventLog.h"
 
+#include "platform/Topics.h"
 #include "platform/Wire.h"
 
 #include "pistachiostand/base/Clock.h"
@@ -207,9 +208,10 @@
     }
   }
   SetWanted(input);
-  for (const auto& [number, wave] : m_waves) {
+  for (const auto& entry : m_waves) {
+    const Wave& wave = entry.second;
     WaveView view{
-      number, {}, wave.m_request.m_maxAtOnce, wave.m_seenMs + wave.m_request.m_durationMs
+      entry.first, {}, wave.m_request.m_maxAtOnce, wave.m_seenMs + wave.m_request.m_durationMs
     };
     std::ranges::copy_if(wave.m_request.m_instances, std::inserter(view.m_due, view.m_due.end()),
                          [&wave](const InstanceId& aId) { return !wave.m_done.contains(aId); });
@@ -424,10 +426,11 @@
   }
   aWave.m_writing = true;
   platform::AppendRequest request;
-  request.m_topic = "keyed.status";
+  request.m_topic = platform::kStatusTopic;
   request.m_timeoutMs = kStoreTimeoutMs;
-  request.m_records = { platform::EncodeKeyed(fmt::format("wave/{}", aWave.m_request.m_number),
-                                              platform::EncodeWaveStatus(completed)) };
+  request.m_records = { platform::EncodeKeyed(
+    fmt::format("{}{}", kStoredWavePrefix, aWave.m_request.m_number),
+    platform::EncodeWaveStatus(completed)) };
   m_state.m_store.Append(std::move(request), m_state.Guard([this, number = aWave.m_request.m_number,
                                                             completed](const auto& aResult) {
     Wave& wave = m_waves.at(number);
@@ -444,8 +447,9 @@
   platform::AppendRequest request;
   request.m_topic = kFleetTopic;
   request.m_timeoutMs = kStoreTimeoutMs;
-  request.m_records = { platform::EncodeKeyed(fmt::format("wave/{}", aWave.m_request.m_number),
-                                              nlohmann::json(aWave.m_done).dump()) };
+  request.m_records = { platform::EncodeKeyed(
+    fmt::format("{}{}", kStoredWavePrefix, aWave.m_request.m_number),
+    nlohmann::json(aWave.m_done).dump()) };
   // Without this record a later owner only repeats orders, which the platform answers as done.
   m_state.m_store.Append(std::move(request), [](const platform::AppendResult&) {});
 }
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -111,5 +111,6 @@
 /// \brief Topic of what the owner stores about waves.
 inline constexpr const char* kFleetTopic = "keyed.fleet";
 inline constexpr std::string_view kOrderPrefix = "order/";
+inline constexpr std::string_view kStoredWavePrefix = "wave/";
 
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -2,6 +2,8 @@
 
 #include "EventLog.h"
 
+#include "platform/Topics.h"
+
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/job/JobCodec.h"
 
@@ -58,7 +60,7 @@
                       }
                     } })
   , m_registry(m_state.m_loop, m_state.m_store,
-               { "keyed.servers", kRegistryWaitMs, kRegistryPauseMs },
+               { platform::kRegistryTopic, kRegistryWaitMs, kRegistryPauseMs },
                { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                   OnServerRecord(aKey, aValue);
                 },
@@ -175,11 +177,10 @@
 
 void FleetOwner::OnFleetRecord(const std::string& aKey, const std::optional<std::string>& aValue)
 {
-  constexpr std::string_view kWave = "wave/";
   std::uint64_t number = 0;
-  if (aValue && aKey.starts_with(kWave) &&
-      std::from_chars(aKey.data() + kWave.size(), aKey.data() + aKey.size(), number).ec ==
-        std::errc{}) {
+  if (aValue && aKey.starts_with(kStoredWavePrefix) &&
+      std::from_chars(aKey.data() + kStoredWavePrefix.size(), aKey.data() + aKey.size(), number)
+          .ec == std::errc{}) {
     m_fleet.OnStoredWave(number, *aValue);
   }
   const std::string_view key = aKey;
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -2,6 +2,7 @@
 
 #include "EventLog.h"
 
+#include "platform/Topics.h"
 #include "platform/Wire.h"
 
 #include "pistachiostand/base/Clock.h"
@@ -42,12 +43,9 @@
 constexpr std::size_t kMaxCallerConnections = 2'000;
 constexpr std::size_t kMaxEntryConnections = 500;
 
-const std::string kOperatorTopic = "keyed.op";
 /// Path under which the owner stores a record for another entry instance.
 constexpr std::string_view kRelayPath = "/submissions";
 constexpr Millis kRelayTimeoutMs = 400;
-constexpr std::string_view kConfigurationKey = "config";
-constexpr std::string_view kWavePrefix = "wave/";
 
 std::string MakeProcessName(const std::string& aId)
 {
@@ -76,7 +74,8 @@
   , m_process(MakeProcessName(m_settings.m_id))
   , m_client(HttpClient::Create(aLoop))
   , m_store(*m_client, ToString(m_settings.m_store))
-  , m_operatorTail(aLoop, m_store, { kOperatorTopic, kConfigurationWaitMs, kConfigurationPauseMs },
+  , m_operatorTail(aLoop, m_store,
+                   { platform::kOperatorTopic, kConfigurationWaitMs, kConfigurationPauseMs },
                    { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                       OnConfigurationRecord(aKey, aValue);
                     },
@@ -130,7 +129,7 @@
   m_readyServer = HttpServer::Create(
     m_loop, { m_settings.m_readyListen, kMaxEntryConnections },
     [this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
-      const bool known = aRequest.m_path == "/readyz";
+      const bool known = aRequest.m_path == platform::kReadyPath;
       aRespond({ static_cast<std::uint16_t>(!known ? 404 : IsReady() ? 200 : 503), {}, {} });
     },
     aReason);
@@ -158,11 +157,11 @@
                                     const std::optional<std::string>& aValue)
 {
   Reason reason;
-  if (aKey.starts_with(kWavePrefix)) {
+  if (aKey.starts_with(platform::kWavePrefix)) {
     OnWaveRecord(aValue);
     return;
   }
-  if (aKey != kConfigurationKey) {
+  if (aKey != platform::kConfigurationKey) {
     return;
   }
   auto configuration =
