Do not run timer handlers of parts that have ended

Cause: an expired timer's handler that is already queued runs with success although its timer was destroyed meanwhile. The handlers now hold a weak reference to what they belong to.

Ruled out: the set of open submissions, which had its own fault before; the process was an owner and did not stop.

--- a/include/pistachiostand/connection/Ticker.h
+++ b/include/pistachiostand/connection/Ticker.h
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <functional>
+#include <memory>
 
 /// \file
 /// \brief Periodic calls on the loop.
@@ -30,6 +31,7 @@
   asio::steady_timer m_timer;
   Millis m_intervalMs;
   std::function<void()> m_tick;
+  std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
 
 } // namespace pistachiostand
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -201,11 +201,11 @@
 {
   if (!aPage) {
     m_loadTimer.expires_after(std::chrono::milliseconds{ kLoadRetryMs });
-    m_loadTimer.async_wait([this](const std::error_code& aError) {
+    m_loadTimer.async_wait(m_state.Guard([this](const std::error_code& aError) {
       if (!aError) {
         LoadProgress({});
       }
-    });
+    }));
     return;
   }
   for (const auto& item : aPage->m_items) {
@@ -251,12 +251,12 @@
   }
   m_scheduled = true;
   m_scheduleTimer.expires_after(std::chrono::milliseconds{ kGatherMs });
-  m_scheduleTimer.async_wait([this](const std::error_code& aError) {
+  m_scheduleTimer.async_wait(m_state.Guard([this](const std::error_code& aError) {
     if (!aError) {
       m_scheduled = false;
       Schedule();
     }
-  });
+  }));
 }
 
 void FleetOwner::Schedule()
--- a/src/manager/TopicTail.cpp
+++ b/src/manager/TopicTail.cpp
@@ -59,11 +59,13 @@
 void TopicTail::After(Millis aDelayMs, void (TopicTail::*aNext)())
 {
   m_timer.expires_after(std::chrono::milliseconds{ aDelayMs });
-  m_timer.async_wait([this, aNext](const std::error_code& aError) {
-    if (!aError) {
-      (this->*aNext)();
-    }
-  });
+  m_timer.async_wait(
+    [this, aNext, alive = std::weak_ptr<int>(m_alive)](const std::error_code& aError) {
+      // A handler that is already queued is not cancelled by the end of its timer.
+      if (!aError && alive.lock()) {
+        (this->*aNext)();
+      }
+    });
 }
 
 void TopicTail::List(const std::string& aAfter)
