Keep a submission until the end of its job is stored

Cause: a repeated submission of a job that had ended in memory marked its record for removal, also while the end itself was not stored yet. A submission is now removed only after the end is stored.

The test failed before the change (the job was denied for 20 s) and passes after it.

--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -427,7 +427,7 @@
   request.m_timeoutMs = kRetireTimeoutMs;
   std::vector<JobId> ids;
   for (const auto& id : m_retired) {
-    // A later owner needs the specification while runs of the job are left.
+    // A later owner needs the specification until the end is stored, and while runs are left.
     const Job& job = m_state.m_book.m_jobs.at(id);
     const bool busy = std::ranges::any_of(job.m_occurrences, [](const auto& aEntry) {
       return std::ranges::any_of(aEntry.second.m_steps, [](const auto& aStep) {
@@ -435,7 +435,7 @@
                                    [](const auto& aSubtask) { return !aSubtask.m_runs.empty(); });
       });
     });
-    if (!busy && ids.size() < kMaxRetired) {
+    if (!busy && job.m_phaseStored && ids.size() < kMaxRetired) {
       ids.push_back(id);
       request.m_records.push_back(
         platform::EncodeKeyed(std::string{ kSubmissionPrefix } + id, std::nullopt));
--- a/tests/manager/ManagerTest.cpp
+++ b/tests/manager/ManagerTest.cpp
@@ -236,6 +236,28 @@
   EXPECT_TRUE(m_first.m_starts.empty() && m_second.m_starts.empty());
 }
 
+// Guards against a job that is lost because its submission was removed before its end was stored: a
+// repeated submission arrives meanwhile and the owner dies (LOST in a hunt of dijleland-sched, mix
+// --seed 323672539889).
+TEST_F(ManagerTest, OwnerDies_SubmissionRepeatedBeforeTheEndIsStored_JobIsKnown)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()).m_status, 200);
+  const std::string last = std::string{ kJob } + ".0.1.1";
+  ASSERT_TRUE(RunUntil([&] { return m_first.m_starts[last] + m_second.m_starts[last] == 1; }));
+  m_store.m_refusedTopic = "keyed.progress";
+  ASSERT_TRUE(RunUntil([&] { return DoneCount(last) == 1; }));
+  RunUntil([] { return false; }, 200);
+  const std::string key = std::string{ "j:" } + kJob;
+  m_store.Put("keyed.jobs", key, m_store.Value("keyed.jobs", key));
+  RunUntil([] { return false; }, 800);
+  m_entries.erase(1);
+  m_store.m_refusedTopic.clear();
+  Start(2);
+  EXPECT_TRUE(Completes(2));
+}
+
 // Guards against an instance that goes by an old configuration because its read missed the record
 // (found by a hunt: a new queue was answered 404 for 4 s).
 TEST_F(ManagerTest, Configuration_MissedByAWaitingRead_IsInForceWithinTwoSeconds)
--- a/tests/standins/PreparedStore.h
+++ b/tests/standins/PreparedStore.h
@@ -52,7 +52,21 @@
     }
   }
 
-  bool m_down{}; ///< Answers 503 to everything.
+  /// \brief Newest value of a key; nothing when it was removed or never written.
+  [[nodiscard]] std::optional<std::string> Value(const std::string& aTopic, const std::string& aKey)
+  {
+    std::optional<std::string> value;
+    for (const auto& record : m_topics[aTopic].m_records) {
+      const auto keyed = platform::DecodeKeyed(record);
+      if (keyed && keyed->first == aKey) {
+        value = keyed->second;
+      }
+    }
+    return value;
+  }
+
+  bool m_down{};              ///< Answers 503 to everything.
+  std::string m_refusedTopic; ///< Answers 503 to appends to this topic.
 
 private:
   struct Topic
@@ -88,7 +102,8 @@
 
   void Handle(const HttpRequest& aRequest, HttpResponder aRespond)
   {
-    if (m_down) {
+    if (m_down ||
+        (aRequest.m_path == "/log-append" && aRequest.m_query.at("topic") == m_refusedTopic)) {
       aRespond({ 503, {}, {} });
       return;
     }
