--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -223,8 +223,8 @@
 void FleetOwner::FinishLoad()
 {
   m_loaded = true;
-  const Millis lease =
-    LatestLeaseEndMs(m_state.m_claimedMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
+  const Millis lease = LatestLeaseEndMs(
+    m_state.m_claimedMs, std::min(m_state.m_settings.m_bounds.m_maxLeaseMs, kLongestGrantMs));
   for (const auto& [id, subtasks] : m_state.m_book.m_byServer) {
     ServerState& server = m_state.m_servers[id];
     server.m_entry.m_id = id;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -67,7 +67,7 @@
     return wanted;
   }
   // An unconfirmed owner renews only up to the time that its successor waits for.
-  return std::min(wanted, m_state.m_confirmedMs() + most - aNowMs);
+  return std::min(wanted, m_state.m_confirmedMs() + std::min(most, kLongestGrantMs) - aNowMs);
 }
 
 std::uint32_t RunControl::MaxFailures(const SubtaskId& aId) const
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -12,6 +12,10 @@
 
 namespace pistachiostand::fleet {
 
+/// \brief No owner grants a lease that ends later than this after its last stored record, so a
+/// later owner waits no longer for servers that it cannot reach.
+inline constexpr Millis kLongestGrantMs = 6'000;
+
 class RunControl
 {
 public:
