--- a/src/manager/EventLog.cpp
+++ b/src/manager/EventLog.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// Formatting a line takes about 3 us, so that the log uses at most 0.1 % of a core.
+/// Bounds the processor time and the output of a burst.
 constexpr std::uint64_t kMaxLinesPerS = 400;
 constexpr Millis kWindowMs = 1'000;
 
