Let the owner of a large fleet keep up with its load

Change: orders for instances at half of the rate that the platform grants; instances with less than 0.25 of a core claim up to 1 s later; a pass starts after five times the duration of the last one, 100 ms at most; 2,000 idle connections.

--- a/include/pistachiostand/ownership/Leadership.h
+++ b/include/pistachiostand/ownership/Leadership.h
@@ -57,6 +57,12 @@
 /// \brief Time to act for an owner whose last calls took up to `aCallMs`.
 [[nodiscard]] Millis ActMs(Millis aCallMs) noexcept;
 
+/// \brief Wait before a claim of an instance with `aProcessorShare` cores.
+///
+/// An owner uses a quarter of a core with 350 backend servers, so instances with less than that
+/// claim later, and only when no larger one has.
+[[nodiscard]] Millis ClaimDelayMs(double aProcessorShare) noexcept;
+
 /// \brief What a process has read of the log of ownership.
 struct OwnershipView
 {
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr std::size_t kMaxResponseBytes = std::size_t{ 8 } * 1024 * 1024;
-constexpr long kMaxCachedConnections = 512;
+/// Several for each of 350 backend servers; beyond this the oldest idle one is closed.
+constexpr long kMaxCachedConnections = 2'000;
 
 struct Transfer
 {
--- a/src/manager/Elector.cpp
+++ b/src/manager/Elector.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 Elector::Elector(asio::io_context& aLoop, platform::Store& aStore, std::string aProcess,
-                 std::string aAddress, ElectorHandlers aHandlers)
+                 std::string aAddress, Millis aClaimDelayMs, ElectorHandlers aHandlers)
   : m_store(aStore)
   , m_process(std::move(aProcess))
   , m_address(std::move(aAddress))
@@ -53,7 +53,7 @@
             },
              [this](Millis /*aSentMs*/) { MarkCurrent(m_view, MonotonicMs()); } })
   , m_ticker(aLoop, kTickMs, [this] { Tick(); })
-  , m_claimDelayMs(static_cast<Millis>(Hash(m_process) % kClaimSpreadMs))
+  , m_claimDelayMs(aClaimDelayMs + static_cast<Millis>(Hash(m_process) % kClaimSpreadMs))
 {
 }
 
--- a/src/manager/Elector.h
+++ b/src/manager/Elector.h
@@ -23,8 +23,9 @@
 class Elector
 {
 public:
+  /// \param aClaimDelayMs wait before a claim, so that instances with more processor come first.
   Elector(asio::io_context& aLoop, platform::Store& aStore, std::string aProcess,
-          std::string aAddress, ElectorHandlers aHandlers);
+          std::string aAddress, Millis aClaimDelayMs, ElectorHandlers aHandlers);
 
   Elector(const Elector&) = delete;
   Elector& operator=(const Elector&) = delete;
--- a/src/manager/EntrySettings.cpp
+++ b/src/manager/EntrySettings.cpp
@@ -111,6 +111,7 @@
   const TableReader entry{ *file, "entry", aReasons };
   settings.m_id = entry.Text("id");
   settings.m_zone = entry.Text("zone");
+  settings.m_processorShare = entry.Number("processor_share");
   const TableReader listen{ *file, "listen", aReasons };
   settings.m_callerListen = listen.Address("callers");
   settings.m_readyListen = listen.Address("ready");
--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -38,6 +38,7 @@
 {
   std::string m_id;
   ZoneName m_zone;
+  double m_processorShare{ 1.0 }; ///< Cores that the instance may use.
   Endpoint m_callerListen;
   Endpoint m_readyListen;
   Endpoint m_entryListen; ///< For other entry instances.
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -32,7 +32,10 @@
 /// A lasting subtask counts as at work again after this time.
 constexpr Millis kSettleMs = 300;
 constexpr Millis kStoreTimeoutMs = 1'000;
-constexpr std::size_t kMaxOrdersAtOnce = 24;
+/// Part of the platform's rate of orders that plans use; the rest is for repeated ones.
+constexpr double kOrderRateShare = 0.5;
+/// Plans are made this often, by the owner's tick.
+constexpr double kPlansPerS = 10.0;
 /// Fewest instances of a pool: one may fail or go into maintenance at any time.
 constexpr std::uint32_t kLeastInstances = 2;
 
@@ -254,10 +257,12 @@
     LogEvent("wave", "cordon", "instance={} server={}", id, m_instances.at(id).m_server);
   }
   std::vector<InstanceId> ordered;
+  const auto most = static_cast<std::size_t>(
+    std::max(m_state.m_settings.m_instanceOrdersPerS * kOrderRateShare / kPlansPerS, 1.0));
   const auto order = [&](const InstanceId& aId, PoolName aPool,
                          std::optional<std::uint64_t> aWave) {
     const bool added =
-      m_orders.size() < kMaxOrdersAtOnce &&
+      ordered.size() < most &&
       m_orders
         .emplace(aId, Order{ std::move(aPool), aWave, m_instances.at(aId).m_server, false, 0 })
         .second;
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -19,6 +19,10 @@
 constexpr Millis kTickMs = 100;
 /// Lets ends and submissions gather before a pass over the jobs.
 constexpr Millis kGatherMs = 5;
+constexpr Millis kMaxGatherMs = 100;
+/// A pass begins after this many times the duration of the last one, so that passes over a large
+/// backlog leave most of the processor to starts and ends.
+constexpr int kGatherFactor = 5;
 /// A read may miss a record that is being stored; see the configuration's wait.
 constexpr Millis kSubmissionWaitMs = 300;
 constexpr Millis kSubmissionPauseMs = 15;
@@ -265,7 +269,8 @@
     return;
   }
   m_scheduled = true;
-  m_scheduleTimer.expires_after(std::chrono::milliseconds{ kGatherMs });
+  m_scheduleTimer.expires_after(std::chrono::milliseconds{
+    std::clamp(kGatherFactor * m_passMs, kGatherMs, kMaxGatherMs) });
   m_scheduleTimer.async_wait(m_state.Guard([this](const std::error_code& aError) {
     if (!aError) {
       m_scheduled = false;
@@ -276,12 +281,14 @@
 
 void FleetOwner::Schedule()
 {
+  const Millis begin = MonotonicMs();
   if (m_state.m_mayAct()) {
     m_runs.StopNeedless();
     LeaveDrainingServers();
     Place(MonotonicMs());
   }
   m_committer.Wake();
+  m_passMs = MonotonicMs() - begin;
 }
 
 std::vector<ServerRoom> FleetOwner::Rooms(Millis aNowMs) const
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -89,6 +89,7 @@
   bool m_submissionsRead{};
   bool m_loaded{};
   bool m_scheduled{};
+  Millis m_passMs{}; ///< Duration of the last pass over the jobs.
   std::set<JobId> m_cancels; ///< Read before the progress was.
   std::map<StepId, std::map<ServerId, Ticket>> m_tickets;
   std::map<StepId, Millis> m_ticketsEndMs;
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -85,6 +85,7 @@
                      [](Millis /*aSentMs*/) {} })
   , m_elector(
       aLoop, m_store, m_process, ToString(m_settings.m_entryListen),
+      ClaimDelayMs(m_settings.m_processorShare),
       { [this](FencingToken aToken, Millis aClaimedMs) { BeginOwnership(aToken, aClaimedMs); },
         [this](std::string_view /*aReason*/) { EndOwnership(); } })
   , m_writer(aLoop, m_store,
--- a/src/ownership/Leadership.cpp
+++ b/src/ownership/Leadership.cpp
@@ -71,6 +71,14 @@
   return std::clamp(kRenewMs + kCalls * aCallMs, kMinActMs, kMaxActMs);
 }
 
+Millis ClaimDelayMs(double aProcessorShare) noexcept
+{
+  constexpr double kEnoughCores = 0.25;
+  constexpr double kMostMs = 1'000;
+  return static_cast<Millis>(kMostMs *
+                             std::clamp(1.0 - aProcessorShare / kEnoughCores, 0.0, 1.0));
+}
+
 bool MayClaim(const OwnershipView& aView, Millis aNowMs, Millis aDelayMs) noexcept
 {
   if (!aView.m_current || !aView.m_lastRecordMs) {
--- a/tests/unit/LeadershipTest.cpp
+++ b/tests/unit/LeadershipTest.cpp
@@ -46,6 +46,15 @@
   EXPECT_LE(ActMs(60'000), kMaxActMs);
 }
 
+// Guards against an owner that is too small for the fleet while larger instances are alive.
+TEST_F(LeadershipTest, ClaimDelay_SmallerInstance_WaitsLonger)
+{
+  EXPECT_EQ(ClaimDelayMs(0.5), 0);
+  EXPECT_EQ(ClaimDelayMs(0.25), 0);
+  EXPECT_GE(ClaimDelayMs(0.12), 500);
+  EXPECT_LE(ClaimDelayMs(0.0), 1'000);
+}
+
 // Guards against a claim by a process that has not read the log to its end.
 TEST_F(LeadershipTest, MayClaim_BeforeTheLogWasRead_IsFalse)
 {
