--- a/src/manager/EventLog.cpp
+++ b/src/manager/EventLog.cpp
@@ -6,14 +6,17 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <functional>
+#include <map>
+#include <string>
 #include <unistd.h>
 
 namespace pistachiostand::fleet {
 
 namespace {
 
-/// Bounds the processor time and the output of a burst.
-constexpr std::uint64_t kMaxLinesPerS = 400;
+/// Bounds the processor time and the output of a burst, for each part.
+constexpr std::uint64_t kMaxLinesPerS = 200;
 constexpr Millis kWindowMs = 1'000;
 
 } // namespace
@@ -33,25 +36,33 @@
 
 namespace internal {
 
-bool TakeLogLine()
+bool TakeLogLine(std::string_view aPart)
 {
-  static Millis windowStart = 0;
-  static std::uint64_t taken = 0;
-  static std::uint64_t dropped = 0;
+  struct Window
+  {
+    Millis m_beginMs{};
+    std::uint64_t m_taken{};
+    std::uint64_t m_dropped{};
+  };
+  static std::map<std::string, Window, std::less<>> windows;
+  auto found = windows.find(aPart);
+  if (found == windows.end()) {
+    found = windows.emplace(aPart, Window{}).first;
+  }
+  Window& window = found->second;
   const Millis now = MonotonicMs();
-  if (now - windowStart >= kWindowMs) {
-    if (dropped != 0) {
-      spdlog::warn("log: dropped lines={} in_ms={}", dropped, now - windowStart);
+  if (now - window.m_beginMs >= kWindowMs) {
+    if (window.m_dropped != 0) {
+      spdlog::warn("log: dropped part={} lines={} in_ms={}", aPart, window.m_dropped,
+                   now - window.m_beginMs);
     }
-    windowStart = now;
-    taken = 0;
-    dropped = 0;
+    window = { now, 0, 0 };
   }
-  if (taken >= kMaxLinesPerS) {
-    ++dropped;
+  if (window.m_taken >= kMaxLinesPerS) {
+    ++window.m_dropped;
     return false;
   }
-  ++taken;
+  ++window.m_taken;
   return true;
 }
 
--- a/src/manager/EventLog.h
+++ b/src/manager/EventLog.h
@@ -12,9 +12,9 @@
 /// \file
 /// \brief Structured log lines: an event name and `key=value` pairs.
 ///
-/// The number of lines is limited so that a burst of requests cannot fill the output; lines beyond
-/// the limit are counted and the count is logged. Standard output does not block: a reader that
-/// stops reading loses lines and stops nothing.
+/// Each part has a limit of lines a second, so that a burst of runs neither fills the output nor
+/// keeps the lines of other parts out; lines beyond the limit are counted and the count is logged.
+/// Standard output does not block: a reader that stops reading loses lines and stops nothing.
 
 namespace pistachiostand::fleet {
 
@@ -23,8 +23,8 @@
 
 namespace internal {
 
-/// \brief Takes one line from the budget of this second.
-[[nodiscard]] bool TakeLogLine();
+/// \brief Takes one line from what a part may log in this second.
+[[nodiscard]] bool TakeLogLine(std::string_view aPart);
 
 } // namespace internal
 
@@ -37,7 +37,7 @@
 void LogEvent(std::string_view aPart, std::string_view aEvent, fmt::format_string<Args...> aFormat,
               Args&&... aArgs)
 {
-  if (spdlog::should_log(spdlog::level::info) && internal::TakeLogLine()) {
+  if (spdlog::should_log(spdlog::level::info) && internal::TakeLogLine(aPart)) {
     spdlog::info("{}: {} {}", aPart, aEvent, fmt::format(aFormat, std::forward<Args>(aArgs)...));
   }
 }
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -40,6 +40,7 @@
 /// A finished job is kept this much longer than its state must be readable.
 constexpr Millis kKeepMarginMs = 10'000;
 constexpr double kMeanWorkWeight = 0.05;
+constexpr Millis kLogMs = 1'000;
 constexpr std::size_t kMaxAdviceServers = 100;
 constexpr std::size_t kMaxAdviceCalls = 4;
 constexpr Millis kAdviceMarginMs = 1'000;
@@ -269,8 +270,8 @@
     return;
   }
   m_scheduled = true;
-  m_scheduleTimer.expires_after(std::chrono::milliseconds{
-    std::clamp(kGatherFactor * m_passMs, kGatherMs, kMaxGatherMs) });
+  m_scheduleTimer.expires_after(
+    std::chrono::milliseconds{ std::clamp(kGatherFactor * m_passMs, kGatherMs, kMaxGatherMs) });
   m_scheduleTimer.async_wait(m_state.Guard([this](const std::error_code& aError) {
     if (!aError) {
       m_scheduled = false;
@@ -289,6 +290,8 @@
   }
   m_committer.Wake();
   m_passMs = MonotonicMs() - begin;
+  m_load.m_passes += 1;
+  m_load.m_longestPassMs = std::max(m_load.m_longestPassMs, m_passMs);
 }
 
 std::vector<ServerRoom> FleetOwner::Rooms(Millis aNowMs) const
@@ -432,6 +435,7 @@
   }
   const Millis now = MonotonicMs();
   OpenDueOccurrences(m_state.m_book, WallMs() + m_state.m_settings.m_bounds.m_earlyMs / 2, now);
+  LogLoad(now);
   m_runs.Tick(now);
   m_fleet.Tick(now);
   m_cleaner.Tick(now);
@@ -439,6 +443,19 @@
   ScheduleSoon();
 }
 
+void FleetOwner::LogLoad(Millis aNowMs)
+{
+  m_load.m_longestGapMs = std::max(m_load.m_longestGapMs, aNowMs - m_tickMs);
+  m_tickMs = aNowMs;
+  if (aNowMs - m_load.m_beginMs < kLogMs) {
+    return;
+  }
+  LogEvent("owner", "load", "active={} passes={} longest_pass_ms={} longest_tick_gap_ms={}",
+           m_state.m_book.m_active.size(), m_load.m_passes, m_load.m_longestPassMs,
+           m_load.m_longestGapMs);
+  m_load = { aNowMs, 0, 0, 0 };
+}
+
 void FleetOwner::ForgetOldJobs(Millis aNowMs)
 {
   const Millis keep = m_state.m_settings.m_bounds.m_keepStateMs + kKeepMarginMs;
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -65,7 +65,17 @@
   void FinishLoad();
   void AddSubmission(JobSpec aSpec);
   void ScheduleSoon();
+  /// \brief What the log says of the owner's own load.
+  struct LoadWindow
+  {
+    Millis m_beginMs{};
+    unsigned m_passes{};
+    Millis m_longestPassMs{};
+    Millis m_longestGapMs{};
+  };
+
   void Schedule();
+  void LogLoad(Millis aNowMs);
   void Place(Millis aNowMs);
   [[nodiscard]] std::vector<ServerRoom> Rooms(Millis aNowMs) const;
   void LeaveDrainingServers();
@@ -90,6 +100,8 @@
   bool m_loaded{};
   bool m_scheduled{};
   Millis m_passMs{}; ///< Duration of the last pass over the jobs.
+  LoadWindow m_load;
+  Millis m_tickMs{};         ///< Of the last tick.
   std::set<JobId> m_cancels; ///< Read before the progress was.
   std::map<StepId, std::map<ServerId, Ticket>> m_tickets;
   std::map<StepId, Millis> m_ticketsEndMs;
--- /dev/null
+++ b/tests/unit/JobWorld.h
@@ -0,0 +1,224 @@
+#pragma once
+
+#include "pistachiostand/job/Scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Plays the turn of a queue against the scheduler in virtual time.
+///
+/// The load is that of the users' sheets: for some seconds a queue asks for several times the room
+/// of its pool, with chains of steps, uneven widths, and estimates that are wrong by half.
+
+namespace pistachiostand::fleet {
+
+struct JobLoad
+{
+  std::uint32_t m_seed{ 1 };
+  int m_servers{ 20 };
+  double m_jobsPerS{ 20 }; ///< During the turn.
+  Millis m_turnMs{ 4'000 };
+  Millis m_runMeanMs{ 1'000 };
+  double m_runSpread{ 0.5 };
+  double m_estimateSpread{ 0.5 };
+  double m_unevenSpread{ 0.15 }; ///< Between the subtasks of a step.
+  double m_steps{ 1.6 };
+  double m_width{ 6 };
+  double m_cpuMillis{ 3'500 };
+  Resources m_capacity{ 64'000, 262'144, 0 };
+
+  friend auto operator<=>(const JobLoad&, const JobLoad&) = default;
+};
+
+/// \brief What callers got, as shares of the credit and of the jobs.
+struct JobService
+{
+  double m_credit{};
+  double m_inTime{};
+  double m_largestTenth{}; ///< In time, of the tenth of the jobs with the most work.
+
+  friend auto operator<=>(const JobService&, const JobService&) = default;
+};
+
+class JobWorld
+{
+public:
+  explicit JobWorld(const JobLoad& aLoad)
+    : m_load(aLoad)
+    , m_random(aLoad.m_seed)
+  {
+    QueueRule queue;
+    queue.m_name = "q";
+    queue.m_pool = "p";
+    queue.m_maxFailures = 3;
+    queue.m_stretch = kStretch;
+    queue.m_objectiveMs = kObjectiveMs;
+    m_configuration.m_queues.push_back(queue);
+    m_configuration.m_pools["p"].m_name = "p";
+    PlanArrivals();
+  }
+
+  /// \brief Plays the turn until all jobs have ended.
+  JobService Play()
+  {
+    constexpr Millis kEndMs = 60'000;
+    std::size_t next = 0;
+    for (m_nowMs = 1; m_nowMs < kEndMs; m_nowMs += kStepMs) {
+      for (; next < m_jobs.size() && m_jobs[next].m_arrivalMs <= m_nowMs; ++next) {
+        AddJob(m_book, m_jobs[next].m_spec, m_nowMs, 0);
+      }
+      EndRuns();
+      Place();
+    }
+    return Judge();
+  }
+
+private:
+  static constexpr Millis kStepMs = 10;
+  /// From the placing until the subtask works: the record and the order.
+  static constexpr Millis kStartMs = 30;
+  static constexpr double kStretch = 1.6;
+  static constexpr Millis kObjectiveMs = 600;
+  static constexpr double kLateCredit = 0.07;
+
+  struct PlayedJob
+  {
+    JobSpec m_spec;
+    Millis m_arrivalMs{};
+    std::vector<Millis> m_runMs; ///< True run time of each step.
+    Millis m_endMs{};
+    double m_work{};
+  };
+
+  double LogNormal(double aMean, double aSpread)
+  {
+    const double sigma = std::sqrt(std::log(1 + aSpread * aSpread));
+    return aMean *
+           std::exp(std::normal_distribution<double>{ -sigma * sigma / 2, sigma }(m_random));
+  }
+
+  void PlanArrivals()
+  {
+    double at = 0;
+    std::exponential_distribution<double> gap{ m_load.m_jobsPerS / 1'000 };
+    for (at += gap(m_random); at < static_cast<double>(m_load.m_turnMs); at += gap(m_random)) {
+      PlayedJob job;
+      job.m_arrivalMs = static_cast<Millis>(at);
+      job.m_spec.m_id = "job-" + std::to_string(10'000 + m_jobs.size());
+      job.m_spec.m_queue = "q";
+      job.m_spec.m_pool = "p";
+      const auto steps = static_cast<std::uint32_t>(
+        std::clamp(std::round(LogNormal(m_load.m_steps, 0.4)), 1.0, 4.0));
+      const double run = LogNormal(static_cast<double>(m_load.m_runMeanMs), m_load.m_runSpread);
+      for (std::uint32_t step = 0; step < steps; ++step) {
+        job.m_spec.m_steps.push_back(MakeStep(step, run));
+        job.m_runMs.push_back(static_cast<Millis>(run));
+      }
+      job.m_work = WorkOf(job.m_spec);
+      m_byId[job.m_spec.m_id] = m_jobs.size();
+      m_jobs.push_back(std::move(job));
+    }
+  }
+
+  StepSpec MakeStep(std::uint32_t aStep, double aRunMs)
+  {
+    StepSpec spec;
+    spec.m_count =
+      static_cast<std::uint32_t>(std::clamp(std::round(LogNormal(m_load.m_width, 0.6)), 1.0, 32.0));
+    spec.m_need = { static_cast<std::int64_t>(LogNormal(m_load.m_cpuMillis, 0.45)), 1'000, 0 };
+    spec.m_estimateMs = static_cast<Millis>(LogNormal(aRunMs, m_load.m_estimateSpread));
+    if (aStep > 0) {
+      spec.m_after.push_back(aStep - 1);
+    }
+    return spec;
+  }
+
+  void EndRuns()
+  {
+    while (!m_ends.empty() && m_ends.begin()->first <= m_nowMs) {
+      const RunEnd end = m_ends.begin()->second;
+      m_ends.erase(m_ends.begin());
+      ApplyEnd(m_book, end, 3, m_nowMs);
+      if (m_book.m_jobs.at(end.m_subtask.m_job).m_phase == JobPhase::Completed) {
+        m_jobs[m_byId.at(end.m_subtask.m_job)].m_endMs = m_nowMs;
+      }
+    }
+  }
+
+  void Place()
+  {
+    std::vector<ServerRoom> rooms;
+    for (int number = 0; number < m_load.m_servers; ++number) {
+      ServerRoom room;
+      room.m_id = "server-" + std::to_string(number);
+      room.m_pool = "p";
+      room.m_capacity = m_load.m_capacity;
+      room.m_free = m_load.m_capacity - m_book.m_used[room.m_id];
+      rooms.push_back(std::move(room));
+    }
+    SchedulerInput input;
+    input.m_nowMs = m_nowMs;
+    const auto result = PlaceSubtasks(m_book, m_configuration, rooms, input);
+    for (const auto& placement : result.m_placements) {
+      const auto& job = m_jobs[m_byId.at(placement.m_subtask.m_job)];
+      const auto run = LogNormal(static_cast<double>(job.m_runMs[placement.m_subtask.m_step]),
+                                 m_load.m_unevenSpread);
+      FindRun(m_book, { placement.m_subtask, placement.m_run, placement.m_server })->m_phase =
+        RunPhase::Running;
+      m_ends.emplace(m_nowMs + kStartMs + static_cast<Millis>(run),
+                     RunEnd{ placement.m_subtask, placement.m_run, EndKind::Done, "" });
+    }
+  }
+
+  [[nodiscard]] JobService Judge() const
+  {
+    double meanWork = 0;
+    std::vector<double> works;
+    for (const auto& job : m_jobs) {
+      meanWork += job.m_work / static_cast<double>(m_jobs.size());
+      works.push_back(job.m_work);
+    }
+    std::ranges::sort(works);
+    const double large = works[works.size() * 9 / 10];
+    double owed = 0;
+    double earned = 0;
+    double inTime = 0;
+    double largest = 0;
+    double largestInTime = 0;
+    for (const auto& job : m_jobs) {
+      double chain = 0;
+      for (const auto run : job.m_runMs) {
+        chain += static_cast<double>(run);
+      }
+      const double objective = kStretch * chain + static_cast<double>(kObjectiveMs);
+      const double took = static_cast<double>(job.m_endMs - job.m_arrivalMs);
+      const double credit = std::min(0.3 + 0.7 * job.m_work / meanWork, 4.0);
+      const bool good = job.m_endMs != 0 && took <= objective;
+      owed += credit;
+      earned += good                                        ? credit
+                : job.m_endMs != 0 && took <= 3 * objective ? kLateCredit * credit
+                                                            : 0;
+      inTime += good ? 1 : 0;
+      largest += job.m_work >= large ? 1 : 0;
+      largestInTime += good && job.m_work >= large ? 1 : 0;
+    }
+    return { earned / owed, inTime / static_cast<double>(m_jobs.size()), largestInTime / largest };
+  }
+
+  JobLoad m_load;
+  std::mt19937 m_random;
+  Configuration m_configuration;
+  JobBook m_book;
+  std::vector<PlayedJob> m_jobs;
+  std::map<JobId, std::size_t> m_byId;
+  std::multimap<Millis, RunEnd> m_ends;
+  Millis m_nowMs{};
+};
+
+} // namespace pistachiostand::fleet
