Hold the rise of a queue as a share of the fleet

First sites: 7 % are three instances.

Tried and dropped: late work waits while the owner's ticks are late.

The world in virtual time is now part of the tests of the scheduler.

--- a/include/pistachiostand/fleet/CapacityPlan.h
+++ b/include/pistachiostand/fleet/CapacityPlan.h
@@ -91,7 +91,8 @@
 public:
   /// \brief Instances that the pool should have.
   /// \param aSteady part of the demand that does not change: lasting work.
-  std::uint32_t Update(double aSteady, double aInstances, Millis aNowMs);
+  /// \param aFleet instances of all pools.
+  std::uint32_t Update(double aSteady, double aInstances, std::size_t aFleet, Millis aNowMs);
 
 private:
   struct Sample
--- a/src/fleet/CapacityPlan.cpp
+++ b/src/fleet/CapacityPlan.cpp
@@ -18,7 +18,8 @@
 constexpr double kHeadroomInstances = 1.0;
 /// A queue's turn begins with a steep rise, so a small demand gets half as much again.
 constexpr double kRiseShare = 0.5;
-constexpr double kMaxRiseInstances = 3.0;
+/// Most of the fleet that is held for the rise of one queue.
+constexpr double kMaxRiseShare = 0.07;
 /// Time to empty an instance before maintenance: the longest runs take about this long.
 constexpr Millis kEmptyMs = 2'500;
 /// Part of the time of a wave that the plan uses; the rest is for faults.
@@ -249,16 +250,18 @@
   return plan;
 }
 
-std::uint32_t DemandFollower::Update(double aSteady, double aInstances, Millis aNowMs)
+std::uint32_t DemandFollower::Update(double aSteady, double aInstances, std::size_t aFleet,
+                                     Millis aNowMs)
 {
   std::erase_if(m_recent, [&](const Sample& aSample) {
     return aSample.m_instances <= aInstances || aNowMs - aSample.m_atMs > kHoldMs;
   });
   m_recent.push_back({ aInstances, aNowMs });
   const double highest = m_recent.front().m_instances;
-  return static_cast<std::uint32_t>(std::ceil(aSteady + highest * kHeadroom +
-                                              std::min(highest * kRiseShare, kMaxRiseInstances) +
-                                              kHeadroomInstances));
+  return static_cast<std::uint32_t>(
+    std::ceil(aSteady + highest * kHeadroom +
+              std::min(highest * kRiseShare, kMaxRiseShare * static_cast<double>(aFleet)) +
+              kHeadroomInstances));
 }
 
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -167,7 +167,8 @@
     const auto found = demand.find(name);
     const PoolDemand one = found == demand.end() ? PoolDemand{} : found->second;
     aInput.m_wanted[name] =
-      std::max(m_demand[name].Update(one.m_lasting, UrgentInstances(one), now), kLeastInstances);
+      std::max(m_demand[name].Update(one.m_lasting, UrgentInstances(one), m_instances.size(), now),
+               kLeastInstances);
     // The lasting subtasks of an instance that is being emptied need another one.
     aInput.m_wanted[name] += static_cast<std::uint32_t>(
       std::ranges::count_if(aInput.m_instances, [&name = name](const InstanceView& aInstance) {
--- a/tests/unit/CapacityPlanTest.cpp
+++ b/tests/unit/CapacityPlanTest.cpp
@@ -140,10 +140,19 @@
 // Guards against instances that are sent away in the pauses of a turn.
 TEST_F(DemandFollowerTest, Pause_KeepsTheHighestRecentDemand)
 {
-  const auto high = m_follower.Update(0, 20, 0);
+  const auto high = m_follower.Update(0, 20, 50, 0);
   EXPECT_GE(high, 20U);
-  EXPECT_EQ(m_follower.Update(0, 2, 500), high);
-  EXPECT_LT(m_follower.Update(0, 2, 5'000), high);
+  EXPECT_EQ(m_follower.Update(0, 2, 50, 500), high);
+  EXPECT_LT(m_follower.Update(0, 2, 50, 5'000), high);
+}
+
+// Guards against a large fleet that follows the rise of a queue in steps of three instances.
+TEST_F(DemandFollowerTest, Rise_LargeFleet_GetsItsShare)
+{
+  DemandFollower small;
+  DemandFollower large;
+  EXPECT_LE(small.Update(0, 50, 49, 0), 50 * 1.05 + 0.07 * 49 + 2);
+  EXPECT_GE(large.Update(0, 50, 350, 0), 50 + 0.07 * 350);
 }
 
 } // namespace
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -1,4 +1,5 @@
 #include "JobFixture.h"
+#include "JobWorld.h"
 
 #include <algorithm>
 #include <set>
@@ -119,6 +120,19 @@
   EXPECT_EQ(placements.front().m_subtask.m_job, "older");
 }
 
+// Guards against a queue at its pool's room that loses jobs, and against overload that serves none:
+// at twice the room a little less than half can be in time, since some slack is left at the end.
+TEST_F(SchedulerTest, Turn_UpToTwiceTheRoom_ServesWhatFits)
+{
+  JobLoad load;
+  load.m_jobsPerS = 38;
+  EXPECT_GT(JobWorld{ load }.Play().m_credit, 0.95);
+  load.m_jobsPerS = 76;
+  const JobService twice = JobWorld{ load }.Play();
+  EXPECT_GT(twice.m_credit, 0.5);
+  EXPECT_GT(twice.m_largestTenth, twice.m_inTime / 2 - 0.25);
+}
+
 // Guards against a pool that cannot shrink because its runs are spread thinly.
 TEST_F(SchedulerTest, SmallLoad_UsesOneServer)
 {
