--- /dev/null
+++ b/model/ownership.pml
@@ -0,0 +1,294 @@
+/* One run of a subtask at a time while the ownership of the fleet passes between entry instances.
+ *
+ * Two entry instances, two backend servers, one subtask. Time passes in ticks. An owner stores the
+ * record of a run before it sends the start; the next owner shuts it out, reads the records, and
+ * takes a server with a record as empty only after a look at it or after the longest grant. A start
+ * may be carried out at any time after it was sent, also by a later life of its server.
+ *
+ * Guards that can be removed: NO_RECORD (a start is sent without its record), NO_FENCE (the store
+ * takes records of earlier owners), NO_TOKEN (servers take orders of earlier owners), NO_WAIT (a
+ * server that was not looked at counts as empty), NO_LEASE_END (a late start is carried out),
+ * NO_LIFE (a later life of the server takes a start meant for an earlier one), LOOK_DISPROVES (a
+ * look disproves a start that has no answer), LONG_ACT (an owner acts longer than others wait).
+ */
+
+#ifdef LONG_ACT
+#define ACT 4
+#else
+#define ACT 1 /* Ticks that an owner acts after it sent its last stored record. */
+#endif
+#define CLAIM 1 /* A claim needs a last record that is older than this. */
+#define GRANT 2 /* Longest lease. */
+#ifdef NO_WAIT
+#define WAIT 0
+#else
+#define WAIT 3 /* Ticks after its claim for which an owner counts on leases of earlier ones. */
+#endif
+#define TOP 4 /* Ages are not counted further. */
+#define MAX_TOKEN 2
+
+byte token = 1;    /* Of the owner, by the store. */
+byte recordAge;    /* Of the last record of ownership in the store. */
+byte fence = 1;    /* Highest epoch that the store has seen for the records of runs. */
+bool stored[2];    /* A record says that a run may be on the server. */
+
+byte mine[2];      /* Token under which an instance acts; 0: not the owner. */
+byte confirmed[2]; /* Age of its last stored record, from when it was sent. */
+bool loaded[2];    /* It has shut earlier owners out and read the records. */
+bool may[4];       /* instance * 2 + server: a run may be there. */
+byte granted[4];   /* Ticks until the latest lease there that it counts on has ended. */
+byte planned[2];   /* Server + 1 of a run whose record is stored and whose start is not sent. */
+
+bool sent[2];      /* A start of the instance is on its way, or carried out without an answer. */
+byte sentTo[2];
+byte sentToken[2];
+byte sentLeft[2];  /* Ticks until its lease has ended. */
+byte sentLife[2];
+
+bool reach[4];     /* instance * 2 + server */
+bool online[2];    /* The store answers the instance. */
+#ifndef CUTS
+#define CUTS 1
+#endif
+byte cuts = CUTS;
+
+byte seen[2];      /* Highest token that the server has seen. */
+bool runs[2];
+byte lease[2];
+byte life[2];
+#ifndef BIRTHS
+#define BIRTHS 0
+#endif
+byte births = BIRTHS;
+
+#define ACTS(n) (mine[n] > 0 && confirmed[n] <= ACT)
+#ifdef NO_TOKEN
+#define TOKEN_HOLDS(n) true
+#else
+#define TOKEN_HOLDS(n) (sentToken[n] >= seen[sentTo[n]])
+#endif
+#ifdef NO_LEASE_END
+#define LEASE_HOLDS(n) true
+#else
+#define LEASE_HOLDS(n) (sentLeft[n] > 0)
+#endif
+#ifdef NO_LIFE
+#define LIFE_HOLDS(n) true
+#else
+#define LIFE_HOLDS(n) (sentLife[n] == life[sentTo[n]])
+#endif
+#define TAKES(n) (TOKEN_HOLDS(n) && LEASE_HOLDS(n) && LIFE_HOLDS(n))
+#define FLYING(n, s) (sent[n] && sentTo[n] == s)
+#define PLANNED(n, s) (planned[n] == s + 1)
+
+inline Age(x) { if :: x < TOP -> x++ :: else fi }
+inline Wane(x) { if :: x > 0 -> x-- :: else fi }
+
+inline ForgetOwnership(n)
+{
+  mine[n] = 0;
+  loaded[n] = false;
+  planned[n] = 0;
+  may[n * 2] = false;
+  may[n * 2 + 1] = false;
+}
+
+proctype Instance(byte n)
+{
+  byte s;
+  do
+  :: atomic {
+       mine[n] > 0 && online[n] ->
+       if
+       :: token == mine[n] -> recordAge = 0; confirmed[n] = 0
+       :: else -> ForgetOwnership(n)
+       fi
+     }
+  :: atomic {
+       mine[n] == 0 && !sent[n] && online[n] && recordAge > CLAIM && token < MAX_TOKEN ->
+       token++;
+       mine[n] = token;
+       recordAge = 0;
+       confirmed[n] = 0
+     }
+  :: atomic {
+       ACTS(n) && !loaded[n] && online[n] && fence <= mine[n] ->
+       fence = mine[n];
+       loaded[n] = true;
+       may[n * 2] = stored[0];
+       may[n * 2 + 1] = stored[1];
+       granted[n * 2] = WAIT;
+       granted[n * 2 + 1] = WAIT
+     }
+  /* Plans a run and stores its record. The answer may be lost: then nothing is sent. */
+  :: atomic {
+       ACTS(n) && loaded[n] && planned[n] == 0 && !sent[n] && !may[n * 2] && !may[n * 2 + 1] ->
+       select(s : 0 .. 1);
+#ifdef NO_RECORD
+       may[n * 2 + s] = true;
+       planned[n] = s + 1
+#else
+       if
+#ifdef NO_FENCE
+       :: online[n] ->
+#else
+       :: online[n] && fence == mine[n] ->
+#endif
+         stored[s] = true;
+         may[n * 2 + s] = true;
+         granted[n * 2 + s] = GRANT + 1;
+         if
+         :: planned[n] = s + 1
+         :: skip
+         fi
+       :: else
+       fi
+#endif
+     }
+  :: atomic {
+       planned[n] > 0 ->
+       s = planned[n] - 1;
+       planned[n] = 0;
+       if
+       :: ACTS(n) ->
+         sent[n] = true;
+         sentTo[n] = s;
+         sentToken[n] = mine[n];
+         sentLeft[n] = GRANT;
+         sentLife[n] = life[s];
+         granted[n * 2 + s] = GRANT + 1
+       :: else
+       fi
+     }
+  /* Looks at a server: raises its token, renews the lease of what runs there. */
+  :: atomic {
+       ACTS(n) && loaded[n] ->
+       select(s : 0 .. 1);
+       if
+       :: reach[n * 2 + s] && seen[s] <= mine[n] ->
+         seen[s] = mine[n];
+         if
+         :: runs[s] ->
+           lease[s] = GRANT;
+           granted[n * 2 + s] = GRANT + 1;
+           may[n * 2 + s] = true
+#ifdef LOOK_DISPROVES
+         :: !runs[s] && !PLANNED(n, s) ->
+#else
+         :: !runs[s] && !PLANNED(n, s) && !FLYING(n, s) ->
+#endif
+           may[n * 2 + s] = false
+         :: else
+         fi
+       :: else
+       fi
+     }
+  /* Takes a server as empty when the last lease there has ended. */
+  :: atomic {
+       loaded[n] ->
+       select(s : 0 .. 1);
+       if
+       :: may[n * 2 + s] && granted[n * 2 + s] == 0 && !PLANNED(n, s) && !FLYING(n, s) ->
+          may[n * 2 + s] = false
+       :: else
+       fi
+     }
+  /* Stores what it knows; an answered or ended start is no longer on its way. */
+  :: atomic {
+       loaded[n] && online[n] && fence == mine[n] && planned[n] == 0 ->
+       stored[0] = may[n * 2];
+       stored[1] = may[n * 2 + 1]
+     }
+  od
+}
+
+/* Carries starts out, or loses them. */
+active proctype Network()
+{
+  byte n;
+  do
+  :: atomic {
+       select(n : 0 .. 1);
+       if
+       :: sent[n] ->
+         if
+         :: TAKES(n) ->
+           if
+           :: sentToken[n] > seen[sentTo[n]] -> seen[sentTo[n]] = sentToken[n]
+           :: else
+           fi;
+           runs[sentTo[n]] = true;
+           lease[sentTo[n]] = GRANT
+         :: else
+         fi;
+         sent[n] = false
+       :: else
+       fi
+     }
+  /* A start whose lease has ended cannot be carried out any more. */
+  :: atomic {
+       select(n : 0 .. 1);
+       if
+#ifdef NO_LEASE_END
+       :: false
+#else
+       :: sent[n] && sentLeft[n] == 0 -> sent[n] = false
+#endif
+       :: else
+       fi
+     }
+  od
+}
+
+active proctype World()
+{
+  byte k;
+  do
+  :: atomic { cuts > 0 -> cuts--; select(k : 0 .. 3); reach[k] = !reach[k] }
+  :: atomic { cuts > 0 -> cuts--; select(k : 0 .. 1); online[k] = !online[k] }
+  :: atomic {
+       births > 0 ->
+       births--;
+       select(k : 0 .. 1);
+       runs[k] = false;
+       lease[k] = 0;
+       seen[k] = 0;
+       life[k]++
+#ifdef NO_LIFE
+       ;
+       /* The clock of a new life starts low, so that an earlier order looks timely. */
+       if :: FLYING(0, k) -> sentLeft[0] = GRANT :: else fi;
+       if :: FLYING(1, k) -> sentLeft[1] = GRANT :: else fi
+#endif
+     }
+  :: atomic {
+       Age(recordAge);
+       Age(confirmed[0]);
+       Age(confirmed[1]);
+       for (k : 0 .. 3) { Wane(granted[k]) }
+       for (k : 0 .. 1) {
+         Wane(sentLeft[k]);
+         Wane(lease[k]);
+         if :: lease[k] == 0 -> runs[k] = false :: else fi
+       }
+     }
+  od
+}
+
+active proctype Monitor() { atomic { runs[0] && runs[1] -> assert(false) } }
+
+init
+{
+  atomic {
+    mine[0] = 1;
+    loaded[0] = true;
+    reach[0] = true;
+    reach[1] = true;
+    reach[2] = true;
+    reach[3] = true;
+    online[0] = true;
+    online[1] = true;
+    run Instance(0);
+    run Instance(1)
+  }
+}
--- a/src/ownership/Leadership.cpp
+++ b/src/ownership/Leadership.cpp
@@ -75,8 +75,7 @@
 {
   constexpr double kEnoughCores = 0.25;
   constexpr double kMostMs = 1'000;
-  return static_cast<Millis>(kMostMs *
-                             std::clamp(1.0 - aProcessorShare / kEnoughCores, 0.0, 1.0));
+  return static_cast<Millis>(kMostMs * std::clamp(1.0 - aProcessorShare / kEnoughCores, 0.0, 1.0));
 }
 
 bool MayClaim(const OwnershipView& aView, Millis aNowMs, Millis aDelayMs) noexcept
