--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -48,19 +48,30 @@
 bool reach[4];     /* instance * 2 + server */
 bool online[2];    /* The store answers the instance. */
 #ifndef CUTS
-#define CUTS 1
+#define CUTS 2
 #endif
 byte cuts = CUTS;
 
+bool ready;        /* The initial state is set. */
 byte seen[2];      /* Highest token that the server has seen. */
 bool runs[2];
 byte lease[2];
 byte life[2];
 #ifndef BIRTHS
-#define BIRTHS 0
+#define BIRTHS 1
 #endif
 byte births = BIRTHS;
 
+/* Values that nothing reads any more are reset, so that they do not multiply the states. */
+inline Land(n)
+{
+  sent[n] = false;
+  sentTo[n] = 0;
+  sentToken[n] = 0;
+  sentLeft[n] = 0;
+  sentLife[n] = 0
+}
+
 #define ACTS(n) (mine[n] > 0 && confirmed[n] <= ACT)
 #ifdef NO_TOKEN
 #define TOKEN_HOLDS(n) true
@@ -91,6 +102,9 @@
   planned[n] = 0;
   may[n * 2] = false;
   may[n * 2 + 1] = false;
+  granted[n * 2] = 0;
+  granted[n * 2 + 1] = 0;
+  confirmed[n] = 0
 }
 
 proctype Instance(byte n)
@@ -126,7 +140,8 @@
        select(s : 0 .. 1);
 #ifdef NO_RECORD
        may[n * 2 + s] = true;
-       planned[n] = s + 1
+       planned[n] = s + 1;
+       s = 0
 #else
        if
 #ifdef NO_FENCE
@@ -142,7 +157,8 @@
          :: skip
          fi
        :: else
-       fi
+       fi;
+       s = 0
 #endif
      }
   :: atomic {
@@ -158,7 +174,8 @@
          sentLife[n] = life[s];
          granted[n * 2 + s] = GRANT + 1
        :: else
-       fi
+       fi;
+       s = 0
      }
   /* Looks at a server: raises its token, renews the lease of what runs there. */
   :: atomic {
@@ -177,11 +194,13 @@
 #else
          :: !runs[s] && !PLANNED(n, s) && !FLYING(n, s) ->
 #endif
-           may[n * 2 + s] = false
+           may[n * 2 + s] = false;
+           granted[n * 2 + s] = 0
          :: else
          fi
        :: else
-       fi
+       fi;
+       s = 0
      }
   /* Takes a server as empty when the last lease there has ended. */
   :: atomic {
@@ -189,9 +208,11 @@
        select(s : 0 .. 1);
        if
        :: may[n * 2 + s] && granted[n * 2 + s] == 0 && !PLANNED(n, s) && !FLYING(n, s) ->
-          may[n * 2 + s] = false
+          may[n * 2 + s] = false;
+          granted[n * 2 + s] = 0
        :: else
-       fi
+       fi;
+       s = 0
      }
   /* Stores what it knows; an answered or ended start is no longer on its way. */
   :: atomic {
@@ -218,12 +239,16 @@
            :: else
            fi;
            runs[sentTo[n]] = true;
-           lease[sentTo[n]] = GRANT
+           if
+           :: lease[sentTo[n]] < sentLeft[n] -> lease[sentTo[n]] = sentLeft[n]
+           :: else
+           fi
          :: else
          fi;
-         sent[n] = false
+         Land(n)
        :: else
-       fi
+       fi;
+       n = 0
      }
   /* A start whose lease has ended cannot be carried out any more. */
   :: atomic {
@@ -232,10 +257,11 @@
 #ifdef NO_LEASE_END
        :: false
 #else
-       :: sent[n] && sentLeft[n] == 0 -> sent[n] = false
+       :: sent[n] && sentLeft[n] == 0 -> Land(n)
 #endif
        :: else
-       fi
+       fi;
+       n = 0
      }
   od
 }
@@ -243,9 +269,10 @@
 active proctype World()
 {
   byte k;
+  ready;
   do
-  :: atomic { cuts > 0 -> cuts--; select(k : 0 .. 3); reach[k] = !reach[k] }
-  :: atomic { cuts > 0 -> cuts--; select(k : 0 .. 1); online[k] = !online[k] }
+  :: atomic { cuts > 0 -> cuts--; select(k : 0 .. 3); reach[k] = !reach[k]; k = 0 }
+  :: atomic { cuts > 0 -> cuts--; select(k : 0 .. 1); online[k] = !online[k]; k = 0 }
   :: atomic {
        births > 0 ->
        births--;
@@ -253,24 +280,26 @@
        runs[k] = false;
        lease[k] = 0;
        seen[k] = 0;
-       life[k]++
+       life[k]++;
+       k = 0
 #ifdef NO_LIFE
        ;
        /* The clock of a new life starts low, so that an earlier order looks timely. */
-       if :: FLYING(0, k) -> sentLeft[0] = GRANT :: else fi;
-       if :: FLYING(1, k) -> sentLeft[1] = GRANT :: else fi
+       if :: sent[0] && sentLife[0] != life[sentTo[0]] -> sentLeft[0] = GRANT :: else fi;
+       if :: sent[1] && sentLife[1] != life[sentTo[1]] -> sentLeft[1] = GRANT :: else fi
 #endif
      }
   :: atomic {
        Age(recordAge);
-       Age(confirmed[0]);
-       Age(confirmed[1]);
+       if :: mine[0] > 0 -> Age(confirmed[0]) :: else fi;
+       if :: mine[1] > 0 -> Age(confirmed[1]) :: else fi;
        for (k : 0 .. 3) { Wane(granted[k]) }
        for (k : 0 .. 1) {
-         Wane(sentLeft[k]);
+         if :: sent[k] -> Wane(sentLeft[k]) :: else fi;
          Wane(lease[k]);
          if :: lease[k] == 0 -> runs[k] = false :: else fi
        }
+       k = 0
      }
   od
 }
@@ -288,6 +317,7 @@
     reach[3] = true;
     online[0] = true;
     online[1] = true;
+    ready = true;
     run Instance(0);
     run Instance(1)
   }
