--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 constexpr std::size_t kMaxResponseBytes = std::size_t{ 8 } * 1024 * 1024;
-/// Several for each of 350 backend servers; beyond this the oldest idle one is closed.
 /// Handles that are kept for later transfers; setting one up costs more than resetting it.
 constexpr std::size_t kMaxIdleHandles = 256;
+/// Several for each of 350 backend servers; beyond this the oldest idle one is closed.
 constexpr long kMaxCachedConnections = 2'000;
 
 struct Transfer
@@ -286,14 +286,14 @@
   {
     auto* self = static_cast<CurlClient*>(aSelf);
     if (aWhat == CURL_POLL_REMOVE) {
-      self->Rest(aSocket);
+      self->MarkIdle(aSocket);
     } else {
       self->Watch(aSocket, aWhat);
     }
     return 0;
   }
 
-  void Rest(curl_socket_t aSocket)
+  void MarkIdle(curl_socket_t aSocket)
   {
     const auto found = m_sockets.find(aSocket);
     if (found != m_sockets.end()) {
--- a/src/manager/Elector.cpp
+++ b/src/manager/Elector.cpp
@@ -1,12 +1,12 @@
 #include "Elector.h"
 
+#include "BackOff.h"
 #include "EventLog.h"
 
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/base/Hash.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace pistachiostand::fleet {
@@ -23,19 +23,9 @@
 /// A slow store takes up to 0.7 s; the tail shows sooner whether an unanswered record was stored.
 constexpr Millis kAppendTimeoutMs = 800;
 constexpr Millis kCallKeptPercent = 80;
-/// First pause after a claim that was not stored; it doubles with each further one. Claims that all
+/// Pauses after claims that were not stored, in milliseconds. Claims that all
 /// instances repeat without a pause fill the partition of a slow store and delay the renewals.
-constexpr Millis kFirstClaimPauseMs = 100;
-constexpr Millis kMaxClaimPauseMs = 800;
-constexpr unsigned kMaxDoublings = 3;
-
-Millis ClaimPauseMs(unsigned aFailures)
-{
-  static std::minstd_rand random{ std::random_device{}() };
-  const Millis most =
-    std::min(kFirstClaimPauseMs << std::min(aFailures, kMaxDoublings), kMaxClaimPauseMs);
-  return std::uniform_int_distribution<Millis>{ most / 2, most }(random);
-}
+constexpr BackOffRange kClaimPause{ 100, 800 };
 
 } // namespace
 
@@ -117,7 +107,7 @@
       OnRecord(EncodeOwnershipRecord(record), aResult.m_first);
     } else {
       if (record.m_kind == OwnershipRecordKind::Claim) {
-        m_claimAfterMs = MonotonicMs() + ClaimPauseMs(m_failedClaims++);
+        m_claimAfterMs = MonotonicMs() + BackOffMs(kClaimPause, m_failedClaims++);
       }
       // The tail of the topic shows whether an unanswered record was stored.
       LogEvent("owner", "append-failed", "kind={} outcome={} at={}",
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -437,8 +437,8 @@
 
 void FleetOwner::LogLoad(Millis aNowMs)
 {
-  m_load.m_longestGapMs = std::max(m_load.m_longestGapMs, aNowMs - m_tickMs);
-  m_tickMs = aNowMs;
+  const Millis before = std::exchange(m_tickMs, aNowMs);
+  m_load.m_longestGapMs = std::max(m_load.m_longestGapMs, before == 0 ? 0 : aNowMs - before);
   if (aNowMs - m_load.m_beginMs < kLogMs) {
     return;
   }
--- a/src/manager/SubmissionWriter.cpp
+++ b/src/manager/SubmissionWriter.cpp
@@ -1,5 +1,6 @@
 #include "SubmissionWriter.h"
 
+#include "BackOff.h"
 #include "EventLog.h"
 
 #include "pistachiostand/base/Clock.h"
@@ -7,7 +8,6 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
-#include <random>
 #include <utility>
 
 namespace pistachiostand::fleet {
@@ -29,19 +29,13 @@
 constexpr std::size_t kMaxRecords = 256;
 /// Appends of one call stay well below the store's limit of 2 MiB.
 constexpr std::size_t kMaxBytes = std::size_t{ 512 } * 1024;
-/// First pause after an append without success; it doubles with each further one.
-constexpr Millis kFirstPauseMs = 40;
-/// Nine instances at this pace use 4 % of the store's rate of calls.
-constexpr Millis kMaxPauseMs = 300;
-constexpr unsigned kMaxDoublings = 3;
-
-Millis PauseMs(unsigned aRefusals)
-{
-  static std::minstd_rand random{ std::random_device{}() };
-  const Millis most =
-    std::min(kFirstPauseMs << std::min(aRefusals - 1, kMaxDoublings), kMaxPauseMs);
-  return std::uniform_int_distribution<Millis>{ most / 2, most }(random);
-}
+/// Pauses after appends without success, in milliseconds. At the longest one nine instances use 4 %
+/// of the store's rate of calls.
+constexpr BackOffRange kPause{ 40, 300 };
+/// The longest wait is reached after this many strained periods.
+constexpr unsigned kMaxStrainDoublings = 3;
+/// Keeps the timer of the queue from running more often than this.
+constexpr Millis kLeastTimerMs = 10;
 
 } // namespace
 
@@ -146,8 +140,7 @@
   if (m_inFlight == 0) {
     next = std::min(next, m_pausedUntilMs);
   }
-  m_timer.expires_after(
-    std::chrono::milliseconds{ std::max<Millis>(next - now, kFirstPauseMs / 4) });
+  m_timer.expires_after(std::chrono::milliseconds{ std::max<Millis>(next - now, kLeastTimerMs) });
   m_timer.async_wait([this, alive = std::weak_ptr<int>(m_alive)](const std::error_code& aError) {
     if (!aError && alive.lock()) {
       Send();
@@ -171,7 +164,7 @@
 {
   if (!IsStrained(aNowMs)) {
     const Millis period =
-      std::min(kFirstStrainMs << std::min(m_strains++, kMaxDoublings), kMaxStrainMs);
+      std::min(kFirstStrainMs << std::min(m_strains++, kMaxStrainDoublings), kMaxStrainMs);
     m_strainedUntilMs = aNowMs + period;
     LogEvent("store", "strained", "refusals={} unanswered={} for_ms={}", m_refusals, m_unanswered,
              period);
@@ -206,8 +199,8 @@
   if (m_refusals != 0 || m_unanswered >= kStrainAfterUnanswered) {
     Strain(aNowMs);
   }
-  if (aNowMs - aSentMs < kFirstPauseMs) {
-    m_pausedUntilMs = aNowMs + PauseMs(std::max(m_refusals, 1U));
+  if (aNowMs - aSentMs < kPause.m_firstMs) {
+    m_pausedUntilMs = aNowMs + BackOffMs(kPause, std::max(m_refusals, 1U) - 1);
   }
 }
 
--- a/src/manager/TopicTail.cpp
+++ b/src/manager/TopicTail.cpp
@@ -1,12 +1,12 @@
 #include "TopicTail.h"
 
+#include "BackOff.h"
 #include "EventLog.h"
 
 #include "pistachiostand/base/Clock.h"
 
 #include <algorithm>
 #include <chrono>
-#include <random>
 #include <utility>
 #include <vector>
 
@@ -14,11 +14,9 @@
 
 namespace {
 
-/// First pause after a failed call; it doubles with each further failure.
-constexpr Millis kFirstBackOffMs = 80;
-/// Keeps the time to notice a store that is back well below the shortest bound of 2 s.
-constexpr Millis kMaxBackOffMs = 500;
-constexpr unsigned kMaxDoublings = 3;
+/// Pauses after failed calls, in milliseconds. The longest one keeps the time to notice a store
+/// that is back well below the shortest bound of 2 s.
+constexpr BackOffRange kPause{ 80, 500 };
 
 } // namespace
 
@@ -45,15 +43,12 @@
   List({});
 }
 
-Millis TopicTail::BackOffMs()
+Millis TopicTail::OnFailure()
 {
-  static std::minstd_rand random{ std::random_device{}() };
   if (!std::exchange(m_lost, true)) {
     LogEvent("store", "lost", "topic={}", m_options.m_partition.m_topic);
   }
-  const Millis most =
-    std::min(kFirstBackOffMs << std::min(m_failures++, kMaxDoublings), kMaxBackOffMs);
-  return std::uniform_int_distribution<Millis>{ most / 2, most }(random);
+  return BackOffMs(kPause, m_failures++);
 }
 
 void TopicTail::After(Millis aDelayMs, void (TopicTail::*aNext)())
@@ -82,7 +77,7 @@
 void TopicTail::OnPage(const std::optional<platform::KeyedPage>& aPage)
 {
   if (!aPage) {
-    After(BackOffMs(), &TopicTail::Restart);
+    After(OnFailure(), &TopicTail::Restart);
     return;
   }
   m_failures = 0;
@@ -156,7 +151,7 @@
     return;
   }
   if (aResult.m_outcome == platform::ReadOutcome::Failed) {
-    After(BackOffMs(), &TopicTail::Read);
+    After(OnFailure(), &TopicTail::Read);
     return;
   }
   m_failures = 0;
--- a/src/manager/TopicTail.h
+++ b/src/manager/TopicTail.h
@@ -57,7 +57,8 @@
   void Apply(const std::string& aKey, const std::optional<std::string>& aValue, Offset aOffset);
   void After(Millis aDelayMs, void (TopicTail::*aNext)());
   void Restart();
-  [[nodiscard]] Millis BackOffMs();
+  /// \return the pause until the next call.
+  [[nodiscard]] Millis OnFailure();
 
   platform::Store& m_store;
   TopicTailOptions m_options;
--- a/tests/manager/ManagerTest.cpp
+++ b/tests/manager/ManagerTest.cpp
@@ -290,12 +290,12 @@
 {
   constexpr double kRatePerS = 1'200; // Calls that the store grants to 39 instances together.
   constexpr int kInstances = 39;
-  constexpr int kSeconds = 4;
+  constexpr Millis kSeconds = 4;
   m_store.m_refusedTopic = "keyed.owner";
   Start(1);
   RunUntil([] { return false; }, kSeconds * 1'000);
   EXPECT_GE(m_store.m_refusedCalls, kSeconds);
-  EXPECT_LE(m_store.m_refusedCalls, kSeconds * kRatePerS / kInstances / 10);
+  EXPECT_LE(m_store.m_refusedCalls, static_cast<double>(kSeconds) * kRatePerS / kInstances / 10);
 }
 
 // Guards against an answer that leaves open whether a job runs, though nothing was sent: its caller
