--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -6,7 +6,8 @@
  * may be carried out at any time after it was sent, also by a later life of its server.
  *
  * Guards that can be removed: NO_RECORD (a start is sent without its record), NO_FENCE (the store
- * takes records of earlier owners), NO_TOKEN (servers take orders of earlier owners), NO_WAIT (a
+ * takes records of earlier owners; it still holds, because records that are stored late are not
+ * modelled), NO_TOKEN (servers take orders of earlier owners), NO_WAIT (a
  * server that was not looked at counts as empty), NO_LEASE_END (a late start is carried out),
  * NO_LIFE (a later life of the server takes a start meant for an earlier one), LOOK_DISPROVES (a
  * look disproves a start that has no answer), LONG_ACT (an owner acts longer than others wait).
