--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -11,6 +11,15 @@
  * server that was not looked at counts as empty), NO_LEASE_END (a late start is carried out),
  * NO_LIFE (a later life of the server takes a start meant for an earlier one), LOOK_DISPROVES (a
  * look disproves a start that has no answer), LONG_ACT (an owner acts longer than others wait).
+ *
+ * With RESTARTS an owner's process ends at any moment, and the next process at its address claims at
+ * once, without waiting for the owner's time; orders of the ended process may still be on their way.
+ * The other instance plays the next process. Guard: CLAIM_FROM_LIVING (the owner has not ended).
+ *
+ * With CARRIERS an owner also renews leases through carriers, which may keep a renewal for any time.
+ * A renewal carries the token and the end of the lease that it grants. Guards of these: NO_RENEWAL_END
+ * (a late renewal grants a whole lease again), NO_RENEWAL_TOKEN (servers take those of earlier owners; it
+ * still holds, because the end of the lease bounds them).
  */
 
 #ifdef LONG_ACT
@@ -19,15 +28,29 @@
 #define ACT 1 /* Ticks that an owner acts after it sent its last stored record. */
 #endif
 #define CLAIM 1 /* A claim needs a last record that is older than this. */
+#ifdef CARRIERS
+#define GRANT 3
+#else
 #define GRANT 2 /* Longest lease. */
+#endif
 #ifdef NO_WAIT
 #define WAIT 0
+#elif defined(CARRIERS)
+#define WAIT GRANT
 #else
 #define WAIT 3 /* Ticks after its claim for which an owner counts on leases of earlier ones. */
 #endif
 #define TOP 4 /* Ages are not counted further. */
 #define MAX_TOKEN 2
 
+#ifdef RESTARTS
+byte restarts = 1;
+bool vacant;       /* The owner's process has ended, and the next one at its address knows it. */
+#define MAY_CLAIM (recordAge > CLAIM || vacant)
+#else
+#define MAY_CLAIM (recordAge > CLAIM)
+#endif
+
 byte token = 1;    /* Of the owner, by the store. */
 byte recordAge;    /* Of the last record of ownership in the store. */
 byte fence = 1;    /* Highest epoch that the store has seen for the records of runs. */
@@ -73,6 +96,32 @@
   sentLife[n] = 0
 }
 
+#ifdef CARRIERS
+bool renewal[2];     /* A renewal of the instance is on its way. */
+byte renewalTo[2];
+byte renewalToken[2];
+byte renewalLeft[2]; /* Ticks until the lease that it grants has ended. */
+
+inline LandRenewal(n)
+{
+  renewal[n] = false;
+  renewalTo[n] = 0;
+  renewalToken[n] = 0;
+  renewalLeft[n] = 0
+}
+
+#ifdef NO_RENEWAL_TOKEN
+#define RENEWAL_TOKEN_HOLDS(n) true
+#else
+#define RENEWAL_TOKEN_HOLDS(n) (renewalToken[n] >= seen[renewalTo[n]])
+#endif
+#ifdef NO_RENEWAL_END
+#define RENEWED(n) GRANT
+#else
+#define RENEWED(n) renewalLeft[n]
+#endif
+#endif
+
 #define ACTS(n) (mine[n] > 0 && confirmed[n] <= ACT)
 #ifdef NO_TOKEN
 #define TOKEN_HOLDS(n) true
@@ -120,12 +169,26 @@
        fi
      }
   :: atomic {
-       mine[n] == 0 && !sent[n] && online[n] && recordAge > CLAIM && token < MAX_TOKEN ->
+       mine[n] == 0 && !sent[n] && online[n] && MAY_CLAIM && token < MAX_TOKEN ->
+#ifdef RESTARTS
+       vacant = false;
+#endif
        token++;
        mine[n] = token;
        recordAge = 0;
        confirmed[n] = 0
      }
+#ifdef RESTARTS
+  :: atomic {
+       mine[n] > 0 && token == mine[n] && restarts > 0 ->
+       restarts--;
+       vacant = true
+#ifndef CLAIM_FROM_LIVING
+       ;
+       ForgetOwnership(n)
+#endif
+     }
+#endif
   :: atomic {
        ACTS(n) && !loaded[n] && online[n] && fence <= mine[n] ->
        fence = mine[n];
@@ -203,6 +266,23 @@
        fi;
        s = 0
      }
+#ifdef CARRIERS
+  /* Renews the lease on a server where it knows a run, through a carrier. */
+  :: atomic {
+       ACTS(n) && loaded[n] && !renewal[n] ->
+       select(s : 0 .. 1);
+       if
+       :: may[n * 2 + s] && !PLANNED(n, s) ->
+         renewal[n] = true;
+         renewalTo[n] = s;
+         renewalToken[n] = mine[n];
+         renewalLeft[n] = GRANT;
+         granted[n * 2 + s] = GRANT + 1
+       :: else
+       fi;
+       s = 0
+     }
+#endif
   /* Takes a server as empty when the last lease there has ended. */
   :: atomic {
        loaded[n] ->
@@ -251,6 +331,27 @@
        fi;
        n = 0
      }
+#ifdef CARRIERS
+  :: atomic {
+       select(n : 0 .. 1);
+       if
+       :: renewal[n] ->
+         if
+         :: RENEWAL_TOKEN_HOLDS(n) && runs[renewalTo[n]] && lease[renewalTo[n]] < RENEWED(n) ->
+           lease[renewalTo[n]] = RENEWED(n)
+         :: else
+         fi;
+         if
+         :: RENEWAL_TOKEN_HOLDS(n) && renewalToken[n] > seen[renewalTo[n]] ->
+           seen[renewalTo[n]] = renewalToken[n]
+         :: else
+         fi;
+         LandRenewal(n)
+       :: else
+       fi;
+       n = 0
+     }
+#endif
   /* A start whose lease has ended cannot be carried out any more. */
   :: atomic {
        select(n : 0 .. 1);
@@ -297,6 +398,9 @@
        for (k : 0 .. 3) { Wane(granted[k]) }
        for (k : 0 .. 1) {
          if :: sent[k] -> Wane(sentLeft[k]) :: else fi;
+#ifdef CARRIERS
+         if :: renewal[k] -> Wane(renewalLeft[k]) :: else fi;
+#endif
          Wane(lease[k]);
          if :: lease[k] == 0 -> runs[k] = false :: else fi
        }
--- /dev/null
+++ b/src/manager/CarrierMessage.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "platform/Orders.h"
+
+#include "pistachiostand/base/Types.h"
+#include "pistachiostand/job/JobBook.h"
+#include "pistachiostand/ownership/Leadership.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// \file
+/// \brief Messages between the owner of the fleet and the carriers of its orders: msgpack.
+///
+/// A carrier is an entry instance that sends orders to backend servers for the owner. It decides
+/// nothing: to the owner it is a piece of network, which may delay, lose or repeat.
+
+namespace pistachiostand::fleet {
+
+/// \brief First message of a carrier.
+struct CarrierHello
+{
+  std::string m_process; ///< Entry instance and its incarnation.
+  ZoneName m_zone;
+  double m_processorShare{}; ///< Cores that the instance may use.
+  Millis m_clockMs{};        ///< Its steady clock.
+
+  friend auto operator<=>(const CarrierHello&, const CarrierHello&) = default;
+};
+
+/// \brief Shows that the sender lives, and its steady clock.
+struct CarrierPulse
+{
+  Millis m_clockMs{};
+  Millis m_echoMs{}; ///< Last clock of the other side that was received.
+
+  friend auto operator<=>(const CarrierPulse&, const CarrierPulse&) = default;
+};
+
+enum class OrderKind : std::uint8_t
+{
+  Start,
+  Stop,
+  Pace,
+  Look,
+};
+
+/// \brief An order for one backend server. Fields that its kind does not use stay empty.
+struct CarriedOrder
+{
+  std::uint64_t m_call{}; ///< Identifies the order on its connection.
+  OrderKind m_kind{};
+  ServerId m_server;
+  std::string m_address;
+  Millis m_timeoutMs{};
+  Millis m_sendBeforeMs{}; ///< On the owner's steady clock; not sent after it. 0: no end.
+  SubtaskId m_subtask;
+  std::uint64_t m_run{};
+  std::string m_payload;
+  std::string m_checkpoint;
+  std::string m_ticket;
+  Millis m_leaseEndMs{}; ///< On the clock of the backend server.
+  std::uint64_t m_acknowledged{};
+  Millis m_waitMs{};
+  int m_percent{};
+
+  friend bool operator==(const CarriedOrder&, const CarriedOrder&) = default;
+};
+
+struct OrderBatch
+{
+  FencingToken m_token{};
+  Millis m_clockMs{}; ///< Steady clock of the owner when it was sent.
+  std::vector<CarriedOrder> m_orders;
+
+  friend bool operator==(const OrderBatch&, const OrderBatch&) = default;
+};
+
+struct CarriedResult
+{
+  std::uint64_t m_call{};
+  platform::CallOutcome m_outcome{};
+  platform::OrderRefusal m_refusal{};
+  std::optional<Millis> m_clockMs; ///< Of the backend server.
+  std::optional<ServerReport> m_report;
+
+  friend bool operator==(const CarriedResult&, const CarriedResult&) = default;
+};
+
+struct ResultBatch
+{
+  Millis m_clockMs{}; ///< Steady clock of the carrier when it was sent.
+  std::vector<CarriedResult> m_results;
+
+  friend bool operator==(const ResultBatch&, const ResultBatch&) = default;
+};
+
+using CarrierMessage = std::variant<CarrierHello, CarrierPulse, OrderBatch, ResultBatch>;
+
+[[nodiscard]] std::string EncodeCarrierMessage(const CarrierMessage& aMessage);
+
+/// \brief Decodes one message; nothing for anything else.
+[[nodiscard]] std::optional<CarrierMessage> DecodeCarrierMessage(std::string_view aBytes);
+
+} // namespace pistachiostand::fleet
--- a/src/manager/EntrySettings.cpp
+++ b/src/manager/EntrySettings.cpp
@@ -131,6 +131,10 @@
       advice && !advice->empty()) {
     settings.m_advice = TableReader{ *file, "advice", aReasons }.Address("address");
   }
+  if ((*file)["orders"]["direct_servers"]) {
+    settings.m_mostDirectServers =
+      static_cast<std::uint32_t>(TableReader{ *file, "orders", aReasons }.Number("direct_servers"));
+  }
   settings.m_bounds = ReadBounds(TableReader{ *file, "bounds", aReasons });
   settings.m_logLevel = (*file)["log"]["level"].value_or(settings.m_logLevel);
   if (aReasons.size() != before) {
--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -51,6 +51,9 @@
   std::uint32_t m_storePartitions{ 1 }; ///< Of the submission topic.
   double m_instanceOrdersPerS{};
   double m_instanceListsPerS{};
+  /// With more backend servers than this, other entry instances carry the owner's orders. Up to it
+  /// an owner with a quarter of a core sends them itself, and carriers would only cost more.
+  std::uint32_t m_mostDirectServers{ 120 };
   PlatformBounds m_bounds;
   std::string m_logLevel{ "info" };
 
--- /dev/null
+++ b/src/manager/OrderCarrier.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "CarrierMessage.h"
+#include "EntrySettings.h"
+#include "Metrics.h"
+
+#include "pistachiostand/connection/FrameLink.h"
+#include "pistachiostand/connection/Ticker.h"
+#include "pistachiostand/ownership/Leadership.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief Carries orders of the owner of the fleet to backend servers.
+///
+/// An order is dropped as not sent when its end has passed on the owner's clock, which this side
+/// knows to the time of a round trip, whatever kept it: a pause of this process counts.
+
+namespace pistachiostand::fleet {
+
+class OrderCarrier
+{
+public:
+  /// \param aView what this instance has read of the ownership; outlives the carrier.
+  OrderCarrier(asio::io_context& aLoop, HttpClient& aClient, const EntrySettings& aSettings,
+               std::string aProcess, const OwnershipView& aView, Metrics& aMetrics);
+
+  OrderCarrier(const OrderCarrier&) = delete;
+  OrderCarrier& operator=(const OrderCarrier&) = delete;
+  ~OrderCarrier();
+
+  /// \brief True once an owner has wanted carriers: the fleet is a large one.
+  [[nodiscard]] bool HasCarried() const noexcept { return m_hasCarried; }
+
+  /// \brief Carries no more; the owner learns it by the end of the connection.
+  void Stop();
+
+private:
+  void Tick();
+  void Dial(Millis aNowMs);
+  void Drop(std::string_view aCause);
+  void SayHello();
+  void OnFrame(std::string_view aFrame);
+  void OnPulse(const CarrierPulse& aPulse);
+  void OnOrders(const OrderBatch& aBatch);
+  void CarryOut(const CarriedOrder& aOrder, FencingToken aToken);
+  void Add(CarriedResult aResult);
+  void Flush();
+
+  asio::io_context& m_loop;
+  const EntrySettings& m_settings;
+  std::string m_process;
+  const OwnershipView& m_view;
+  Metrics& m_metrics;
+  platform::ServerOrders m_orders;
+  std::string m_owner;   ///< Process that the connection was made to.
+  unsigned m_failures{}; ///< Connections in a row that were not made.
+  Millis m_dialAfterMs{};
+  std::shared_ptr<FrameLink> m_link;
+  std::uint64_t m_linkNumber{};
+  bool m_open{};
+  Millis m_heardMs{};
+  Millis m_pulseMs{};
+  std::optional<Millis> m_clockOffsetMs; ///< This clock less the owner's, never too large.
+  Millis m_roundTripMs{};                ///< Of the exchange that gave the offset.
+  ResultBatch m_results;
+  asio::steady_timer m_flushTimer;
+  bool m_flushing{};
+  bool m_stopped{};
+  bool m_hasCarried{};
+  std::shared_ptr<int> m_alive = std::make_shared<int>();
+  Ticker m_ticker;
+};
+
+/// \brief Where the owner listens for carriers: the port after the one for other requests.
+[[nodiscard]] Endpoint CarrierEndpoint(const Endpoint& aEntryListen) noexcept;
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/OrderRouter.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "CarrierPool.h"
+
+#include "platform/Orders.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+/// \file
+/// \brief Sends the owner's orders to backend servers: through a carrier where there is one,
+/// otherwise directly.
+
+namespace pistachiostand::fleet {
+
+class OrderRouter
+{
+public:
+  explicit OrderRouter(HttpClient& aClient)
+    : m_client(aClient)
+    , m_direct(aClient)
+  {
+  }
+
+  /// \brief Uses these carriers from now on.
+  void SetCarriers(std::unique_ptr<CarrierPool> aCarriers) { m_carriers = std::move(aCarriers); }
+
+  [[nodiscard]] bool HasCarriers() const noexcept { return m_carriers != nullptr; }
+
+  /// \brief Cores of the largest carrier in use; 0 without any.
+  [[nodiscard]] double LargestShare() const { return m_carriers ? m_carriers->LargestShare() : 0; }
+
+  /// \brief Carriers in use.
+  [[nodiscard]] std::size_t CarrierCount() const { return m_carriers ? m_carriers->Count() : 0; }
+
+  void Start(const ServerEntry& aServer, const platform::StartOrder& aOrder, Millis aSendBeforeMs,
+             Millis aTimeoutMs, platform::OrderCallback aDone);
+  void Stop(const ServerEntry& aServer, const RunRef& aRun, const platform::Permission& aPermission,
+            Millis aTimeoutMs, platform::OrderCallback aDone);
+  void Pace(const ServerEntry& aServer, const RunRef& aRun, int aPercent,
+            const platform::Permission& aPermission, Millis aTimeoutMs,
+            platform::OrderCallback aDone);
+  /// \return an id for Cancel().
+  std::uint64_t Look(const ServerEntry& aServer, const platform::LookOrder& aOrder,
+                     Millis aTimeoutMs, std::function<void(const platform::LookResult&)> aDone);
+
+  /// \brief Forgets a look; its callback is not called.
+  void Cancel(std::uint64_t aCall);
+
+private:
+  using Convert = std::function<void(const CarriedResult&)>;
+
+  /// \return the call; 0 when the order has to be sent directly.
+  std::uint64_t Carry(const ServerEntry& aServer, CarriedOrder aOrder, Convert aDone);
+  [[nodiscard]] bool IsCarried(const ServerId& aServer);
+
+  HttpClient& m_client;
+  platform::ServerOrders m_direct;
+  std::unique_ptr<CarrierPool> m_carriers;
+  std::map<ServerId, Millis> m_directUntilMs; ///< Servers that a carrier did not reach.
+};
+
+} // namespace pistachiostand::fleet
