Let the log decide a cancel of a job that the entry instance has not read

Ruled out: a slow machine alone; a test that holds the instance's reads shows it each time. Conclusion: such a cancel is proposed to the log, whose order decides.

--- a/src/daemon/JobCallers.cpp
+++ b/src/daemon/JobCallers.cpp
@@ -126,10 +126,11 @@
 void JobRunner::Cancel(CallerRequest aRequest)
 {
   const auto job = m_runtime.State().m_jobs.find(aRequest.m_key);
-  if (job == m_runtime.State().m_jobs.end() || IsFinal(job->second.m_phase)) {
+  if (job != m_runtime.State().m_jobs.end() && IsFinal(job->second.m_phase)) {
     Report(aRequest);
     return;
   }
+  // A job that is not known here may have been accepted elsewhere a moment ago: the log decides.
   const auto active = m_active.find(aRequest.m_key);
   if (active != m_active.end() && active->second->m_queuedJob && !active->second->m_server) {
     m_dispatcher.Cancel(active->second->m_queued.m_id);
@@ -144,6 +145,8 @@
           ToResponse({ OutcomeKind::Unknown, 503, "log-unavailable",
                        "the platform's log did not take the cancel", "repeat the request later",
                        request.m_requestId, kRetryAfterMs, LocationOf(request) }));
+      } else if (aResult == ProposalResult::Unresolved) {
+        RespondUnknown(request);
       } else {
         Report(request);
       }
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -2,6 +2,7 @@
 #include "Executions.h"
 #include "StandinServer.h"
 
+#include <algorithm>
 #include <set>
 
 namespace {
@@ -197,6 +198,9 @@
   if (aBackend.m_faults.m_failFast) {
     return FinishTask(aBackend, task, true);
   }
+  if (aCall->Has("X-Test-Held")) {
+    return; // Runs until the control "release".
+  }
   const auto duration = aCall->Has("X-Test-Run-Ms")
                           ? Millis(std::stoll(aCall->Header("X-Test-Run-Ms")))
                           : aBackend.m_runTime;
@@ -235,6 +239,9 @@
 void ThrottleTask(Backend& aBackend, std::uint64_t aTask)
 {
   const auto& timer = aBackend.m_boot.m_running.at(aTask).m_timer;
+  if (!timer) {
+    return; // A held run has no end to put off.
+  }
   timer->expires_after(2 * (timer->expiry() - Clock::now()));
   timer->async_wait([&aBackend, aTask, timer](const asio::error_code& aError) {
     if (!aError) {
@@ -317,6 +324,18 @@
   aBackend.m_boot = { pool, aBootId };
 }
 
+/// \brief Ends the runs that were sent with X-Test-Held.
+void ReleaseHeld(Backend& aBackend)
+{
+  std::vector<std::uint64_t> held;
+  for (const auto& [id, task] : aBackend.m_boot.m_running) {
+    if (task.m_call->Has("X-Test-Held")) {
+      held.push_back(id);
+    }
+  }
+  std::ranges::for_each(held, [&](auto aTask) { FinishTask(aBackend, aTask, false); });
+}
+
 void HandleControl(Backend& aBackend, const CallPtr& aCall)
 {
   const auto name = aCall->m_path.size() == 2 ? aCall->m_path[1] : std::string{};
@@ -325,6 +344,8 @@
   }
   if (name == "boot") {
     Reboot(aBackend, aCall->Query("boot_id"), aCall->Query("pool"));
+  } else if (name == "release") {
+    ReleaseHeld(aBackend);
   } else if (name == "leaving") {
     aBackend.m_boot.m_isLeaving = aCall->Query("on", "1") == "1";
   } else if (!aBackend.m_faults.Control(name, aCall)) {
