Count answers of a slow store that come late, and let the owner store for others as long as needed

Ruled out: the reserved partition being full (its appends were answered 0.2 s apart). Now an append that is overdue is copied, its answer still counts, and a record has 1.8 s at the owner.

--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -28,8 +28,9 @@
 constexpr Millis kAnswerMarginMs = 150;
 /// A store that refuses is tried this long; then the caller may come back.
 constexpr Millis kRefusedPatienceMs = 500;
-/// A slow store takes up to a second; an owner that cannot be reached must not use up the time.
-constexpr Millis kRelayTimeoutMs = 1'200;
+/// An append of a slow store takes up to a second, after one that is on its way; some time has to
+/// be left for an append of this instance.
+constexpr Millis kRelayTimeoutMs = 2'000;
 /// A fast store takes 10 ms for an append; with less time than this it is not begun.
 constexpr Millis kLeastTimeMs = 50;
 /// The owner reads a submission within this time unless the store is away.
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -53,7 +53,10 @@
 /// A record of another instance is given up sooner than one of this instance, so that its sender
 /// has time left to try by itself.
 constexpr Millis kRelayPatienceMs = 150;
-constexpr Millis kRelayDeadlineMs = 1'000;
+constexpr Millis kRelayDeadlineMs = 1'800;
+/// Appends of the owner for others while the store is slow: an append takes its turn in the
+/// partition and as long again for its answer.
+constexpr std::size_t kRelayFlights = 2;
 
 std::string MakeProcessName(const std::string& aId)
 {
@@ -107,7 +110,7 @@
         [this](std::string_view /*aReason*/) { EndOwnership(); },
         [this] { return IsOwnerSilent(m_reach, MonotonicMs()); } })
   , m_writer(aLoop, m_store, OwnPartition(m_settings))
-  , m_relayWriter(aLoop, m_store, m_settings.m_storePartitions - 1)
+  , m_relayWriter(aLoop, m_store, m_settings.m_storePartitions - 1, kRelayFlights)
   , m_front({ aLoop, m_writer, m_metrics, m_configuration,
               [this](const std::string& aPath, HttpResponder aDone) {
                 AskOwner(aPath, std::move(aDone));
--- a/src/manager/SubmissionWriter.cpp
+++ b/src/manager/SubmissionWriter.cpp
@@ -17,8 +17,6 @@
 
 /// One lost answer must not hold up all others; more in flight would only queue at the store.
 constexpr std::size_t kMaxInFlight = 3;
-/// A partition stores one append after the other, so a slow store gets few large ones.
-constexpr std::size_t kMaxInFlightStrained = 2;
 /// A fast store takes 10 ms. The next append leaves after this time without an answer, and two that
 /// have none for so long show a slow store: three writes in ten may lose their answer.
 constexpr Millis kSlowMs = 150;
@@ -42,10 +40,11 @@
 } // namespace
 
 SubmissionWriter::SubmissionWriter(asio::io_context& aLoop, platform::Store& aStore,
-                                   std::uint32_t aPartition)
+                                   std::uint32_t aPartition, std::size_t aStrainedFlights)
   : m_store(aStore)
   , m_partition(aPartition)
   , m_timer(aLoop)
+  , m_strainedFlights(aStrainedFlights)
 {
 }
 
@@ -55,17 +54,15 @@
     aDone(platform::AppendOutcome::Refused);
     return;
   }
-  m_waiting.push_back({ std::move(aRecord), aLimits, std::move(aDone), false });
+  m_waiting.push_back(
+    std::make_shared<Entry>(Entry{ std::move(aRecord), aLimits, std::move(aDone), false }));
   Send();
 }
 
 void SubmissionWriter::Close()
 {
   m_closed = true;
-  for (auto& entry : std::exchange(m_waiting, {})) {
-    entry.m_done(entry.m_uncertain ? platform::AppendOutcome::Unknown
-                                   : platform::AppendOutcome::Refused);
-  }
+  GiveUpIf([](const Entry&) { return true; });
 }
 
 bool SubmissionWriter::IsOver(const Entry& aEntry, Millis aNowMs) const noexcept
@@ -76,57 +73,88 @@
                             : aEntry.m_limits.m_deadlineMs);
 }
 
+void SubmissionWriter::Finish(Entry& aEntry, platform::AppendOutcome aOutcome)
+{
+  if (const Done done = std::exchange(aEntry.m_done, {})) {
+    done(aOutcome);
+  }
+}
+
 template<typename Condition>
 void SubmissionWriter::GiveUpIf(Condition aCondition)
 {
-  std::deque<Entry> kept;
-  std::vector<Entry> over;
+  Entries over;
+  Entries kept;
   for (auto& entry : std::exchange(m_waiting, {})) {
-    if (aCondition(entry)) {
-      over.push_back(std::move(entry));
-    } else {
-      kept.push_back(std::move(entry));
+    if (entry->m_done) { // Others have been stored by an earlier copy meanwhile.
+      (aCondition(*entry) ? over : kept).push_back(std::move(entry));
     }
   }
   m_waiting = std::move(kept);
-  for (auto& entry : over) {
-    entry.m_done(entry.m_uncertain ? platform::AppendOutcome::Unknown
-                                   : platform::AppendOutcome::Refused);
+  for (const auto& entry : over) {
+    Finish(*entry, entry->m_uncertain ? platform::AppendOutcome::Unknown
+                                      : platform::AppendOutcome::Refused);
   }
 }
 
-SubmissionWriter::Batch SubmissionWriter::TakeBatch()
+SubmissionWriter::Entries SubmissionWriter::TakeBatch()
 {
-  auto batch = std::make_shared<std::vector<Entry>>();
+  Entries batch;
   std::size_t bytes = 0;
-  while (!m_waiting.empty() && batch->size() < kMaxRecords && bytes < kMaxBytes) {
-    bytes += m_waiting.front().m_record.size();
-    batch->push_back(std::move(m_waiting.front()));
+  while (!m_waiting.empty() && batch.size() < kMaxRecords && bytes < kMaxBytes) {
+    bytes += m_waiting.front()->m_record.size();
+    batch.push_back(std::move(m_waiting.front()));
     m_waiting.pop_front();
   }
   return batch;
 }
 
+std::size_t SubmissionWriter::FlightCount() const noexcept
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(m_flights, [](const auto& aFlight) { return !aFlight->m_overdue; }));
+}
+
+Millis SubmissionWriter::LastSentMs() const noexcept
+{
+  return m_flights.empty() ? 0 : m_flights.back()->m_sentMs;
+}
+
 bool SubmissionWriter::MaySend(Millis aNowMs) const noexcept
 {
   if (m_waiting.empty() || aNowMs < m_pausedUntilMs) {
     return false;
   }
-  const std::size_t limit = IsStrained(aNowMs) ? kMaxInFlightStrained : kMaxInFlight;
-  return m_inFlight.empty() ||
-         (m_inFlight.size() < limit && aNowMs - *m_inFlight.rbegin() >= kSlowMs);
+  const std::size_t flights = FlightCount();
+  const std::size_t limit = IsStrained(aNowMs) ? m_strainedFlights : kMaxInFlight;
+  return flights == 0 || (flights < limit && aNowMs - LastSentMs() >= kSlowMs);
 }
 
 bool SubmissionWriter::IsSlow(Millis aNowMs) const noexcept
 {
   // When a later append has its answer, an earlier one is only lost.
-  return std::distance(m_inFlight.upper_bound(m_answeredSentMs), m_inFlight.end()) >= 2 &&
-         aNowMs - *m_inFlight.rbegin() >= kSlowMs;
+  return std::ranges::count_if(
+           m_flights,
+           [this](const auto& aFlight) { return aFlight->m_sentMs > m_answeredSentMs; }) >= 2 &&
+         aNowMs - LastSentMs() >= kSlowMs;
+}
+
+void SubmissionWriter::MarkOverdue(Millis aNowMs)
+{
+  const Millis timeout = m_timeout.CurrentMs();
+  for (const auto& flight : m_flights) {
+    if (!flight->m_overdue && aNowMs - flight->m_sentMs >= timeout) {
+      flight->m_overdue = true;
+      PutBack(*flight, true);
+      OnUnanswered(flight->m_sentMs, aNowMs);
+    }
+  }
 }
 
 void SubmissionWriter::Send()
 {
   const Millis now = MonotonicMs();
+  MarkOverdue(now);
   GiveUpIf([this, now](const Entry& aEntry) { return IsOver(aEntry, now); });
   if (IsSlow(now)) {
     Strain(now);
@@ -135,32 +163,43 @@
     GiveUpIf([](const Entry& aEntry) { return aEntry.m_limits.m_mayYield; });
   }
   while (MaySend(now)) {
-    const Batch batch = TakeBatch();
-    platform::AppendRequest request;
-    request.m_partition = { kSubmissionTopic, m_partition };
-    request.m_timeoutMs = m_timeout.CurrentMs();
-    std::ranges::transform(*batch, std::back_inserter(request.m_records), &Entry::m_record);
-    m_inFlight.insert(now);
-    m_store.Append(std::move(request), [this, batch, now, alive = std::weak_ptr<int>(m_alive)](
-                                         const platform::AppendResult& aResult) {
-      if (alive.lock()) {
-        OnAnswer(batch, now, aResult);
-      }
-    });
+    SendNext(now);
   }
   Arm();
 }
 
+void SubmissionWriter::SendNext(Millis aNowMs)
+{
+  const auto flight = std::make_shared<Flight>(Flight{ aNowMs, TakeBatch(), false });
+  platform::AppendRequest request;
+  request.m_partition = { kSubmissionTopic, m_partition };
+  request.m_timeoutMs = CallTimeout::kMostMs;
+  std::ranges::transform(flight->m_entries, std::back_inserter(request.m_records),
+                         [](const auto& aEntry) { return aEntry->m_record; });
+  m_flights.push_back(flight);
+  m_store.Append(std::move(request), [this, flight, alive = std::weak_ptr<int>(m_alive)](
+                                       const platform::AppendResult& aResult) {
+    if (alive.lock()) {
+      OnAnswer(flight, aResult);
+    }
+  });
+}
+
 void SubmissionWriter::Arm()
 {
   const Millis now = MonotonicMs();
   Millis next = std::numeric_limits<Millis>::max();
   for (const auto& entry : m_waiting) {
-    next = std::min({ next, entry.m_limits.m_refuseMs, entry.m_limits.m_deadlineMs });
+    next = std::min({ next, entry->m_limits.m_refuseMs, entry->m_limits.m_deadlineMs });
+  }
+  for (const auto& flight : m_flights) {
+    if (!flight->m_overdue) {
+      next = std::min(next, flight->m_sentMs + m_timeout.CurrentMs());
+    }
   }
-  if (m_inFlight.empty()) {
+  if (FlightCount() == 0) {
     next = m_waiting.empty() ? next : std::min(next, m_pausedUntilMs);
-  } else if (const Millis slow = *m_inFlight.rbegin() + kSlowMs; slow > now) {
+  } else if (const Millis slow = LastSentMs() + kSlowMs; slow > now) {
     next = std::min(next, slow);
   }
   if (next == std::numeric_limits<Millis>::max()) {
@@ -175,13 +214,12 @@
   });
 }
 
-void SubmissionWriter::PutBack(const Batch& aBatch, bool aUncertain)
+void SubmissionWriter::PutBack(const Flight& aFlight, bool aUncertain)
 {
-  for (auto& entry : *aBatch) {
-    entry.m_uncertain = entry.m_uncertain || aUncertain;
+  for (const auto& entry : aFlight.m_entries) {
+    entry->m_uncertain = entry->m_uncertain || aUncertain;
   }
-  m_waiting.insert(m_waiting.begin(), std::make_move_iterator(aBatch->begin()),
-                   std::make_move_iterator(aBatch->end()));
+  m_waiting.insert(m_waiting.begin(), aFlight.m_entries.begin(), aFlight.m_entries.end());
   if (m_closed) {
     Close();
   }
@@ -193,8 +231,8 @@
     const Millis period =
       std::min(kFirstStrainMs << std::min(m_strains++, kMaxStrainDoublings), kMaxStrainMs);
     m_strainedUntilMs = aNowMs + period;
-    LogEvent("store", "strained", "refusals={} unanswered={} for_ms={}", m_refusals, m_unanswered,
-             period);
+    LogEvent("store", "strained", "partition={} refusals={} unanswered={} for_ms={}", m_partition,
+             m_refusals, m_unanswered, period);
   }
 }
 
@@ -212,41 +250,49 @@
   }
 }
 
-void SubmissionWriter::OnNotStored(platform::AppendOutcome aOutcome, Millis aSentMs, Millis aNowMs)
+void SubmissionWriter::OnUnanswered(Millis aSentMs, Millis aNowMs)
 {
-  if (aOutcome == platform::AppendOutcome::Unknown) {
-    // When a later append has its answer, this answer was lost and the store is not slow.
-    if (aSentMs >= m_answeredSentMs) {
-      m_timeout.OnTimeout();
-      ++m_unanswered;
-    }
-  } else {
-    ++m_refusals;
+  // When a later append has its answer, this answer was lost and the store is not slow.
+  if (aSentMs >= m_answeredSentMs) {
+    m_timeout.OnTimeout();
+    ++m_unanswered;
   }
-  if (m_refusals != 0 || m_strains != 0 || m_unanswered >= kStrainAfterUnanswered) {
+  if (m_strains != 0 || m_unanswered >= kStrainAfterUnanswered) {
     Strain(aNowMs);
   }
-  if (aNowMs - aSentMs < kPause.m_firstMs) {
-    m_pausedUntilMs = aNowMs + BackOffMs(kPause, std::max(m_refusals, 1U) - 1);
-  }
 }
 
-void SubmissionWriter::OnAnswer(const Batch& aBatch, Millis aSentMs,
+void SubmissionWriter::OnAnswer(const std::shared_ptr<Flight>& aFlight,
                                 const platform::AppendResult& aResult)
 {
-  m_inFlight.erase(m_inFlight.find(aSentMs));
+  std::erase(m_flights, aFlight);
   const Millis now = MonotonicMs();
-  if (aResult.m_outcome != platform::AppendOutcome::Unknown) {
-    m_answeredSentMs = std::max(m_answeredSentMs, aSentMs);
-  }
-  if (aResult.m_outcome == platform::AppendOutcome::Stored) {
-    OnStored(now - aSentMs, now);
-    for (auto& entry : *aBatch) {
-      entry.m_done(aResult.m_outcome);
+  const Millis took = now - aFlight->m_sentMs;
+  if (aResult.m_outcome == platform::AppendOutcome::Unknown) {
+    if (!aFlight->m_overdue) { // The connection has ended.
+      PutBack(*aFlight, true);
+      OnUnanswered(aFlight->m_sentMs, now);
+      if (took < kPause.m_firstMs) {
+        m_pausedUntilMs = now + BackOffMs(kPause, 0);
+      }
     }
   } else {
-    OnNotStored(aResult.m_outcome, aSentMs, now);
-    PutBack(aBatch, aResult.m_outcome == platform::AppendOutcome::Unknown);
+    m_answeredSentMs = std::max(m_answeredSentMs, aFlight->m_sentMs);
+    if (aResult.m_outcome == platform::AppendOutcome::Stored) {
+      OnStored(took, now);
+      for (const auto& entry : aFlight->m_entries) {
+        Finish(*entry, aResult.m_outcome);
+      }
+    } else {
+      ++m_refusals;
+      Strain(now);
+      if (took < kPause.m_firstMs) {
+        m_pausedUntilMs = now + BackOffMs(kPause, m_refusals - 1);
+      }
+      if (!aFlight->m_overdue) {
+        PutBack(*aFlight, false);
+      }
+    }
   }
   Send();
 }
--- a/src/manager/SubmissionWriter.h
+++ b/src/manager/SubmissionWriter.h
@@ -10,7 +10,6 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -42,8 +41,10 @@
   /// \brief Called once. Refused: the record is not stored and never will be. Unknown: it may be.
   using Done = std::function<void(platform::AppendOutcome)>;
 
-  /// \param aPartition partition of the submission topic that this instance writes to.
-  SubmissionWriter(asio::io_context& aLoop, platform::Store& aStore, std::uint32_t aPartition);
+  /// \param aPartition partition of the submission topic that it writes to.
+  /// \param aStrainedFlights most appends in flight while the store is strained.
+  SubmissionWriter(asio::io_context& aLoop, platform::Store& aStore, std::uint32_t aPartition,
+                   std::size_t aStrainedFlights = 1);
 
   SubmissionWriter(const SubmissionWriter&) = delete;
   SubmissionWriter& operator=(const SubmissionWriter&) = delete;
@@ -55,7 +56,7 @@
   /// shows that it is fast again: one writer for all instances does better.
   [[nodiscard]] bool IsStrained(Millis aNowMs) const noexcept
   {
-    return m_strains != 0 && (aNowMs < m_strainedUntilMs || !m_inFlight.empty());
+    return m_strains != 0 && (aNowMs < m_strainedUntilMs || FlightCount() != 0);
   }
 
   /// \brief Gives up all records that are not in flight.
@@ -66,35 +67,49 @@
   {
     std::string m_record;
     WriteLimits m_limits;
-    Done m_done;
+    Done m_done;        ///< Empty once it has been called.
     bool m_uncertain{}; ///< An append of it had no answer: it may still take effect.
   };
 
-  using Batch = std::shared_ptr<std::vector<Entry>>;
+  using Entries = std::deque<std::shared_ptr<Entry>>;
+
+  /// \brief An append without answer yet.
+  struct Flight
+  {
+    Millis m_sentMs{};
+    Entries m_entries;
+    bool m_overdue{}; ///< Its records are sent once more; an answer still counts.
+  };
 
   void Send();
+  void SendNext(Millis aNowMs);
+  void MarkOverdue(Millis aNowMs);
+  [[nodiscard]] Millis LastSentMs() const noexcept;
+  [[nodiscard]] std::size_t FlightCount() const noexcept;
   [[nodiscard]] bool MaySend(Millis aNowMs) const noexcept;
   [[nodiscard]] bool IsSlow(Millis aNowMs) const noexcept;
-  [[nodiscard]] Batch TakeBatch();
+  [[nodiscard]] Entries TakeBatch();
   [[nodiscard]] bool IsOver(const Entry& aEntry, Millis aNowMs) const noexcept;
+  static void Finish(Entry& aEntry, platform::AppendOutcome aOutcome);
   template<typename Condition>
   void GiveUpIf(Condition aCondition);
-  void OnAnswer(const Batch& aBatch, Millis aSentMs, const platform::AppendResult& aResult);
+  void OnAnswer(const std::shared_ptr<Flight>& aFlight, const platform::AppendResult& aResult);
   void OnStored(Millis aTookMs, Millis aNowMs);
-  void OnNotStored(platform::AppendOutcome aOutcome, Millis aSentMs, Millis aNowMs);
+  void OnUnanswered(Millis aSentMs, Millis aNowMs);
   void Strain(Millis aNowMs);
-  void PutBack(const Batch& aBatch, bool aUncertain);
+  void PutBack(const Flight& aFlight, bool aUncertain);
   void Arm();
 
   platform::Store& m_store;
   std::uint32_t m_partition;
   asio::steady_timer m_timer;
   CallTimeout m_timeout;
-  std::deque<Entry> m_waiting;
-  std::multiset<Millis> m_inFlight; ///< When each append was sent that has no answer yet.
-  unsigned m_refusals{};            ///< Refused appends in a row.
-  unsigned m_unanswered{};          ///< Appends without answer in a row.
-  unsigned m_strains{};             ///< Strained periods in a row.
+  Entries m_waiting;
+  std::vector<std::shared_ptr<Flight>> m_flights; ///< In the order in which they were sent.
+  std::size_t m_strainedFlights;
+  unsigned m_refusals{};   ///< Refused appends in a row.
+  unsigned m_unanswered{}; ///< Appends without answer in a row.
+  unsigned m_strains{};    ///< Strained periods in a row.
   Millis m_strainedUntilMs{};
   Millis m_answeredSentMs{}; ///< When the latest append was sent that has an answer.
   Millis m_pausedUntilMs{};
