Let another instance own the fleet 1.0 s after the last record of a lost owner

And when answers to renewals are lost, the append in flight holds up the next renewal for 0.8 s and makes the owner say 2.6 s, though the log shows the record at once. Ruled out: loading the jobs (0.15 s), the carriers (joined 0.1 s after the claim). Now an owner renews each 0.2 s, acts for 0.8 s, others wait 0.2 s more, and the log's tail ends a call.

--- a/include/pistachiostand/ownership/Leadership.h
+++ b/include/pistachiostand/ownership/Leadership.h
@@ -46,13 +46,15 @@
 [[nodiscard]] std::optional<OwnershipRecord> DecodeOwnershipRecord(std::string_view aBytes);
 
 /// \brief Interval of renewals: four tries within the shortest time to act.
-inline constexpr Millis kRenewMs = 300;
-/// \brief Bounds of the time that an owner acts on its last stored record. The lower one bridges
-/// three lost answers, the upper one a store that takes most of a second for each call.
-inline constexpr Millis kMinActMs = 1'200;
+inline constexpr Millis kRenewMs = 200;
+/// \brief Bounds of the time that an owner acts on its last stored record. Nothing starts from the
+/// loss of an owner to the end of that time, so the lower one leaves room for three renewals and no
+/// more; the upper one is for a store that takes most of a second for each call.
+inline constexpr Millis kMinActMs = 800;
 inline constexpr Millis kMaxActMs = 2'600;
-/// \brief Others wait this much longer than the owner acts.
-inline constexpr Millis kClaimMarginMs = 300;
+/// \brief Others wait this much longer than the owner acts. They count from the reading of a
+/// record, so this is for clocks that differ by a few parts in a hundred.
+inline constexpr Millis kClaimMarginMs = 200;
 
 /// \brief Time to act for an owner whose last calls took up to `aCallMs`.
 [[nodiscard]] Millis ActMs(Millis aCallMs) noexcept;
--- a/src/manager/Elector.cpp
+++ b/src/manager/Elector.cpp
@@ -115,14 +115,11 @@
   request.m_timeoutMs = isReadable ? kAppendTimeoutMs : kProbeTimeoutMs;
   m_store.Append(std::move(request), [this, record, alive = std::weak_ptr<int>(m_alive)](
                                        const platform::AppendResult& aResult) {
-    if (!alive.lock()) {
-      return;
+    if (!alive.lock() || !m_inFlight || record.m_sentMs != m_sentMs) {
+      return; // The tail has shown that the record is stored, and its answer was lost or late.
     }
-    m_inFlight = false;
-    // A slow call counts at once and is forgotten over the next ones.
-    m_callMs = std::max(MonotonicMs() - m_sentMs, m_callMs * kCallKeptPercent / 100);
+    EndCall();
     if (aResult.m_outcome == platform::AppendOutcome::Stored) {
-      m_failedClaims = 0;
       OnRecord(EncodeOwnershipRecord(record), aResult.m_first);
     } else {
       if (record.m_kind == OwnershipRecordKind::Claim) {
@@ -135,6 +132,13 @@
   });
 }
 
+void Elector::EndCall()
+{
+  m_inFlight = false;
+  // A slow call counts at once and is forgotten over the next ones.
+  m_callMs = std::max(MonotonicMs() - m_sentMs, m_callMs * kCallKeptPercent / 100);
+}
+
 void Elector::OnRecord(const std::optional<std::string>& aValue, Offset aOffset)
 {
   const auto record = aValue ? DecodeOwnershipRecord(*aValue) : std::nullopt;
@@ -143,6 +147,9 @@
   }
   const FencingToken before = m_view.m_token;
   ApplyOwnershipRecord(m_view, aOffset, *record, MonotonicMs());
+  if (m_inFlight && record->m_process == m_process && record->m_sentMs == m_sentMs) {
+    EndCall();
+  }
   if (m_view.m_token != before) {
     LogEvent("owner", "changed", "token={} process={} offset={}", m_view.m_token, m_view.m_owner,
              aOffset);
@@ -162,6 +169,7 @@
   }
   if (m_token != m_view.m_token) {
     m_token = m_view.m_token;
+    m_failedClaims = 0;
     m_handlers.m_onOwner(m_token, record->m_sentMs);
   }
 }
--- a/src/manager/Elector.h
+++ b/src/manager/Elector.h
@@ -61,6 +61,7 @@
 private:
   void Tick();
   void Propose(OwnershipRecordKind aKind);
+  void EndCall();
   void OnRecord(const std::optional<std::string>& aValue, Offset aOffset);
 
   platform::Store& m_store;
--- a/tests/manager/StoreFaultTest.cpp
+++ b/tests/manager/StoreFaultTest.cpp
@@ -66,7 +66,7 @@
 // trouble-1: nobody owned the fleet for 1.7 s after they were back).
 TEST_F(StoreFaultTest, OwnerRestartsAtItsAddress_OwnsAgainAtOnce)
 {
-  constexpr Millis kAtOnceMs = 600; // A few calls; others would wait for 1.5 s.
+  constexpr Millis kAtOnceMs = 600; // A few calls; others would wait for a second.
   Start(1);
   ASSERT_TRUE(IsReady(1));
   m_entries.erase(1);
@@ -76,5 +76,51 @@
   EXPECT_LT(MonotonicMs() - before, kAtOnceMs);
 }
 
+/// \brief Two entry instances, of which the owner is lost.
+class OwnerLossTest : public StoreFaultTest
+{
+protected:
+  /// The time that an owner acts, the margin, the spread of claims, a claim, and a list of the
+  /// jobs.
+  static constexpr Millis kSoonMs = 1'400;
+
+  void StartBoth()
+  {
+    Start(1);
+    ASSERT_TRUE(IsReady(1));
+    Start(2);
+    ASSERT_TRUE(IsReady(2));
+  }
+
+  /// \brief From the loss of the first instance until the second answers for the fleet.
+  Millis TakeoverMs()
+  {
+    RunUntil([] { return false; }, 300); // The pending count below is not an answer from before.
+    m_entries.erase(1);
+    const Millis begin = MonotonicMs();
+    EXPECT_TRUE(IsReady(2));
+    return MonotonicMs() - begin;
+  }
+};
+
+// Guards against work that stands still for long after an owner is lost (spokecalc-south-grown
+// trouble-3: nothing started for 1.75 s at the peak of a turn, 369 of 521 jobs of these seconds
+// were late).
+TEST_F(OwnerLossTest, OwnerLost_AnotherOwnsSoon)
+{
+  StartBoth();
+  EXPECT_LT(TakeoverMs(), kSoonMs);
+}
+
+// Guards against an owner that says a long time to act because the answers to its renewals were
+// lost: the log shows that they are stored, and the store is not slow.
+TEST_F(OwnerLossTest, RenewalAnswersLost_ThenOwnerLost_AnotherOwnsSoon)
+{
+  StartBoth();
+  m_store.m_loseAppendAnswers = 3;
+  ASSERT_TRUE(RunUntil([this] { return m_store.m_loseAppendAnswers == 0; }));
+  EXPECT_LT(TakeoverMs(), kSoonMs);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
