Let maintenance leave what pools wanted most in the last 3 s, while there is time

Ruled out: the pace of the wave (it ended at 21 s of 30 s). Tests: CapacityPlanTest.Wave_PoolNeededThemJustNow, Wave_SpareInstancesThatAPoolLacks.

--- a/include/pistachiostand/fleet/CapacityPlan.h
+++ b/include/pistachiostand/fleet/CapacityPlan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pistachiostand/fleet/Inventory.h"
+#include "pistachiostand/fleet/RecentMost.h"
 
 #include <compare>
 #include <cstdint>
@@ -50,11 +51,16 @@
   std::vector<InstanceView> m_instances;
   std::map<PoolName, std::uint32_t> m_wanted; ///< Instances for what can be done in time.
   std::map<PoolName, std::uint32_t> m_extra;  ///< Further instances for late work.
-  PoolName m_spare;                           ///< Empty when there is no spare pool.
+  /// Highest number wanted within kMaintenanceHoldMs; maintenance leaves so many while it can wait.
+  std::map<PoolName, std::uint32_t> m_held;
+  PoolName m_spare; ///< Empty when there is no spare pool.
   std::vector<WaveView> m_waves;
   Millis m_maintenanceMs{};
 };
 
+/// \brief A queue's turn goes on for some seconds after a dip in what it wants.
+inline constexpr Millis kMaintenanceHoldMs = 3'000;
+
 struct InstanceMove
 {
   InstanceId m_instance;
@@ -96,13 +102,10 @@
   std::uint32_t Update(double aSteady, double aInstances, std::size_t aFleet, Millis aNowMs);
 
 private:
-  struct Sample
-  {
-    double m_instances{};
-    Millis m_atMs{};
-  };
+  /// A demand counts this long after it was seen; a queue's pauses within its turn are shorter.
+  static constexpr Millis kHoldMs = 1'000;
 
-  std::vector<Sample> m_recent; ///< Falling from front to back: the highest of the recent demands.
+  RecentMost m_highest{ kHoldMs };
 };
 
 } // namespace pistachiostand::fleet
--- a/src/fleet/CapacityPlan.cpp
+++ b/src/fleet/CapacityPlan.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// A demand counts this long after it was seen; a queue's pauses within its turn are shorter.
-constexpr Millis kHoldMs = 1'000;
 /// Room beyond the demand, for what arrives while another instance is on its way.
 constexpr double kHeadroom = 1.05;
 constexpr double kHeadroomInstances = 1.0;
@@ -57,6 +55,12 @@
   return counts;
 }
 
+std::uint32_t ValueOr(const std::map<PoolName, std::uint32_t>& aValues, const PoolName& aPool)
+{
+  const auto found = aValues.find(aPool);
+  return found == aValues.end() ? 0 : found->second;
+}
+
 /// \brief Instances that a wave may order now, and what bounds them.
 class WavePlanner
 {
@@ -142,14 +146,49 @@
     }
   }
 
+  /// \brief Instances at a time that let the wave end within its part of the time.
+  [[nodiscard]] double Pace() const
+  {
+    return static_cast<double>(m_wave.m_due.size()) *
+           static_cast<double>(kEmptyMs + m_input.m_maintenanceMs) / PlannedMs();
+  }
+
+  /// \brief True when the wave can wait for no pool any more.
+  [[nodiscard]] bool IsLate() const
+  {
+    return Pace() > m_wave.m_maxAtOnce || m_leftMs < kLastRoundMs;
+  }
+
+  /// \brief Instances that the pool needs, or has just needed.
+  [[nodiscard]] std::uint32_t Needed(const PoolName& aPool) const
+  {
+    return std::max(ValueOr(m_input.m_wanted, aPool), ValueOr(m_input.m_held, aPool));
+  }
+
+  /// \brief Instances that other pools lack, and would get from the spare pool.
+  [[nodiscard]] std::uint32_t Lacking() const
+  {
+    std::uint32_t lacking = 0;
+    for (const auto& [pool, wanted] : m_input.m_wanted) {
+      const std::uint32_t needed = Needed(pool);
+      const auto count = m_counts.find(pool);
+      const std::uint32_t present = count == m_counts.end() ? 0 : count->second.m_present;
+      lacking += needed > present ? needed - present : 0;
+    }
+    return lacking;
+  }
+
   /// \brief Instances of the spare pool serve nobody, so they go as many at a time as may. A part
-  /// of the limit is left to those that have been emptied.
+  /// of the limit is left to those that have been emptied, and those that other pools lack stay
+  /// while there is time.
   void CordonSpare()
   {
     const auto most = m_wave.m_maxAtOnce - m_wave.m_maxAtOnce / kReservedPart;
+    const std::uint32_t kept = IsLate() ? 0 : Lacking();
     for (const auto* instance : m_due) {
       if (instance->m_pool == m_input.m_spare && !instance->m_cordoned &&
-          instance->m_lasting == 0 && m_busy < most) {
+          instance->m_lasting == 0 && m_busy < most &&
+          m_counts[instance->m_pool].m_present > kept) {
         ++m_busy;
         Cordon(*instance);
       }
@@ -158,18 +197,15 @@
 
   void CordonOthers()
   {
-    // As many at a time as let the wave end within its part of the time.
-    const double pace = static_cast<double>(m_wave.m_due.size()) *
-                        static_cast<double>(kEmptyMs + m_input.m_maintenanceMs) / PlannedMs();
-    const bool late = pace > m_wave.m_maxAtOnce || m_leftMs < kLastRoundMs;
+    const bool late = IsLate();
     const auto allowed =
       late ? m_wave.m_maxAtOnce
-           : std::min(m_wave.m_maxAtOnce, static_cast<std::uint32_t>(std::ceil(pace)) + 1);
+           : std::min(m_wave.m_maxAtOnce, static_cast<std::uint32_t>(std::ceil(Pace())) + 1);
     for (const auto* instance : m_due) {
       auto& count = m_counts[instance->m_pool];
       const std::uint32_t share = std::max(1U, (count.m_present + count.m_taken) / kPoolShare);
-      const auto wanted = m_input.m_wanted.find(instance->m_pool);
-      const bool needed = wanted != m_input.m_wanted.end() && count.m_present <= wanted->second;
+      const bool needed =
+        m_input.m_wanted.contains(instance->m_pool) && count.m_present <= Needed(instance->m_pool);
       if (instance->m_cordoned || instance->m_lasting != 0 || instance->m_pool == m_input.m_spare ||
           m_busy >= allowed || (!late && (needed || count.m_taken >= share))) {
         continue;
@@ -202,12 +238,6 @@
          std::ranges::find(aPlan.m_cordon, aInstance.m_id) != aPlan.m_cordon.end();
 }
 
-std::uint32_t ValueOr(const std::map<PoolName, std::uint32_t>& aValues, const PoolName& aPool)
-{
-  const auto found = aValues.find(aPool);
-  return found == aValues.end() ? 0 : found->second;
-}
-
 /// \brief What each pool can spare beyond `aKept`, the emptiest instances first.
 Surplus FindSurplus(const CapacityInput& aInput, const std::map<PoolName, std::uint32_t>& aKept,
                     const CapacityPlan& aPlan, std::map<PoolName, PoolCount>& aCounts)
@@ -334,11 +364,7 @@
 std::uint32_t DemandFollower::Update(double aSteady, double aInstances, std::size_t aFleet,
                                      Millis aNowMs)
 {
-  std::erase_if(m_recent, [&](const Sample& aSample) {
-    return aSample.m_instances <= aInstances || aNowMs - aSample.m_atMs > kHoldMs;
-  });
-  m_recent.push_back({ aInstances, aNowMs });
-  const double highest = m_recent.front().m_instances;
+  const double highest = m_highest.Update(aInstances, aNowMs);
   return static_cast<std::uint32_t>(
     std::ceil(aSteady + highest * kHeadroom +
               std::min(highest * kRiseShare, kMaxRiseShare * static_cast<double>(aFleet)) +
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -201,6 +201,9 @@
         return aInstance.m_pool == name && aInstance.m_cordoned && aInstance.m_lasting != 0;
       }));
     aInput.m_extra[name] = static_cast<std::uint32_t>(std::ceil(LateInstances(one)));
+    aInput.m_held[name] =
+      static_cast<std::uint32_t>(m_held.try_emplace(name, kMaintenanceHoldMs)
+                                   .first->second.Update(aInput.m_wanted[name], now));
   }
 }
 
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -114,6 +114,7 @@
   std::set<ServerId> m_closedServers;
   std::set<ServerId> m_dueServers;
   std::map<PoolName, DemandFollower> m_demand;
+  std::map<PoolName, RecentMost> m_held; ///< What each pool wanted most, for maintenance.
   /// An order whose record has no answer is planned anew, so a short timeout costs little.
   CallTimeout m_recordTimeout{ kLeastRecordTimeoutMs };
   Millis m_refusedUntilMs{};
--- a/tests/unit/CapacityPlanTest.cpp
+++ b/tests/unit/CapacityPlanTest.cpp
@@ -145,6 +145,37 @@
   EXPECT_EQ(PlanCapacity(m_input).m_cordon, (std::vector<InstanceId>{ "m1" }));
 }
 
+// Guards against a wave that takes instances in a dip between the jobs of a turn: of 251 instances
+// of a pool 51 were being emptied when it wanted 517 (dijleland-sched-grown trouble-1).
+TEST_F(CapacityPlanTest, Wave_PoolNeededThemJustNow_WaitsWhileThereIsTime)
+{
+  Add("m1", "lookup", 3);
+  Add("m2", "lookup", 3);
+  Add("m3", "lookup");
+  m_input.m_wanted = { { "lookup", 1 } };
+  m_input.m_held = { { "lookup", 3 } };
+  AddWave({ "m1" }, 60, 20'000);
+  EXPECT_TRUE(PlanCapacity(m_input).m_cordon.empty());
+  m_input.m_held = { { "lookup", 1 } };
+  EXPECT_EQ(PlanCapacity(m_input).m_cordon, (std::vector<InstanceId>{ "m1" }));
+}
+
+// Guards against maintenance of idle instances that another pool is about to get.
+TEST_F(CapacityPlanTest, Wave_SpareInstancesThatAPoolLacks_StayWhileThereIsTime)
+{
+  std::set<InstanceId> due;
+  for (int i = 0; i < 8; ++i) {
+    due.insert(Add("m" + std::to_string(i), "spare").m_id);
+  }
+  Add("n1", "lookup", 3);
+  m_input.m_wanted = { { "lookup", 6 } };
+  AddWave(due, 16, 60'000);
+  EXPECT_EQ(PlanCapacity(m_input).m_cordon.size(), 3U); // Five more are lacking.
+  m_input.m_waves.clear();
+  AddWave(due, 16, 8'000);
+  EXPECT_EQ(PlanCapacity(m_input).m_cordon.size(), 8U);
+}
+
 // Guards against a wave that empties a whole pool at once.
 TEST_F(CapacityPlanTest, Wave_WithTimeLeft_LeavesMostOfEachPool)
 {
