One append in flight for each instance; what waits behind one without answer goes to the owner

Ruled out: the client's sockets (a trial that logged slow transfers showed connections made at once and no answer). Conclusion: kept for the callers of a slow store.

--- a/src/manager/SubmissionWriter.cpp
+++ b/src/manager/SubmissionWriter.cpp
@@ -15,13 +15,8 @@
 
 namespace {
 
-/// One lost answer must not hold up all others; more in flight would only queue at the store.
-constexpr std::size_t kMaxInFlight = 3;
-/// A fast store takes 10 ms. The next append leaves after this time without an answer, and two that
-/// have none for so long show a slow store: three writes in ten may lose their answer.
+/// A fast store takes 10 ms. Without an answer for this time it is slow, or the answer is lost.
 constexpr Millis kSlowMs = 150;
-/// Lost answers alone do not strain the store; three in a row are more than a few lost ones.
-constexpr unsigned kStrainAfterUnanswered = 3;
 /// First period after which a strained store is tried again; doubles each time. At the longest one
 /// nine instances use a quarter of the time of a partition that is 50 times slower than usual.
 constexpr Millis kFirstStrainMs = 1'000;
@@ -40,11 +35,11 @@
 } // namespace
 
 SubmissionWriter::SubmissionWriter(asio::io_context& aLoop, platform::Store& aStore,
-                                   std::uint32_t aPartition, std::size_t aStrainedFlights)
+                                   std::uint32_t aPartition, std::size_t aMostFlights)
   : m_store(aStore)
   , m_partition(aPartition)
   , m_timer(aLoop)
-  , m_strainedFlights(aStrainedFlights)
+  , m_mostFlights(aMostFlights)
 {
 }
 
@@ -126,17 +121,16 @@
     return false;
   }
   const std::size_t flights = FlightCount();
-  const std::size_t limit = IsStrained(aNowMs) ? m_strainedFlights : kMaxInFlight;
-  return flights == 0 || (flights < limit && aNowMs - LastSentMs() >= kSlowMs);
+  return flights == 0 || (flights < m_mostFlights && aNowMs - LastSentMs() >= kSlowMs);
 }
 
-bool SubmissionWriter::IsSlow(Millis aNowMs) const noexcept
+bool SubmissionWriter::IsHeldUp(Millis aNowMs) const noexcept
 {
-  // When a later append has its answer, an earlier one is only lost.
-  return std::ranges::count_if(
-           m_flights,
-           [this](const auto& aFlight) { return aFlight->m_sentMs > m_answeredSentMs; }) >= 2 &&
-         aNowMs - LastSentMs() >= kSlowMs;
+  return std::ranges::any_of(m_flights, [this, aNowMs](const auto& aFlight) {
+    // When a later append has its answer, this one's is only lost.
+    return !aFlight->m_overdue && aFlight->m_sentMs >= m_answeredSentMs &&
+           aNowMs - aFlight->m_sentMs >= kSlowMs;
+  });
 }
 
 void SubmissionWriter::MarkOverdue(Millis aNowMs)
@@ -156,9 +150,6 @@
   const Millis now = MonotonicMs();
   MarkOverdue(now);
   GiveUpIf([this, now](const Entry& aEntry) { return IsOver(aEntry, now); });
-  if (IsSlow(now)) {
-    Strain(now);
-  }
   if (IsStrained(now) && m_refusals == 0) {
     GiveUpIf([](const Entry& aEntry) { return aEntry.m_limits.m_mayYield; });
   }
@@ -256,8 +247,6 @@
   if (aSentMs >= m_answeredSentMs) {
     m_timeout.OnTimeout();
     ++m_unanswered;
-  }
-  if (m_strains != 0 || m_unanswered >= kStrainAfterUnanswered) {
     Strain(aNowMs);
   }
 }
--- a/src/manager/SubmissionWriter.h
+++ b/src/manager/SubmissionWriter.h
@@ -42,9 +42,10 @@
   using Done = std::function<void(platform::AppendOutcome)>;
 
   /// \param aPartition partition of the submission topic that it writes to.
-  /// \param aStrainedFlights most appends in flight while the store is strained.
+  /// \param aMostFlights most appends in flight, of which the next one leaves when the last has no
+  /// answer for a while.
   SubmissionWriter(asio::io_context& aLoop, platform::Store& aStore, std::uint32_t aPartition,
-                   std::size_t aStrainedFlights = 1);
+                   std::size_t aMostFlights = 1);
 
   SubmissionWriter(const SubmissionWriter&) = delete;
   SubmissionWriter& operator=(const SubmissionWriter&) = delete;
@@ -87,7 +88,7 @@
   [[nodiscard]] Millis LastSentMs() const noexcept;
   [[nodiscard]] std::size_t FlightCount() const noexcept;
   [[nodiscard]] bool MaySend(Millis aNowMs) const noexcept;
-  [[nodiscard]] bool IsSlow(Millis aNowMs) const noexcept;
+  [[nodiscard]] bool IsHeldUp(Millis aNowMs) const noexcept;
   [[nodiscard]] Entries TakeBatch();
   [[nodiscard]] bool IsOver(const Entry& aEntry, Millis aNowMs) const noexcept;
   static void Finish(Entry& aEntry, platform::AppendOutcome aOutcome);
@@ -106,9 +107,9 @@
   CallTimeout m_timeout;
   Entries m_waiting;
   std::vector<std::shared_ptr<Flight>> m_flights; ///< In the order in which they were sent.
-  std::size_t m_strainedFlights;
+  std::size_t m_mostFlights;
   unsigned m_refusals{};   ///< Refused appends in a row.
-  unsigned m_unanswered{}; ///< Appends without answer in a row.
+  unsigned m_unanswered{}; ///< Appends without answer in a row, and without a later one answered.
   unsigned m_strains{};    ///< Strained periods in a row.
   Millis m_strainedUntilMs{};
   Millis m_answeredSentMs{}; ///< When the latest append was sent that has an answer.
