Judge work on a server by looks, not by the answer to an order for its instance

Ruled out: two owners at once (one token in both starts), lost or late starts, the client. Failed first: InstanceOrderTest.MaintenanceOrderedAgain and RecordOfAWaveLost. Conclusion: kept; a run on an instance that goes down at the last moment of a wave is started elsewhere up to 4 s later than before.

--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -82,6 +82,7 @@
   }
   Wave& wave = m_waves[aNumber];
   wave.m_done.insert(record->m_done.begin(), record->m_done.end());
+  wave.m_storedCount = wave.m_done.size();
   const Millis begin = MonotonicMs() - record->m_ageMs;
   wave.m_beginMs = wave.m_beginMs == 0 ? begin : std::min(wave.m_beginMs, begin);
 }
@@ -379,7 +380,7 @@
   Order& order = found->second;
   if (aResult.m_outcome == platform::CallOutcome::Done) {
     order.m_answeredMs = MonotonicMs();
-    m_runs.OnLifeEnded(order.m_before);
+    m_runs.OnOrderedAway(order.m_before);
     if (order.m_wave) {
       Wave& wave = m_waves.at(*order.m_wave);
       wave.m_done.insert(aInstance);
@@ -518,6 +519,7 @@
   UpdateClosed();
   Evacuate(aNowMs);
   for (auto& [number, wave] : m_waves) {
+    StoreWave(wave);
     WriteStatus(wave);
   }
 }
@@ -549,8 +551,13 @@
   }));
 }
 
-void FleetControl::StoreWave(const Wave& aWave)
+void FleetControl::StoreWave(Wave& aWave)
 {
+  // One after the other, so that an earlier record never replaces a later one.
+  if (aWave.m_storing || aWave.m_storedCount == aWave.m_done.size()) {
+    return;
+  }
+  aWave.m_storing = true;
   platform::AppendRequest request;
   request.m_partition.m_topic = kFleetTopic;
   request.m_timeoutMs = kStoreTimeoutMs;
@@ -558,8 +565,16 @@
     fmt::format("{}{}", kStoredWavePrefix, aWave.m_request.m_number),
     EncodeWaveRecord(
       { { aWave.m_done.begin(), aWave.m_done.end() }, MonotonicMs() - aWave.m_beginMs })) };
-  // Without this record a later owner only repeats orders, which the platform answers as done.
-  m_state.m_store.Append(std::move(request), [](const platform::AppendResult&) {});
+  m_state.m_store.Append(
+    std::move(request),
+    m_state.Guard([this, number = aWave.m_request.m_number,
+                   count = aWave.m_done.size()](const platform::AppendResult& aResult) {
+      Wave& wave = m_waves.at(number);
+      wave.m_storing = false;
+      if (aResult.m_outcome == platform::AppendOutcome::Stored) {
+        wave.m_storedCount = count;
+      }
+    }));
 }
 
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -68,6 +68,8 @@
     bool m_requested{};
     Millis m_beginMs{}; ///< When it was requested, as far back as is known; 0: not known.
     std::set<InstanceId> m_done;
+    std::size_t m_storedCount{}; ///< So many of these are in the stored record.
+    bool m_storing{};
     std::optional<bool> m_shown; ///< Status written last: completed or not.
     bool m_writing{};
   };
@@ -97,7 +99,7 @@
   void Evacuate(Millis aNowMs);
   void UpdateClosed();
   void WriteStatus(Wave& aWave);
-  void StoreWave(const Wave& aWave);
+  void StoreWave(Wave& aWave);
   [[nodiscard]] PoolName SparePool() const;
 
   OwnerState& m_state;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -153,7 +153,7 @@
   m_onChange();
 }
 
-void RunControl::OnLifeEnded(const ServerId& aId)
+void RunControl::OnOrderedAway(const ServerId& aId)
 {
   const auto found = m_state.m_servers.find(aId);
   if (found == m_state.m_servers.end()) {
@@ -165,9 +165,8 @@
   server.m_listed = false;
   server.m_looked = false;
   CancelLook(server);
-  // A start on its way may still reach a later life with this id.
-  DropFormerLife(m_state.m_book, aId, MonotonicMs());
-  m_committer.Wake();
+  // What runs there may go on: a repeated order is answered as done without being carried out.
+  // Looks, a later life, or the end of the lease tell.
 }
 
 void RunControl::OnStored(const CommitBatch& aBatch)
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -35,8 +35,9 @@
   /// \brief Sends what is due: looks, repeated stops, the end of expired leases.
   void Tick(Millis aNowMs);
 
-  /// \brief The platform has ended this life of the server, because its instance was ordered away.
-  void OnLifeEnded(const ServerId& aId);
+  /// \brief The platform has answered an order for the server's instance as done. The order ends
+  /// this life of the server, unless it was a repeat.
+  void OnOrderedAway(const ServerId& aId);
 
   /// \brief Orders the end of a run.
   void Stop(const RunRef& aRun, std::string_view aReason);
--- a/tests/manager/InstanceOrderTest.cpp
+++ b/tests/manager/InstanceOrderTest.cpp
@@ -1,6 +1,8 @@
 #include "../standins/PreparedInstances.h"
 #include "ManagerFixture.h"
 
+#include "pistachiostand/fleet/WaveRecord.h"
+
 namespace pistachiostand::fleet {
 namespace {
 
@@ -129,6 +131,54 @@
   EXPECT_EQ(m_instances.m_arrivals.size(), 1U);
 }
 
+// Guards against work that is started again elsewhere while it runs: a later owner did not know
+// that an instance had been maintained, ordered it again, and took the answer for the end of its
+// server (fverc-rounds-grown trouble-2: TWICE at 36.1 s).
+TEST_F(InstanceOrderTest, MaintenanceOrderedAgain_PlatformAnswersDone_WorkThereRunsOnce)
+{
+  constexpr Millis kRunMs = 4'000;
+  m_first.m_runMs = kRunMs;
+  m_second.m_runMs = kRunMs;
+  m_instances.m_isRepeat = true;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob,
+                 R"({"spec":"w","steps":[{"count":2,"cpu":6000,"mem-mb":1,"estimated-ms":4000}]})")
+              .m_status,
+            200);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1 && m_second.Running() == 1; }));
+  m_store.Put("keyed.op", "wave/1",
+              R"({"wave":1,"machines":["i1","i2"],"duration-s":1,"max-count":2})");
+  ASSERT_TRUE(RunUntil([this] { return !OrdersFor("i1").empty() && !OrdersFor("i2").empty(); }));
+  EXPECT_TRUE(Completes(1));
+  for (int index = 0; index < 2; ++index) {
+    const auto subtask = fmt::format("{}.0.0.{}", kJob, index);
+    EXPECT_EQ(m_first.m_starts[subtask] + m_second.m_starts[subtask], 1) << subtask;
+  }
+}
+
+// Guards against a later owner that does not know which instances have been maintained, because the
+// store lost the record of the last one.
+TEST_F(InstanceOrderTest, RecordOfAWaveLost_IsStoredOnceMore)
+{
+  m_instances.m_longMaintenance = true;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  m_store.Put("keyed.op", "wave/1",
+              R"({"wave":1,"machines":["i3"],"duration-s":20,"max-count":1})");
+  ASSERT_TRUE(RunUntil([this] { return !OrdersFor("i3").empty(); }));
+  m_store.m_silentTopic = kFleetTopic;
+  RunUntil([] { return false; }, 500);
+  m_store.m_silentTopic.clear();
+  EXPECT_TRUE(RunUntil(
+    [this] {
+      const auto value = m_store.Value(kFleetTopic, std::string{ kStoredWavePrefix } + "1");
+      const auto record = value ? DecodeWaveRecord(*value) : std::nullopt;
+      return record && std::ranges::find(record->m_done, "i3") != record->m_done.end();
+    },
+    3'000));
+}
+
 // Guards against a process that ends because the reason of a refusal is not a text.
 TEST_F(InstanceOrderTest, Refusal_WithMalformedReason_ServiceGoesOn)
 {
--- a/tests/standins/PreparedInstances.h
+++ b/tests/standins/PreparedInstances.h
@@ -60,6 +60,7 @@
   std::size_t m_pageSize{ 1'000 }; ///< Instances on one page of the list.
   bool m_holdPages{};              ///< Pages are read as usual, but answered by ReleasePages().
   bool m_longMaintenance{};        ///< Instances stay in maintenance.
+  bool m_isRepeat{};               ///< Orders are answered as done, and not carried out.
 
   void ReleasePages()
   {
@@ -101,6 +102,8 @@
         std::string{ FindHeader(aRequest.m_headers, "fencing-token") }, MonotonicMs() });
     if (!m_refusal.empty()) {
       aRespond({ 409, {}, m_refusal });
+    } else if (m_isRepeat) {
+      aRespond({ 200, {}, "{}" });
     } else if (m_loseAnswers) {
       m_lost.push_back(aRespond);
     } else {
