--- a/tests/manager/IsolationTest.cpp
+++ b/tests/manager/IsolationTest.cpp
@@ -8,26 +8,15 @@
 namespace pistachiostand::fleet {
 namespace {
 
-/// \brief Entry 1 owns the fleet and reaches the store; entry 2 reaches it through a relay.
-class IsolationTest : public ManagerFixture
+/// \brief Entry instances of which some reach the store through a relay.
+class RelayedStoreTest : public ManagerFixture
 {
 protected:
-  IsolationTest()
+  RelayedStoreTest()
     : m_relay(m_loop, At(8), At(0))
   {
   }
 
-  void SetUp() override
-  {
-    ManagerFixture::SetUp();
-    Start(1);
-    ASSERT_TRUE(IsReady(1));
-    m_storeAddress = At(8);
-    Start(2);
-    ASSERT_TRUE(IsReady(2));
-    ASSERT_TRUE(RunUntil([this] { return IsInRotation(2); }));
-  }
-
   bool IsInRotation(int aNumber)
   {
     ClientRequest request;
@@ -43,11 +32,27 @@
     m_relay.Silence();
   }
 
-  ClientResponse Submit() { return Call(2, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()); }
-
   standin::SilentRelay m_relay;
 };
 
+/// \brief Entry 1 owns the fleet and reaches the store; entry 2 reaches it through a relay.
+class IsolationTest : public RelayedStoreTest
+{
+protected:
+  void SetUp() override
+  {
+    RelayedStoreTest::SetUp();
+    Start(1);
+    ASSERT_TRUE(IsReady(1));
+    m_storeAddress = At(8);
+    Start(2);
+    ASSERT_TRUE(IsReady(2));
+    ASSERT_TRUE(RunUntil([this] { return IsInRotation(2); }));
+  }
+
+  ClientResponse Submit() { return Call(2, "POST", std::string{ "/lookups/" } + kJob, TwoSteps()); }
+};
+
 // Guards against callers who are sent to a zone that is cut off for as long as the cut lasts: their
 // jobs were refused there, or answered with an unknown outcome, while other zones could have taken
 // them (spokecalc-south-large scale-1: 139 jobs of the cut zone lost in 5 s).
@@ -104,7 +109,7 @@
 
 /// \brief The owner and entry 2 in one zone; entry 3, which carries orders, in another one. All
 /// reach the store through a relay.
-class OwnersZoneTest : public IsolationTest
+class OwnersZoneTest : public RelayedStoreTest
 {
 protected:
   OwnersZoneTest()
@@ -115,7 +120,7 @@
 
   void SetUp() override
   {
-    ManagerFixture::SetUp();
+    RelayedStoreTest::SetUp();
     m_storeAddress = At(8);
     Start(1);
     ASSERT_TRUE(IsReady(1));
