Name the present times of a takeover in two comments

Cause: renewals come each 0.2 s and others claim 1.0 s after the last one; two comments named the times before. Ruled out: other mentions (searched). Conclusion: no change of behaviour.

--- a/include/pistachiostand/ownership/Isolation.h
+++ b/include/pistachiostand/ownership/Isolation.h
@@ -24,7 +24,7 @@
 };
 
 /// \brief Silence of the store after which the owner is asked. A read waits 0.8 s for a record, and
-/// the owner writes one every 0.3 s.
+/// the owner writes one every 0.2 s.
 inline constexpr Millis kAskOwnerAfterMs = 500;
 /// \brief Silence that counts: two tries to reach the owner, 0.3 s each, after the store's.
 inline constexpr Millis kSilentMs = 1'100;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Bridges the takeover by another owner (2.4 s of silence and its first looks) so that work goes
+/// Bridges the takeover by another owner (1.0 s of silence and its first looks) so that work goes
 /// on; a lost server's work waits this long before it starts elsewhere.
 constexpr Millis kLeaseMs = 4'000;
 /// Lease of a start; a look extends it. Short, so that a start without an answer ends early.
