Tell what the work of each queue waits for, and how old the view of the arrivals is

The logs could not tell three explanations of a queue that is served too little apart: no place on the instances there are, starts that wait for their record, and demand that is judged from an old view of the arrivals. Added: a line for each queue once a second (backlog: queue) with subtasks that wait for a place, a record or their server, the same as gauges; the urgent and the arriving demand, the orders on their way and the age of the arrivals in fleet: capacity; fleet: spare; answers by queue, status and cause. Nothing is decided by them.

--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -296,6 +296,7 @@
            aSubmission->m_queue, aStatus, aReason, aSubmission->m_tries, took);
   Observe(m_context.m_metrics, "accept_ms", aSubmission->m_queue, took);
   Count(m_context.m_metrics, aStatus == 200 ? "jobs_accepted_total" : "jobs_not_accepted_total");
+  CountAnswer(m_context.m_metrics, aSubmission->m_queue, aStatus, aReason);
   aSubmission->m_respond(aStatus == 200
                            ? JsonResponse(200, platform::EncodeJobState(ShownState::Queued))
                            : Refusal(aStatus, aReason));
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -7,7 +7,6 @@
 
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/fleet/WaveRecord.h"
-#include "pistachiostand/job/Demand.h"
 #include "pistachiostand/job/Evacuation.h"
 
 #include <algorithm>
@@ -191,6 +190,7 @@
     }
     const auto found = demand.find(name);
     const PoolDemand one = found == demand.end() ? PoolDemand{} : found->second;
+    m_lastDemand.insert_or_assign(name, one);
     const auto followed =
       m_demand[name].Update(one.m_lasting, UrgentInstances(one), m_instances.size(), now);
     // One more, so that the subtasks of a failed instance have a place.
@@ -266,6 +266,11 @@
     return;
   }
   m_capacityLoggedMs = aInput.m_nowMs;
+  const auto ordered = [this](const PoolName& aPool) {
+    return std::ranges::count_if(m_orders, [&aPool](const auto& aEntry) {
+      return !aEntry.second.m_wave && aEntry.second.m_pool == aPool;
+    });
+  };
   for (const auto& [pool, wanted] : aInput.m_wanted) {
     const auto count = [&aInput, &pool = pool](auto aIs) {
       return std::ranges::count_if(aInput.m_instances, [&](const InstanceView& aInstance) {
@@ -273,13 +278,18 @@
       });
     };
     LogEvent("fleet", "capacity",
-             "pool={} wanted={} usable={} present={} empty={} cordoned={} extra={}", pool, wanted,
-             count([](const auto& aOne) { return aOne.m_usable; }),
+             "pool={} wanted={} usable={} present={} empty={} cordoned={} extra={} ordered={} "
+             "urgent={:.1f} arriving={:.1f} arrivals_age_ms={}",
+             pool, wanted, count([](const auto& aOne) { return aOne.m_usable; }),
              count([](const auto&) { return true; }),
              count([](const auto& aOne) { return aOne.m_runs == 0; }),
              count([](const auto& aOne) { return aOne.m_cordoned || aOne.m_down; }),
-             aInput.m_extra.at(pool));
+             aInput.m_extra.at(pool), ordered(pool), UrgentInstances(m_lastDemand[pool]),
+             m_lastDemand[pool].m_arriving, aInput.m_nowMs - m_state.m_arrivalsAsOfMs);
   }
+  LogEvent("fleet", "spare", "present={} ordered={}",
+           std::ranges::count(aInput.m_instances, aInput.m_spare, &InstanceView::m_pool),
+           ordered(aInput.m_spare));
 }
 
 void FleetControl::Plan(Millis aNowMs)
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -6,6 +6,7 @@
 #include "platform/Orders.h"
 
 #include "pistachiostand/fleet/CapacityPlan.h"
+#include "pistachiostand/job/Demand.h"
 #include "pistachiostand/job/Scheduler.h"
 #include "pistachiostand/ownership/CallTimeout.h"
 #include "pistachiostand/ownership/InstanceOrder.h"
@@ -116,7 +117,8 @@
   std::set<ServerId> m_closedServers;
   std::set<ServerId> m_dueServers;
   std::map<PoolName, DemandFollower> m_demand;
-  std::map<PoolName, RecentMost> m_held; ///< What each pool wanted most, for maintenance.
+  std::map<PoolName, PoolDemand> m_lastDemand; ///< For the log.
+  std::map<PoolName, RecentMost> m_held;       ///< What each pool wanted most, for maintenance.
   /// An order whose record has no answer is planned anew, so a short timeout costs little.
   CallTimeout m_recordTimeout{ kLeastRecordTimeoutMs };
   Millis m_refusedUntilMs{};
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -6,11 +6,14 @@
 #include "platform/Topics.h"
 
 #include "pistachiostand/base/Clock.h"
+#include "pistachiostand/job/Backlog.h"
 #include "pistachiostand/job/JobCodec.h"
 
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <fmt/format.h>
+#include <ranges>
 #include <utility>
 
 namespace pistachiostand::fleet {
@@ -87,9 +90,10 @@
 
 void FleetOwner::OnSubmissionsCurrent()
 {
-  const bool all = std::ranges::all_of(
-    m_submissions, [](const auto& aTail) { return aTail->CurrentAsOf().has_value(); });
-  if (all && !std::exchange(m_submissionsRead, true)) {
+  const auto oldest = std::ranges::min(
+    m_submissions | std::views::transform([](const auto& aTail) { return aTail->CurrentAsOf(); }));
+  m_state.m_arrivalsAsOfMs = oldest.value_or(0);
+  if (oldest && !std::exchange(m_submissionsRead, true)) {
     LoadProgress({});
   }
 }
@@ -470,6 +474,27 @@
            m_state.m_book.m_active.size(), m_load.m_passes, m_load.m_longestPassMs,
            m_load.m_longestGapMs, m_state.m_orders.CarrierCount());
   m_load = { aNowMs, 0, 0, 0 };
+  LogBacklog(aNowMs);
+}
+
+void FleetOwner::LogBacklog(Millis aNowMs)
+{
+  m_state.m_metrics.m_gauges.clear();
+  for (const auto& [queue, backlog] : BacklogByQueue(m_state.m_book, aNowMs)) {
+    LogEvent("backlog", "queue",
+             "queue={} jobs={} for_place={} for_record={} for_server={} running={} "
+             "oldest_place_ms={}",
+             queue, backlog.m_jobs, backlog.m_forPlace, backlog.m_forRecord, backlog.m_forServer,
+             backlog.m_running, backlog.m_oldestPlaceMs);
+    for (const auto& [what, count] :
+         { std::pair{ "place", backlog.m_forPlace }, std::pair{ "record", backlog.m_forRecord },
+           std::pair{ "server", backlog.m_forServer } }) {
+      if (m_state.m_metrics.m_gauges.size() < kMaxCounters) {
+        m_state.m_metrics.m_gauges.insert_or_assign(
+          fmt::format("subtasks_waiting{{queue=\"{}\",for=\"{}\"}}", queue, what), count);
+      }
+    }
+  }
 }
 
 void FleetOwner::ForgetOldJobs(Millis aNowMs)
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -84,6 +84,7 @@
   void UseCarriers();
   void HandOverToLarger(Millis aNowMs);
   void LogLoad(Millis aNowMs);
+  void LogBacklog(Millis aNowMs);
   void Place(Millis aNowMs);
   void LeaveDrainingServers();
   void AskAdvice(const std::vector<StepId>& aSteps, const std::vector<ServerRoom>& aRooms);
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -269,6 +269,7 @@
 
 void Manager::EndOwnership()
 {
+  m_metrics.m_gauges.clear(); // They tell of the owner's jobs.
   asio::post(m_loop, [owner = std::shared_ptr<FleetOwner>(std::move(m_owner))] {});
 }
 
--- a/src/manager/Metrics.cpp
+++ b/src/manager/Metrics.cpp
@@ -16,6 +16,19 @@
   }
 }
 
+void CountAnswer(Metrics& aMetrics, const std::string& aQueue, std::uint16_t aStatus,
+                 std::string_view aCause)
+{
+  const auto name = [&](std::string_view aLabel) {
+    return fmt::format("answers_total{{queue=\"{}\",status=\"{}\",cause=\"{}\"}}", aLabel, aStatus,
+                       aCause);
+  };
+  const std::string own = name(aQueue);
+  const bool full =
+    aMetrics.m_counters.size() >= kMaxCounters && !aMetrics.m_counters.contains(own);
+  Count(aMetrics, full ? name("(other)") : own);
+}
+
 void Observe(Metrics& aMetrics, const std::string& aName, const std::string& aQueue,
              Millis aValueMs)
 {
@@ -36,6 +49,9 @@
   for (const auto& [name, value] : aMetrics.m_counters) {
     fmt::format_to(out, "pistachiostand_{} {}\n", name, value);
   }
+  for (const auto& [name, value] : aMetrics.m_gauges) {
+    fmt::format_to(out, "pistachiostand_{} {}\n", name, value);
+  }
   for (const auto& [key, histogram] : aMetrics.m_histograms) {
     std::uint64_t total = 0;
     for (std::size_t i = 0; i < kBucketBoundsMs.size(); ++i) {
--- a/src/manager/Metrics.h
+++ b/src/manager/Metrics.h
@@ -17,13 +17,21 @@
 {
   std::map<std::string, std::uint64_t, std::less<>> m_counters;
   std::map<std::pair<std::string, std::string>, Histogram> m_histograms; ///< By name and queue.
+  std::map<std::string, double> m_gauges;                                ///< By name with labels.
 };
 
 /// \brief Queues with histograms of their own; more are counted together.
 inline constexpr std::size_t kMaxMeasuredQueues = 64;
 
+/// \brief Counters with labels beyond which further queues are counted together.
+inline constexpr std::size_t kMaxCounters = 512;
+
 void Count(Metrics& aMetrics, std::string_view aName, std::uint64_t aCount = 1);
 
+/// \brief Counts an answer to a caller by queue, status and cause. Causes are few and fixed.
+void CountAnswer(Metrics& aMetrics, const std::string& aQueue, std::uint16_t aStatus,
+                 std::string_view aCause);
+
 void Observe(Metrics& aMetrics, const std::string& aName, const std::string& aQueue,
              Millis aValueMs);
 
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -80,6 +80,7 @@
   std::map<ServerId, ServerState> m_servers{};
   RunTimes m_runTimes{};
   Arrivals m_arrivals{};
+  Millis m_arrivalsAsOfMs{}; ///< Submissions stored up to this time are in the book; 0: not read.
   std::map<QueueName, double> m_meanWork{}; ///< Core-seconds of a job, moving average.
   std::shared_ptr<int> m_alive = std::make_shared<int>();
 
