Failing tests: after an outage of the store a queue's turn has no instances

Callers saw: in the two seconds after an outage of 5.4 s most jobs of the queue whose turn it is are late, and 223 callers are answered 504.

--- /dev/null
+++ b/tests/manager/StoreOutageTest.cpp
@@ -0,0 +1,147 @@
+#include "../standins/PreparedInstances.h"
+#include "ManagerFixture.h"
+
+#include "pistachiostand/base/Clock.h"
+#include "pistachiostand/job/JobCodec.h"
+
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+namespace pistachiostand::fleet {
+namespace {
+
+/// \brief A queue whose turn begins when the store goes away, and a pool whose instances are busy
+/// until then.
+class StoreOutageTest : public ManagerFixture
+{
+protected:
+  static constexpr std::size_t kBuilders = 5;
+  static constexpr Millis kBuildMs = 1'500; ///< Ends in the outage.
+  static constexpr Millis kOutageMs = 3'000;
+
+  StoreOutageTest()
+    : m_instances(m_loop, At(9))
+  {
+    m_store.Put("keyed.op", "config", ThreePools());
+    m_instances.Add("i1", "lookup", "s1");
+    m_instances.Add("i2", "lookup", "s2");
+    for (std::size_t number = 0; number < kBuilders; ++number) {
+      const std::string id = fmt::format("b{}", number);
+      m_builders.push_back(std::make_unique<standin::PreparedServer>(
+        m_loop, At(60 + static_cast<int>(number)), kBuildMs));
+      m_store.Put("keyed.servers", id, m_builders.back()->Entry("build"));
+      m_instances.Add(fmt::format("m{}", number), "build", id);
+    }
+  }
+
+  void SetUp() override
+  {
+    ManagerFixture::SetUp();
+    Start(1);
+    ASSERT_TRUE(IsReady(1));
+  }
+
+  static std::string ThreePools()
+  {
+    auto configuration = nlohmann::json::parse(Configuration(2, "/lookups/"));
+    auto builds = configuration["routes"][0];
+    builds["name"] = "builds";
+    builds["path-prefix"] = "/builds/";
+    builds["upstream"] = "build";
+    configuration["routes"].push_back(builds);
+    configuration["upstreams"].push_back({ { "name", "build" }, { "admission-check", true } });
+    configuration["upstreams"].push_back({ { "name", "spare" }, { "spare", true } });
+    return configuration.dump();
+  }
+
+  ClientResponse Submit(const std::string& aPrefix, int aJob, const std::string& aSteps)
+  {
+    return Call(1, "POST", fmt::format("{}{:016x}", aPrefix, aJob),
+                R"({"spec":"w","steps":[)" + aSteps + "]}");
+  }
+
+  /// \brief One run on each instance of the other pool.
+  void KeepBuildersBusy()
+  {
+    ASSERT_EQ(
+      Submit("/builds/", 1, R"({"count":5,"cpu":8000,"mem-mb":100,"estimated-ms":1500})").m_status,
+      200);
+    ASSERT_TRUE(RunUntil([this] {
+      return std::ranges::all_of(m_builders,
+                                 [](const auto& aServer) { return aServer->Running() != 0; });
+    }));
+  }
+
+  /// \brief Jobs at a rate for which the pool of the queue lacks instances, with little work each.
+  void BeginTurn()
+  {
+    constexpr int kJobs = 20;
+    for (int job = 0; job < kJobs; ++job) {
+      ASSERT_EQ(
+        Submit("/lookups/", 100 + job, R"({"count":2,"cpu":2000,"mem-mb":100,"estimated-ms":400})")
+          .m_status,
+        200);
+      RunUntil([] { return false; }, 20);
+    }
+  }
+
+  void LoseStoreFor(Millis aForMs)
+  {
+    m_store.m_down = true;
+    RunUntil([] { return false; }, aForMs);
+    m_store.m_down = false;
+  }
+
+  standin::PreparedInstances m_instances;
+  std::vector<std::unique_ptr<standin::PreparedServer>> m_builders;
+};
+
+// Guards against a queue's turn without instances after an outage of the store, because its demand
+// was forgotten while no submission could be read.
+TEST_F(StoreOutageTest, StoreBackInATurn_IdleInstancesGoToItsQueueAndNotToTheSparePool)
+{
+  constexpr Millis kPlansMs = 400;
+  constexpr std::ptrdiff_t kIdle = kBuilders - 2; // The other pool keeps two.
+  KeepBuildersBusy();
+  BeginTurn();
+  m_instances.m_arrivals.clear();
+  LoseStoreFor(kOutageMs);
+  ASSERT_TRUE(RunUntil([this] { return !m_instances.m_arrivals.empty(); }, 2'000));
+  RunUntil([] { return false; }, kPlansMs);
+  std::vector<std::string> pools;
+  std::ranges::transform(m_instances.m_arrivals, std::back_inserter(pools),
+                         &standin::PreparedInstances::Arrival::m_pool);
+  EXPECT_EQ(std::ranges::count(pools, "lookup"), kIdle);
+  EXPECT_EQ(std::ranges::count(pools, "spare"), 0);
+}
+
+// Guards against jobs that wait for the pause of one partition's reader, up to half a second, after
+// the store has answered the others.
+TEST_F(StoreOutageTest, StoreBack_SubmissionsOfAllPartitionsAreReadAtOnce)
+{
+  constexpr Millis kAtOnceMs = 300; // The next renewal, a record, and a start.
+  m_store.m_down = true;
+  RunUntil([] { return false; }, kOutageMs);
+  int job = 0;
+  for (const auto& log : SubmissionLogs()) {
+    JobSpec spec;
+    spec.m_id = fmt::format("{:016x}", ++job);
+    spec.m_queue = "r";
+    spec.m_pool = "lookup";
+    spec.m_payload = "w";
+    spec.m_acceptedMs = WallMs();
+    spec.m_steps.emplace_back();
+    spec.m_steps.back().m_need = { 1'000, 100, 0 };
+    spec.m_steps.back().m_estimateMs = 400;
+    m_store.Put(log, std::string{ kSubmissionPrefix } + spec.m_id, EncodeSubmission(spec));
+  }
+  m_store.m_down = false;
+  const auto started = [&] { return m_first.m_starts.size() + m_second.m_starts.size(); };
+  EXPECT_TRUE(RunUntil([&] { return started() == SubmissionLogs().size(); }, kAtOnceMs))
+    << started();
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- a/tests/manager/SubmissionWriterTest.cpp
+++ b/tests/manager/SubmissionWriterTest.cpp
@@ -7,9 +7,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pistachiostand::fleet {
 namespace {
@@ -97,5 +99,47 @@
   EXPECT_EQ(*m_outcome, platform::AppendOutcome::Unknown);
 }
 
+// Guards against callers who are told that their job may run, although its record was never sent: a
+// store that breaks connections got all waiting records with each try.
+TEST_F(SubmissionWriterTest, StoreBreaksConnections_RecordsBehindTheTry_AreRefused)
+{
+  constexpr Millis kWaitMs = 800;
+  constexpr std::size_t kRecords = 6;
+  m_standin.m_breakAppends = true;
+  std::vector<platform::AppendOutcome> outcomes;
+  for (std::size_t record = 0; record < kRecords; ++record) {
+    const Millis deadline = MonotonicMs() + kWaitMs;
+    m_writer.Append(
+      platform::EncodeKeyed(std::to_string(record), "work"), { deadline, deadline },
+      [&outcomes](platform::AppendOutcome aOutcome) { outcomes.push_back(aOutcome); });
+    m_loop.run_for(std::chrono::milliseconds{ 60 });
+  }
+  m_loop.run_for(std::chrono::milliseconds{ 2 * kWaitMs });
+  ASSERT_EQ(outcomes.size(), kRecords);
+  EXPECT_EQ(outcomes.front(), platform::AppendOutcome::Unknown);
+  // Once the first one is given up, another one has to show whether the store is back.
+  EXPECT_GE(std::ranges::count(outcomes, platform::AppendOutcome::Refused),
+            static_cast<std::ptrdiff_t>(kRecords) - 2);
+}
+
+// Guards against records that are not stored after the return of a store that broke connections.
+TEST_F(SubmissionWriterTest, StoreBreaksConnections_ThenIsBack_AllRecordsAreStored)
+{
+  constexpr std::size_t kRecords = 6;
+  m_standin.m_breakAppends = true;
+  std::size_t stored = 0;
+  for (std::size_t record = 0; record < kRecords; ++record) {
+    const Millis deadline = MonotonicMs() + 2'000;
+    m_writer.Append(platform::EncodeKeyed(std::to_string(record), "work"), { deadline, deadline },
+                    [&stored](platform::AppendOutcome aOutcome) {
+                      stored += aOutcome == platform::AppendOutcome::Stored ? 1 : 0;
+                    });
+    m_loop.run_for(std::chrono::milliseconds{ 60 });
+  }
+  m_standin.m_breakAppends = false;
+  m_loop.run_for(std::chrono::milliseconds{ 200 });
+  EXPECT_EQ(stored, kRecords);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/standins/PreparedInstances.h
+++ b/tests/standins/PreparedInstances.h
@@ -27,6 +27,7 @@
     std::string m_holder;
     std::string m_token;
     Millis m_atMs{};
+    std::string m_pool; ///< Target of a move; empty for maintenance.
   };
 
   PreparedInstances(asio::io_context& aLoop, const Endpoint& aListen)
@@ -97,9 +98,10 @@
       return;
     }
     const auto body = nlohmann::json::parse(aRequest.m_body);
-    m_arrivals.push_back(
-      { body.at("machine"), std::string{ FindHeader(aRequest.m_headers, "duty-holder") },
-        std::string{ FindHeader(aRequest.m_headers, "fencing-token") }, MonotonicMs() });
+    m_arrivals.push_back({ body.at("machine"),
+                           std::string{ FindHeader(aRequest.m_headers, "duty-holder") },
+                           std::string{ FindHeader(aRequest.m_headers, "fencing-token") },
+                           MonotonicMs(), body.value("pool", "") });
     if (!m_refusal.empty()) {
       aRespond({ 409, {}, m_refusal });
     } else if (m_isRepeat) {
--- a/tests/standins/PreparedStore.h
+++ b/tests/standins/PreparedStore.h
@@ -70,6 +70,7 @@
   bool m_down{};              ///< Answers 503 to everything.
   std::string m_refusedTopic; ///< Answers 503 to appends to this topic.
   std::string m_silentTopic;  ///< Appends to it are neither stored nor answered.
+  bool m_breakAppends{};      ///< Appends are not stored, and their connections are closed.
   bool m_silentReads{};       ///< Reads and lists are not answered.
   int m_refusedCalls{};       ///< Calls that were answered 503.
   int m_loseAppendAnswers{};  ///< So many appends are stored and not answered.
@@ -126,6 +127,9 @@
     }
     Topic& topic = m_topics[LogOf(aRequest)];
     const bool isAppend = aRequest.m_path == "/log-append";
+    if (isAppend && m_breakAppends) {
+      return; // The responder closes the connection.
+    }
     if (isAppend ? aRequest.m_query.at("topic") == m_silentTopic : m_silentReads) {
       m_unanswered.push_back(std::move(aRespond));
     } else if (isAppend && m_appendMs > 0) {
