Revert "Judge arrivals as of the time up to which submissions are read"

Tried: the last known rate of arrivals goes on while submissions cannot be read. Why: the turn of another queue had just ended; its last rate was held too (335 instances expected), so its 152 empty instances were given to the queue whose turn it was 1.2 s later than before. After five seconds the last rate says nothing; what helps is to read what has come meanwhile first.

--- a/include/pistachiostand/job/Arrivals.h
+++ b/include/pistachiostand/job/Arrivals.h
@@ -41,20 +41,6 @@
 /// \brief Notes a job that arrived at `aAtMs`. Jobs with due times or lasting steps do not count.
 void NoteArrival(Arrivals& aArrivals, const Job& aJob, Millis aAtMs);
 
-/// \brief Age of the view of the submissions up to which it counts as of now: two reads of a quiet
-/// partition, 0.3 s each, and their calls.
-inline constexpr Millis kArrivalsCurrentMs = 800;
-
-/// \brief Time at which arrivals are judged, for submissions that have all been read up to
-/// `aReadMs`.
-///
-/// While they cannot be read, the last arrivals go on counting: a queue of which nothing is heard
-/// has not become quiet.
-[[nodiscard]] constexpr Millis ArrivalsTimeMs(Millis aReadMs, Millis aNowMs) noexcept
-{
-  return aNowMs - aReadMs > kArrivalsCurrentMs ? aReadMs : aNowMs;
-}
-
 /// \brief Jobs that arrive in a second, by the last moments.
 [[nodiscard]] double ArrivalsPerS(const QueueArrivals& aArrivals, Millis aNowMs);
 
--- a/include/pistachiostand/job/Demand.h
+++ b/include/pistachiostand/job/Demand.h
@@ -37,7 +37,6 @@
   /// From the order of an instance to its first run. A job that has not begun and cannot wait for
   /// so long gains nothing from another instance.
   Millis m_moveMs{};
-  Millis m_arrivalsMs{}; ///< Time at which arrivals are judged; see ArrivalsTimeMs().
 };
 
 /// \brief Demand of each pool in instances. Steps that are not open yet count, because they follow
--- a/src/job/Demand.cpp
+++ b/src/job/Demand.cpp
@@ -83,7 +83,7 @@
       rule != nullptr ? aInput.m_capacity.find(rule->m_pool) : aInput.m_capacity.end();
     if (capacity != aInput.m_capacity.end()) {
       demand[capacity->first].m_arriving +=
-        ArrivingInstances(arrivals, capacity->second, aInput.m_arrivalsMs, aInput.m_moveMs);
+        ArrivingInstances(arrivals, capacity->second, aInput.m_nowMs, aInput.m_moveMs);
     }
   }
   return demand;
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -183,8 +183,7 @@
   }
   const auto demand =
     DemandByPool({ m_state.m_book, m_state.m_configuration, m_state.m_arrivals, std::move(capacity),
-                   now, m_state.m_settings.m_bounds.m_moveMs + kJoinMs,
-                   ArrivalsTimeMs(m_state.m_arrivalsAsOfMs, now) });
+                   now, m_state.m_settings.m_bounds.m_moveMs + kJoinMs });
   for (const auto& [name, pool] : m_state.m_configuration.m_pools) {
     if (pool.m_spare) {
       continue;
