After an outage read what callers sent before instances and places are given away

Callers saw: after an outage of the store in a queue's turn most of its jobs of the next two seconds are late. Cause: no news is taken for no demand. While no submission can be read what a pool wants falls to its least within a second; the first plan after the outage is made on that view. Idle instances go to the spare pool, from where they need two moves, and late jobs of the queue that had its turn before get the places on instances that the other queue needs. Ruled out: passes of the owner (40 to 53 a second); starts that wait for records (none after 36.7 s). Why it works: an owner that may act again first reads the partitions that it could not read, for 0.6 s at most; then it orders instances, then it places. For 1.2 s, in which callers who were refused come back, nothing is switched off and maintenance waits while it can.

--- a/include/pistachiostand/fleet/CapacityPlan.h
+++ b/include/pistachiostand/fleet/CapacityPlan.h
@@ -53,6 +53,9 @@
   std::map<PoolName, std::uint32_t> m_extra;  ///< Further instances for late work.
   /// Highest number wanted within kMaintenanceHoldMs; maintenance leaves so many while it can wait.
   std::map<PoolName, std::uint32_t> m_held;
+  /// What the pools want may be more than is known: nothing is switched off, and maintenance waits
+  /// while it can.
+  bool m_keepIdle{};
   PoolName m_spare; ///< Empty when there is no spare pool.
   std::vector<WaveView> m_waves;
   Millis m_maintenanceMs{};
--- a/src/fleet/CapacityPlan.cpp
+++ b/src/fleet/CapacityPlan.cpp
@@ -89,6 +89,9 @@
   void Plan()
   {
     StartMaintenance();
+    if (m_input.m_keepIdle && !IsLate()) {
+      return;
+    }
     CordonLasting();
     CordonSpare();
     CordonOthers();
@@ -339,6 +342,9 @@
     return moved.contains(aInstance->m_id);
   });
   Fill(FindDeficits(aInput, wantedWithExtra, aCounts), surplus, aPlan, aCounts, moved);
+  if (aInput.m_keepIdle) {
+    return;
+  }
   // What no pool needs is switched off.
   for (const auto* instance : surplus.m_free) {
     if (instance->m_pool != aInput.m_spare && !aInput.m_spare.empty() &&
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -27,6 +27,8 @@
 /// Orders without an answer are repeated; the platform answers a repeat as done.
 constexpr Millis kOrderRepeatMs = 1'500;
 constexpr Millis kBusyMs = 500;
+/// Callers who were refused come back after 1 s, their Retry-After, and a job is read soon after.
+constexpr Millis kCallersReturnMs = 1'200;
 constexpr Millis kLogMs = 1'000;
 /// A lasting subtask counts as at work again after this time, half a tick.
 constexpr Millis kSettleMs = 50;
@@ -245,6 +247,7 @@
       input.m_instances.push_back(std::move(view));
     }
   }
+  input.m_keepIdle = aNowMs < m_keepIdleUntilMs;
   SetWanted(input);
   for (const auto& entry : m_waves) {
     const Wave& wave = entry.second;
@@ -501,6 +504,11 @@
   }
 }
 
+void FleetControl::OnActAgain(Millis aNowMs)
+{
+  m_keepIdleUntilMs = aNowMs + kCallersReturnMs;
+}
+
 void FleetControl::Tick(Millis aNowMs)
 {
   if (!m_state.m_mayAct()) {
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -45,6 +45,9 @@
   /// \brief All records of earlier owners have been read.
   void OnRecordsRead() { m_recordsRead = true; }
 
+  /// \brief Orders may be sent again, after a time in which callers may not have been heard.
+  void OnActAgain(Millis aNowMs);
+
   void Tick(Millis aNowMs);
 
   /// \brief Servers that take new work, with the room that is left.
@@ -122,6 +125,7 @@
   /// An order whose record has no answer is planned anew, so a short timeout costs little.
   CallTimeout m_recordTimeout{ kLeastRecordTimeoutMs };
   Millis m_refusedUntilMs{};
+  Millis m_keepIdleUntilMs{}; ///< Until then callers who were refused may still come back.
   Millis m_capacityLoggedMs{};
   /// Last orders of earlier owners; nothing for a record that cannot be read.
   std::map<InstanceId, std::optional<InstanceOrder>> m_orderedByOthers;
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -48,6 +48,9 @@
 constexpr std::size_t kMaxAdviceCalls = 4;
 constexpr Millis kAdviceMarginMs = 1'000;
 constexpr Millis kCarriersRetryMs = 1'000;
+/// Time to read the submissions after an outage: the longest pause of a reader, and its call. A
+/// partition that stays away longer holds up nothing else.
+constexpr Millis kReadAgainMs = 600;
 constexpr Millis kHandOverAfterMs = 2'000;
 /// A hand-over waits for a record of ownership that is on its way, a few milliseconds.
 constexpr Millis kHandOverRetryMs = 500;
@@ -300,13 +303,43 @@
   }));
 }
 
+/// \brief True when the owner may act and has read what callers sent while it could not.
+///
+/// After an outage neither instances nor places are given away on the view from before it: the
+/// queue whose turn it is shows only in the submissions that were stored since.
+bool FleetOwner::IsInformed(Millis aNowMs)
+{
+  if (!m_state.m_mayAct()) {
+    m_actSinceMs.reset();
+    m_informed = false;
+    return false;
+  }
+  if (!m_actSinceMs) {
+    m_actSinceMs = aNowMs;
+  }
+  const Millis since = aNowMs - *m_actSinceMs;
+  const bool isRead =
+    std::ranges::none_of(m_submissions, [](const auto& aTail) { return aTail->IsLost(); });
+  if (!m_informed && (isRead || since >= kReadAgainMs)) {
+    m_informed = true;
+    LogEvent("owner", "informed", "read={} after_ms={} arrivals_age_ms={}", isRead, since,
+             aNowMs - m_state.m_arrivalsAsOfMs);
+    m_fleet.OnActAgain(aNowMs);
+    // Instances that others need go before places on them are given away.
+    m_fleet.Tick(aNowMs);
+  }
+  return m_informed;
+}
+
 void FleetOwner::Schedule()
 {
   const Millis begin = MonotonicMs();
   if (m_state.m_mayAct()) {
     m_runs.StopNeedless();
     LeaveDrainingServers();
-    Place(MonotonicMs());
+    if (IsInformed(begin)) {
+      Place(MonotonicMs());
+    }
   }
   m_committer.Wake();
   m_passMs = MonotonicMs() - begin;
@@ -444,7 +477,9 @@
   OpenDueOccurrences(m_state.m_book, WallMs() + m_state.m_settings.m_bounds.m_earlyMs / 2, now);
   LogLoad(now);
   m_runs.Tick(now);
-  m_fleet.Tick(now);
+  if (IsInformed(now)) {
+    m_fleet.Tick(now);
+  }
   m_cleaner.Tick(now);
   ForgetOldJobs(now);
   HandOverToLarger(now);
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -94,6 +94,7 @@
   void Tick();
   void ForgetOldJobs(Millis aNowMs);
   [[nodiscard]] bool IsCurrent(Millis aNowMs) const;
+  [[nodiscard]] bool IsInformed(Millis aNowMs);
 
   OwnerState m_state;
   Committer m_committer;
@@ -107,6 +108,8 @@
   asio::steady_timer m_loadTimer;
   Ticker m_ticker;
   bool m_submissionsRead{};
+  std::optional<Millis> m_actSinceMs; ///< Since when it may act; nothing while it may not.
+  bool m_informed{};                  ///< Has read, since then, what came while it could not.
   bool m_loaded{};
   Millis m_handOverTriedMs{};
   Millis m_carriersTriedMs{};
--- a/tests/manager/StoreOutageTest.cpp
+++ b/tests/manager/StoreOutageTest.cpp
@@ -74,42 +74,38 @@
     }));
   }
 
-  /// \brief Jobs at a rate for which the pool of the queue lacks instances, with little work each.
-  void BeginTurn()
+  /// \brief Callers of the queue, at a rate for which its pool lacks instances.
+  void SubmitFor(Millis aForMs)
   {
-    constexpr int kJobs = 20;
-    for (int job = 0; job < kJobs; ++job) {
-      ASSERT_EQ(
-        Submit("/lookups/", 100 + job, R"({"count":2,"cpu":2000,"mem-mb":100,"estimated-ms":400})")
-          .m_status,
-        200);
-      RunUntil([] { return false; }, 20);
+    constexpr Millis kEveryMs = 25;
+    for (const Millis end = MonotonicMs() + aForMs; MonotonicMs() < end;) {
+      m_client->Send(Request(1, "POST", fmt::format("/lookups/{:016x}", 100 + m_jobs++),
+                             R"({"spec":"w","steps":[)"
+                             R"({"count":2,"cpu":2000,"mem-mb":100,"estimated-ms":400}]})"),
+                     [](const ClientResponse&) {});
+      RunUntil([] { return false; }, kEveryMs);
     }
   }
 
-  void LoseStoreFor(Millis aForMs)
-  {
-    m_store.m_down = true;
-    RunUntil([] { return false; }, aForMs);
-    m_store.m_down = false;
-  }
-
   standin::PreparedInstances m_instances;
   std::vector<std::unique_ptr<standin::PreparedServer>> m_builders;
+  int m_jobs{};
 };
 
-// Guards against a queue's turn without instances after an outage of the store, because its demand
-// was forgotten while no submission could be read.
+// Guards against idle instances that are sent away in a queue's turn, because after an outage of
+// the store the owner plans before it has read what callers have sent.
 TEST_F(StoreOutageTest, StoreBackInATurn_IdleInstancesGoToItsQueueAndNotToTheSparePool)
 {
-  constexpr Millis kPlansMs = 400;
+  constexpr Millis kBeforeMs = 500;
+  constexpr Millis kPlansMs = 600;
   constexpr std::ptrdiff_t kIdle = kBuilders - 2; // The other pool keeps two.
   KeepBuildersBusy();
-  BeginTurn();
+  SubmitFor(kBeforeMs);
+  m_store.m_down = true;
+  SubmitFor(kOutageMs);
   m_instances.m_arrivals.clear();
-  LoseStoreFor(kOutageMs);
-  ASSERT_TRUE(RunUntil([this] { return !m_instances.m_arrivals.empty(); }, 2'000));
-  RunUntil([] { return false; }, kPlansMs);
+  m_store.m_down = false;
+  SubmitFor(kPlansMs);
   std::vector<std::string> pools;
   std::ranges::transform(m_instances.m_arrivals, std::back_inserter(pools),
                          &standin::PreparedInstances::Arrival::m_pool);
--- a/tests/unit/CapacityPlanTest.cpp
+++ b/tests/unit/CapacityPlanTest.cpp
@@ -73,6 +73,37 @@
   EXPECT_TRUE(plan.m_release.empty());
 }
 
+// Guards against instances that are sent away after an outage, before the callers of a queue's turn
+// have come back (dijleland-sched-grown trouble-1: 42 instances, usable again 3 s later).
+TEST_F(CapacityPlanTest, DemandNotKnownYet_IdleInstancesStayOrGoToPoolsThatLackThem)
+{
+  Add("m1", "lookup", 3);
+  Add("m2", "builds");
+  Add("m3", "builds");
+  m_input.m_wanted = { { "lookup", 2 }, { "builds", 0 } };
+  m_input.m_keepIdle = true;
+  EXPECT_EQ(PlanCapacity(m_input).m_moves, (std::vector<InstanceMove>{ { "m2", "lookup" } }));
+  m_input.m_wanted["lookup"] = 1;
+  EXPECT_TRUE(PlanCapacity(m_input).m_moves.empty());
+  m_input.m_keepIdle = false;
+  EXPECT_EQ(PlanCapacity(m_input).m_moves,
+            (std::vector<InstanceMove>{ { "m2", "spare" }, { "m3", "spare" } }));
+}
+
+// Guards against maintenance that takes instances which such callers need.
+TEST_F(CapacityPlanTest, DemandNotKnownYet_WaveWaitsWhileThereIsTime)
+{
+  constexpr Millis kLongMs = 60'000;
+  constexpr Millis kShortMs = 5'000;
+  Add("m1", "lookup");
+  AddWave({ "m1" }, 1, kLongMs);
+  m_input.m_keepIdle = true;
+  EXPECT_TRUE(PlanCapacity(m_input).m_cordon.empty());
+  m_input.m_waves.clear();
+  AddWave({ "m1" }, 1, kShortMs);
+  EXPECT_EQ(PlanCapacity(m_input).m_cordon, std::vector<InstanceId>{ "m1" });
+}
+
 // Guards against instances that run for nobody.
 TEST_F(CapacityPlanTest, UnusedInstance_GoesToTheSparePool)
 {
