While appends have no answer, repeat only what may be stored already

Cause: each try of a writer took all waiting records, also those that had never been sent; after it nobody can say whether they are stored. Evidence: SubmissionWriterTest.StoreBreaksConnections_RecordsBehindTheTry_*: all 6 records unknown before, at most 2 after. Tried before: the oldest record as the next try; it has the least time left, so each one in turn became the try (6 of 6 unknown). Why it works: an append carries new records only when the last one had an answer. Without any record that may be stored, the one with the most time left is sent alone; its answer lets all others go at once.

--- a/src/manager/SubmissionWriter.cpp
+++ b/src/manager/SubmissionWriter.cpp
@@ -95,8 +95,18 @@
 SubmissionWriter::Entries SubmissionWriter::TakeBatch()
 {
   Entries batch;
+  // While appends have no answer, what was never sent can still be refused as not run. The records
+  // that may be stored are in front; without any, the last one, which has the most time left, shows
+  // whether the store is back.
+  const bool isProbe = m_unanswered != 0;
+  if (isProbe && !m_waiting.empty() && !m_waiting.front()->m_uncertain) {
+    batch.push_back(std::move(m_waiting.back()));
+    m_waiting.pop_back();
+    return batch;
+  }
   std::size_t bytes = 0;
-  while (!m_waiting.empty() && batch.size() < kMaxRecords && bytes < kMaxBytes) {
+  while (!m_waiting.empty() && batch.size() < kMaxRecords && bytes < kMaxBytes &&
+         (!isProbe || m_waiting.front()->m_uncertain)) {
     bytes += m_waiting.front()->m_record.size();
     batch.push_back(std::move(m_waiting.front()));
     m_waiting.pop_front();
