Let an entry instance go on with records that the owner never sent

Cause: the owner gives records of other instances up after 1.8 s; refused by the store and never sent were one answer. Why it works: the owner answers 408 for a record that it never sent, and the entry instance then tries by itself until its caller's time is over. What the store refuses is still refused at once.

--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -257,7 +257,7 @@
   } else if (aSubmission->m_uncertain) {
     Finish(aSubmission, 504, "the store has not answered");
   } else {
-    Finish(aSubmission, 503, "the store refuses");
+    Finish(aSubmission, 503, "the store does not take it");
   }
 }
 
--- a/src/manager/CallerFront.h
+++ b/src/manager/CallerFront.h
@@ -30,9 +30,9 @@
 enum class RelayOutcome : std::uint8_t
 {
   Stored,
-  Refused,     ///< By the store: it is not stored.
-  Unreachable, ///< The owner was not asked, or there is none.
-  Unknown,     ///< It may be stored.
+  Refused, ///< By the store: it is not stored.
+  NotSent, ///< To the store: the owner was not reached, or could not send it in time.
+  Unknown, ///< It may be stored.
 };
 
 /// \brief What the front needs of the process.
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -54,6 +55,12 @@
 /// has time left to try by itself.
 constexpr Millis kRelayPatienceMs = 150;
 constexpr Millis kRelayDeadlineMs = 1'800;
+/// What the owner answers an entry instance whose record it was asked to store.
+using RelayStatus = std::pair<RelayOutcome, std::uint16_t>;
+constexpr std::array<RelayStatus, 4> kRelayStatuses{ { { RelayOutcome::Stored, 200 },
+                                                       { RelayOutcome::Refused, 503 },
+                                                       { RelayOutcome::NotSent, 408 },
+                                                       { RelayOutcome::Unknown, 504 } } };
 /// Appends of the owner for others: one takes its turn in the partition and as long again for its
 /// answer, and a lost answer must not hold up all others.
 constexpr std::size_t kRelayFlights = 3;
@@ -309,15 +316,11 @@
 {
   const auto& view = m_elector.View();
   if (view.m_owner == m_process) {
-    StoreForAll(aRecord, [done = std::move(aDone)](platform::AppendOutcome aOutcome) {
-      done(aOutcome == platform::AppendOutcome::Stored    ? RelayOutcome::Stored
-           : aOutcome == platform::AppendOutcome::Refused ? RelayOutcome::Refused
-                                                          : RelayOutcome::Unknown);
-    });
+    StoreForAll(aRecord, std::move(aDone));
     return;
   }
   if (view.m_address.empty()) {
-    asio::post(m_loop, [done = std::move(aDone)] { done(RelayOutcome::Unreachable); });
+    asio::post(m_loop, [done = std::move(aDone)] { done(RelayOutcome::NotSent); });
     return;
   }
   ClientRequest call;
@@ -328,34 +331,41 @@
   call.m_connectTimeoutMs = kAskOwnerConnectMs;
   m_client->Send(std::move(call), [done = std::move(aDone)](const ClientResponse& aResponse) {
     if (aResponse.m_failure) {
-      done(*aResponse.m_failure == TransferFailure::NotSent ? RelayOutcome::Unreachable
+      done(*aResponse.m_failure == TransferFailure::NotSent ? RelayOutcome::NotSent
                                                             : RelayOutcome::Unknown);
-    } else if (aResponse.m_status == 200) {
-      done(RelayOutcome::Stored);
     } else {
-      done(aResponse.m_status == 503 ? RelayOutcome::Refused : RelayOutcome::Unknown);
+      const auto* known =
+        std::ranges::find(kRelayStatuses, aResponse.m_status, &RelayStatus::second);
+      done(known == kRelayStatuses.end() ? RelayOutcome::Unknown : known->first);
     }
   });
 }
 
-void Manager::StoreForAll(std::string aRecord, SubmissionWriter::Done aDone)
+void Manager::StoreForAll(std::string aRecord, std::function<void(RelayOutcome)> aDone)
 {
   const Millis now = MonotonicMs();
   m_relayWriter.Append(std::move(aRecord),
-                       { now + kRelayPatienceMs, now + kRelayDeadlineMs, false }, std::move(aDone));
+                       { now + kRelayPatienceMs, now + kRelayDeadlineMs, false },
+                       [now, done = std::move(aDone)](platform::AppendOutcome aOutcome) {
+                         if (aOutcome == platform::AppendOutcome::Stored) {
+                           done(RelayOutcome::Stored);
+                         } else if (aOutcome != platform::AppendOutcome::Refused) {
+                           done(RelayOutcome::Unknown);
+                         } else {
+                           // A store that refuses is known after the patience; later the time has
+                           // just passed.
+                           done(MonotonicMs() < now + kRelayDeadlineMs ? RelayOutcome::Refused
+                                                                       : RelayOutcome::NotSent);
+                         }
+                       });
 }
 
 void Manager::StoreForEntry(const HttpRequest& aRequest, HttpResponder aRespond)
 {
   Count(m_metrics, "submissions_stored_for_others_total");
-  StoreForAll(aRequest.m_body, [respond = std::move(aRespond)](platform::AppendOutcome aOutcome) {
-    std::uint16_t status = 504;
-    if (aOutcome == platform::AppendOutcome::Stored) {
-      status = 200;
-    } else if (aOutcome == platform::AppendOutcome::Refused) {
-      status = 503;
-    }
-    respond({ status, {}, {} });
+  StoreForAll(aRequest.m_body, [respond = std::move(aRespond)](RelayOutcome aOutcome) {
+    const auto* known = std::ranges::find(kRelayStatuses, aOutcome, &RelayStatus::first);
+    respond({ known->second, {}, {} });
   });
 }
 
--- a/src/manager/Manager.h
+++ b/src/manager/Manager.h
@@ -56,7 +56,7 @@
   void RelaySubmission(const std::string& aRecord, Millis aTimeoutMs,
                        std::function<void(RelayOutcome)> aDone);
   void StoreForEntry(const HttpRequest& aRequest, HttpResponder aRespond);
-  void StoreForAll(std::string aRecord, SubmissionWriter::Done aDone);
+  void StoreForAll(std::string aRecord, std::function<void(RelayOutcome)> aDone);
   [[nodiscard]] HttpResponse AnswerEntry(const HttpRequest& aRequest) const;
   void CheckReach();
   /// \brief True when this instance owns the fleet and is cut off with its zone.
--- a/tests/manager/StoreOutageTest.cpp
+++ b/tests/manager/StoreOutageTest.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <map>
+#include <ranges>
 #include <string>
 #include <vector>
 
@@ -139,5 +141,63 @@
     << started();
 }
 
+/// \brief Callers at an instance that does not own the fleet, while connections to the store break.
+class BrokenStoreTest : public StoreOutageTest
+{
+protected:
+  static constexpr std::size_t kJobs = 12;
+
+  void SetUp() override
+  {
+    StoreOutageTest::SetUp();
+    Start(2);
+    ASSERT_TRUE(IsReady(2));
+    m_store.m_breakAppends = true;
+    for (std::size_t job = 0; job < kJobs; ++job) {
+      const std::string id = fmt::format("{:016x}", 1 + job);
+      m_client->Send(
+        Request(2, "POST", "/lookups/" + id,
+                R"({"spec":"w","steps":[{"count":1,"cpu":1000,"mem-mb":100,"estimated-ms":400}]})"),
+        [this, id](const ClientResponse& aResponse) { m_answers[id] = aResponse.m_status; });
+      RunUntil([] { return false; }, 50);
+    }
+  }
+
+  [[nodiscard]] std::ptrdiff_t Answered(std::uint16_t aStatus) const
+  {
+    return std::ranges::count(m_answers | std::views::values, aStatus);
+  }
+
+  std::map<std::string, std::uint16_t> m_answers; ///< Status for each job.
+};
+
+// Guards against callers who are told that their job may run, although its record was never sent:
+// the owner, which stores for instances with a strained store, answered so for all that it had not
+// tried.
+TEST_F(BrokenStoreTest, JobsThroughTheOwner_AreRefusedAndNeverRun)
+{
+  constexpr std::ptrdiff_t kTried = 4; // Two writers, and their next tries after the callers' time.
+  ASSERT_TRUE(RunUntil([this] { return m_answers.size() == kJobs; }, 4'000));
+  EXPECT_LE(Answered(504), kTried);
+  m_store.m_breakAppends = false;
+  RunUntil([] { return false; }, 1'500);
+  for (const auto& [id, status] : m_answers) {
+    const bool ran =
+      m_first.m_starts.contains(id + ".0.0.0") || m_second.m_starts.contains(id + ".0.0.0");
+    EXPECT_FALSE(status == 503 && ran) << id;
+  }
+}
+
+// Guards against callers who are refused although the store is back in their time, because the
+// owner gives records of others up sooner.
+TEST_F(BrokenStoreTest, StoreBackInTheCallersTime_AllJobsAreStored)
+{
+  constexpr Millis kUntilBackMs = 1'700; // After the jobs of 0.6 s; the owner gives up after 1.8 s.
+  RunUntil([] { return false; }, kUntilBackMs);
+  m_store.m_breakAppends = false;
+  ASSERT_TRUE(RunUntil([this] { return m_answers.size() == kJobs; }, 1'000));
+  EXPECT_EQ(Answered(200), static_cast<std::ptrdiff_t>(kJobs));
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
