Order the instances of a second at once, and give none that waits for its order new late work

Callers saw: at the begin of a queue's turn and after an outage jobs wait for instances that are idle elsewhere. Cause: a plan, one each 0.1 s, ordered only its tenth of the platform's rate of a second, so 100 instances took half a second; and an instance whose order waited for that got late work of its own pool, for which its move waited again. Why it works: orders are counted over the last second, which is how the platform states its rate, and a part of the rate is still left for repeats; instances that a plan takes are closed to new work until they are ordered.

--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -35,8 +35,10 @@
 constexpr Millis kStoreTimeoutMs = 1'000;
 /// Part of the platform's rate of orders that plans use; the rest is for repeated ones.
 constexpr double kOrderRateShare = 0.85;
-/// Plans are made this often, by the owner's tick.
-constexpr double kPlansPerS = 10.0;
+/// The platform's rate counts the orders of a second.
+constexpr Millis kRateWindowMs = 1'000;
+/// Without a stated rate, one order for each plan.
+constexpr double kLeastOrdersPerS = 10.0;
 /// A stop of an earlier owner takes the platform's bound, and this much more until it is listed.
 constexpr Millis kStopMarginMs = 150;
 /// With less time than this left, lasting subtasks leave also when no other server has a place.
@@ -305,8 +307,7 @@
     LogEvent("wave", "cordon", "instance={} server={}", id, m_instances.at(id).m_server);
   }
   std::vector<InstanceId> ordered;
-  const auto most = static_cast<std::size_t>(
-    std::max(m_state.m_settings.m_instanceOrdersPerS * kOrderRateShare / kPlansPerS, 1.0));
+  const std::size_t most = OrdersLeft(aNowMs);
   const auto order = [&](const InstanceId& aId, PoolName aPool,
                          std::optional<std::uint64_t> aWave) {
     const bool added =
@@ -319,15 +320,27 @@
     }
   };
   m_released = { plan.m_release.begin(), plan.m_release.end() };
+  // A move that waits for the rate of orders must not be put off further by new work.
+  std::ranges::transform(plan.m_moves, std::inserter(m_released, m_released.end()),
+                         &InstanceMove::m_instance);
   for (const auto& start : plan.m_maintenance) {
     order(start.m_instance, {}, start.m_wave);
   }
   for (const auto& move : plan.m_moves) {
     order(move.m_instance, move.m_pool, {});
   }
+  m_orderedMs.insert(m_orderedMs.end(), ordered.size(), aNowMs);
   StoreOrders(ordered);
 }
 
+std::size_t FleetControl::OrdersLeft(Millis aNowMs)
+{
+  std::erase_if(m_orderedMs, [aNowMs](Millis aAtMs) { return aNowMs - aAtMs >= kRateWindowMs; });
+  const auto most = static_cast<std::size_t>(
+    std::max(m_state.m_settings.m_instanceOrdersPerS * kOrderRateShare, kLeastOrdersPerS));
+  return most - std::min(most, m_orderedMs.size());
+}
+
 void FleetControl::StoreOrders(const std::vector<InstanceId>& aInstances)
 {
   if (aInstances.empty()) {
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -93,6 +93,8 @@
   void OnPage(const std::optional<platform::InstancePage>& aPage);
   void OnListed();
   void Plan(Millis aNowMs);
+  /// \brief Orders that the platform's rate allows now.
+  [[nodiscard]] std::size_t OrdersLeft(Millis aNowMs);
   void LogCapacity(const CapacityInput& aInput);
   [[nodiscard]] CapacityInput MakeInput(Millis aNowMs);
   void SetWanted(CapacityInput& aInput);
@@ -124,6 +126,7 @@
   std::map<PoolName, RecentMost> m_held;       ///< What each pool wanted most, for maintenance.
   /// An order whose record has no answer is planned anew, so a short timeout costs little.
   CallTimeout m_recordTimeout{ kLeastRecordTimeoutMs };
+  std::vector<Millis> m_orderedMs; ///< When the orders of the last second were planned.
   Millis m_refusedUntilMs{};
   Millis m_keepIdleUntilMs{}; ///< Until then callers who were refused may still come back.
   Millis m_capacityLoggedMs{};
--- a/tests/manager/ManagerFixture.h
+++ b/tests/manager/ManagerFixture.h
@@ -86,6 +86,7 @@
     settings.m_storePartitions = 4;
     settings.m_instances = At(9); // Nobody listens: capacity stays as it is.
     settings.m_mostDirectServers = m_mostDirectServers;
+    settings.m_instanceOrdersPerS = m_instanceOrdersPerS;
     settings.m_bounds.m_maxLeaseMs = 6'000;
     settings.m_bounds.m_graceMs = 6'000;
     settings.m_bounds.m_exclusiveMs = 3'000;
@@ -195,6 +196,7 @@
   std::set<int> m_paused;             ///< Instances that do nothing for now.
   std::map<int, std::string> m_zones; ///< Of instances that are not in z1.
   std::uint32_t m_mostDirectServers = 120;
+  double m_instanceOrdersPerS = 0; ///< 0: not stated.
 };
 
 } // namespace pistachiostand::fleet
--- a/tests/manager/StoreOutageTest.cpp
+++ b/tests/manager/StoreOutageTest.cpp
@@ -89,6 +89,27 @@
     }
   }
 
+  /// \brief A job of one step with one subtask.
+  static JobSpec OneSubtask(const JobId& aId)
+  {
+    JobSpec spec;
+    spec.m_id = aId;
+    spec.m_queue = "r";
+    spec.m_pool = "lookup";
+    spec.m_payload = "w";
+    spec.m_acceptedMs = WallMs();
+    spec.m_steps.emplace_back();
+    spec.m_steps.back().m_need = { 1'000, 100, 0 };
+    spec.m_steps.back().m_estimateMs = 400;
+    return spec;
+  }
+
+  /// \brief Stores a job as another entry instance does.
+  void StoreJob(const std::string& aLog, const JobSpec& aSpec)
+  {
+    m_store.Put(aLog, std::string{ kSubmissionPrefix } + aSpec.m_id, EncodeSubmission(aSpec));
+  }
+
   standin::PreparedInstances m_instances;
   std::vector<std::unique_ptr<standin::PreparedServer>> m_builders;
   int m_jobs{};
@@ -124,16 +145,7 @@
   RunUntil([] { return false; }, kOutageMs);
   int job = 0;
   for (const auto& log : SubmissionLogs()) {
-    JobSpec spec;
-    spec.m_id = fmt::format("{:016x}", ++job);
-    spec.m_queue = "r";
-    spec.m_pool = "lookup";
-    spec.m_payload = "w";
-    spec.m_acceptedMs = WallMs();
-    spec.m_steps.emplace_back();
-    spec.m_steps.back().m_need = { 1'000, 100, 0 };
-    spec.m_steps.back().m_estimateMs = 400;
-    m_store.Put(log, std::string{ kSubmissionPrefix } + spec.m_id, EncodeSubmission(spec));
+    StoreJob(log, OneSubtask(fmt::format("{:016x}", ++job)));
   }
   m_store.m_down = false;
   const auto started = [&] { return m_first.m_starts.size() + m_second.m_starts.size(); };
@@ -141,6 +153,63 @@
     << started();
 }
 
+/// \brief A pool that lacks more instances than may be ordered in a second.
+class OrderRateTest : public StoreOutageTest
+{
+protected:
+  static constexpr std::size_t kSpare = 12;
+  static constexpr std::size_t kOrders = 10; ///< In a second.
+
+  OrderRateTest()
+  {
+    m_instanceOrdersPerS = 12; // A part is left for orders that are repeated.
+    for (std::size_t number = 0; number < kSpare; ++number) {
+      m_instances.Add(fmt::format("n{:02}", number), "spare", "");
+    }
+  }
+
+  void LackInstances()
+  {
+    RunUntil([] { return false; }, 300); // All servers have been looked at.
+    ASSERT_EQ(
+      Submit("/lookups/", 1,
+             R"({"count":40,"cpu":4000,"mem-mb":1,"estimated-ms":9000,"long-running":true})")
+        .m_status,
+      200);
+    ASSERT_TRUE(RunUntil([this] { return !m_instances.m_arrivals.empty(); }, 2'000));
+  }
+};
+
+// Guards against instances that are ordered one by one in each plan while callers wait for all.
+TEST_F(OrderRateTest, PoolLacksMany_OrdersOfASecondAreSentAtOnce)
+{
+  LackInstances();
+  RunUntil([] { return false; }, 100);
+  EXPECT_EQ(m_instances.m_arrivals.size(), kOrders);
+  RunUntil([] { return false; }, 700);
+  EXPECT_EQ(m_instances.m_arrivals.size(), kOrders);
+}
+
+// Guards against new work on an idle instance whose move waits for the rate of orders: the pool
+// that lacks it would wait for that work too.
+TEST_F(OrderRateTest, MoveWaitsForTheRate_InstanceGetsNoLateWork)
+{
+  constexpr std::ptrdiff_t kKept = 2; // What the pool keeps of its instances.
+  LackInstances();
+  constexpr Millis kLateMs = 60'000;
+  JobSpec late = OneSubtask(fmt::format("{:016x}", 2));
+  late.m_queue = "builds";
+  late.m_pool = "build";
+  late.m_acceptedMs -= kLateMs;
+  late.m_steps.back().m_count = kBuilders;
+  late.m_steps.back().m_need.m_cpuMillis = 8'000;
+  StoreJob("keyed.jobs", late);
+  RunUntil([] { return false; }, 300);
+  EXPECT_LE(
+    std::ranges::count_if(m_builders, [](const auto& aServer) { return aServer->Running() != 0; }),
+    kKept);
+}
+
 /// \brief Callers at an instance that does not own the fleet, while connections to the store break.
 class BrokenStoreTest : public StoreOutageTest
 {
