--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -13,7 +13,6 @@
 #include <charconv>
 #include <chrono>
 #include <fmt/format.h>
-#include <ranges>
 #include <utility>
 
 namespace pistachiostand::fleet {
@@ -93,8 +92,9 @@
 
 void FleetOwner::OnSubmissionsCurrent()
 {
-  const auto oldest = std::ranges::min(
-    m_submissions | std::views::transform([](const auto& aTail) { return aTail->CurrentAsOf(); }));
+  const auto oldest = (*std::ranges::min_element(
+                         m_submissions, {}, [](const auto& aTail) { return aTail->CurrentAsOf(); }))
+                        ->CurrentAsOf();
   m_state.m_arrivalsAsOfMs = oldest.value_or(0);
   if (oldest && !std::exchange(m_submissionsRead, true)) {
     LoadProgress({});
--- a/tests/manager/StoreOutageTest.cpp
+++ b/tests/manager/StoreOutageTest.cpp
@@ -7,7 +7,6 @@
 #include <fmt/format.h>
 
 #include <map>
-#include <ranges>
 #include <string>
 #include <vector>
 
@@ -234,7 +233,8 @@
 
   [[nodiscard]] std::ptrdiff_t Answered(std::uint16_t aStatus) const
   {
-    return std::ranges::count(m_answers | std::views::values, aStatus);
+    return std::ranges::count(m_answers, aStatus,
+                              &std::map<std::string, std::uint16_t>::value_type::second);
   }
 
   std::map<std::string, std::uint16_t> m_answers; ///< Status for each job.
