--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -303,15 +303,11 @@
   }));
 }
 
-/// \brief True when the owner may act and has read what callers sent while it could not.
-///
-/// After an outage neither instances nor places are given away on the view from before it: the
-/// queue whose turn it is shows only in the submissions that were stored since.
-bool FleetOwner::IsInformed(Millis aNowMs)
+bool FleetOwner::CatchUp(Millis aNowMs)
 {
   if (!m_state.m_mayAct()) {
     m_actSinceMs.reset();
-    m_informed = false;
+    m_caughtUp = false;
     return false;
   }
   if (!m_actSinceMs) {
@@ -320,15 +316,15 @@
   const Millis since = aNowMs - *m_actSinceMs;
   const bool isRead =
     std::ranges::none_of(m_submissions, [](const auto& aTail) { return aTail->IsLost(); });
-  if (!m_informed && (isRead || since >= kReadAgainMs)) {
-    m_informed = true;
-    LogEvent("owner", "informed", "read={} after_ms={} arrivals_age_ms={}", isRead, since,
+  if (!m_caughtUp && (isRead || since >= kReadAgainMs)) {
+    m_caughtUp = true;
+    LogEvent("owner", "caught-up", "read={} after_ms={} arrivals_age_ms={}", isRead, since,
              aNowMs - m_state.m_arrivalsAsOfMs);
     m_fleet.OnActAgain(aNowMs);
     // Instances that others need go before places on them are given away.
     m_fleet.Tick(aNowMs);
   }
-  return m_informed;
+  return m_caughtUp;
 }
 
 void FleetOwner::Schedule()
@@ -337,7 +333,7 @@
   if (m_state.m_mayAct()) {
     m_runs.StopNeedless();
     LeaveDrainingServers();
-    if (IsInformed(begin)) {
+    if (CatchUp(begin)) {
       Place(MonotonicMs());
     }
   }
@@ -477,7 +473,7 @@
   OpenDueOccurrences(m_state.m_book, WallMs() + m_state.m_settings.m_bounds.m_earlyMs / 2, now);
   LogLoad(now);
   m_runs.Tick(now);
-  if (IsInformed(now)) {
+  if (CatchUp(now)) {
     m_fleet.Tick(now);
   }
   m_cleaner.Tick(now);
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -94,7 +94,12 @@
   void Tick();
   void ForgetOldJobs(Millis aNowMs);
   [[nodiscard]] bool IsCurrent(Millis aNowMs) const;
-  [[nodiscard]] bool IsInformed(Millis aNowMs);
+  /// \brief True when the owner may act and has read what callers sent while it could not.
+  ///
+  /// After an outage neither instances nor places are given away on the view from before it: the
+  /// queue whose turn it is shows only in the submissions that were stored since. Plans the
+  /// capacity when it becomes true.
+  [[nodiscard]] bool CatchUp(Millis aNowMs);
 
   OwnerState m_state;
   Committer m_committer;
@@ -109,7 +114,7 @@
   Ticker m_ticker;
   bool m_submissionsRead{};
   std::optional<Millis> m_actSinceMs; ///< Since when it may act; nothing while it may not.
-  bool m_informed{};                  ///< Has read, since then, what came while it could not.
+  bool m_caughtUp{};                  ///< Has read, since then, what came before.
   bool m_loaded{};
   Millis m_handOverTriedMs{};
   Millis m_carriersTriedMs{};
