Count lasting subtasks on silent servers as away when others of their step are to be stopped

Cause: the plan that empties servers for maintenance takes a subtask as at work as long as it was last reported so. A dark server reports nothing, and what ran there stays in the book until its lease ends. Evidence: server silent from 11.0 s, stop of the third subtask at 15.71 s, lease of the other two ended at 16.31 s. EvacuationTest.Plan_OthersOnASilentServer_* fails without the check and passes with it. Why it works: runs on servers that miss a look or have left the registry count as away, which is what callers see. It only puts maintenance off, by the time until their leases end.

--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -476,6 +476,11 @@
   input.m_inheritedSettleMs = m_state.m_settings.m_bounds.m_stopMs + kStopMarginMs;
   std::ranges::transform(servers, std::back_inserter(input.m_servers),
                          [](const auto& aEntry) { return aEntry.second; });
+  for (const auto& [id, server] : m_state.m_servers) {
+    if (server.m_silent != 0 || !server.m_listed) {
+      input.m_silent.insert(id);
+    }
+  }
   const bool timeIsShort = std::ranges::any_of(m_waves, [aNowMs](const auto& aEntry) {
     const Wave& wave = aEntry.second;
     return wave.m_requested &&
--- a/tests/unit/EvacuationTest.cpp
+++ b/tests/unit/EvacuationTest.cpp
@@ -53,6 +53,17 @@
   EXPECT_EQ(Plan(std::vector{ Room("s3", 8'000) }).size(), 1U);
 }
 
+// Guards against a subtask too many away while a server is dark: what ran there is known as at work
+// until its lease ends (AVAIL, fverc-rounds trouble-2 --seed 702965252858: a stop at 15.7 s while
+// two others of the step were on a server that had been silent since 11.0 s).
+TEST_F(EvacuationTest, Plan_OthersOnASilentServer_TakesNone)
+{
+  EvacuationInput input{ kNow, { "s1" }, std::vector{ Room("s3", 8'000) }, 300, kStopMs };
+  EXPECT_EQ(PlanEvacuation(m_book, m_configuration, input).size(), 1U);
+  input.m_silent = { "s2" };
+  EXPECT_TRUE(PlanEvacuation(m_book, m_configuration, input).empty());
+}
+
 // Guards against a lasting subtask that is stopped with no place to go, and waits (a pool with
 // fewer instances than its steps must be spread over, spokecalc-south-large quiet-1).
 TEST_F(EvacuationTest, Plan_NoServerHasAPlace_TakesNone)
