Log why a run leaves the owner's book without an end, and answers of the store that are not new

The logs could not tell the hypotheses of the incident apart: of the nine ways in which a run leaves the book without an end, one had a line, without the run. Each has one now: "run: dropped" with the cause, whether the subtask is done and the age of the last contact; "run: start" says whether the subtask is done and which run ended last. "owner: commit-not-new" shows an append that the store answered with the answer to an earlier one, by its offsets. Counters: runs_dropped_total and commits_not_new_total.

--- a/include/pistachiostand/job/JobBook.h
+++ b/include/pistachiostand/job/JobBook.h
@@ -220,7 +220,8 @@
 bool ApplyEnd(JobBook& aBook, const RunEnd& aEnd, std::uint32_t aMaxFailures, Millis aNowMs);
 
 /// \brief Forgets all runs on a server that are known to have ended with it.
-void DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs);
+/// \return the forgotten runs.
+std::vector<RunRef> DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs);
 
 /// \brief Runs that must be stopped: of jobs that ended, and copies of subtasks that are done.
 ///
--- a/include/pistachiostand/job/Reconcile.h
+++ b/include/pistachiostand/job/Reconcile.h
@@ -41,6 +41,15 @@
   friend bool operator==(const ServerReport&, const ServerReport&) = default;
 };
 
+/// \brief What a report changes beyond the runs that it confirms.
+struct Reconciliation
+{
+  std::vector<RunRef> m_stops;   ///< Runs to stop.
+  std::vector<RunRef> m_dropped; ///< Runs that were forgotten, because the server has them no more.
+
+  friend bool operator==(const Reconciliation&, const Reconciliation&) = default;
+};
+
 /// \brief Brings the runs of one server in line with its report, after its ends were applied.
 ///
 /// A run that is missing from a report is dropped only when it cannot start any more: it was seen
@@ -49,14 +58,14 @@
 /// way; it is returned to be stopped, because the server remembers a stop.
 ///
 /// \param aAskedMs when the report was asked for, on the owner's steady clock.
-/// \return runs to stop.
-[[nodiscard]] std::vector<RunRef> Reconcile(JobBook& aBook, const ServerId& aServer,
-                                            const std::vector<ReportedRun>& aRunning,
-                                            Millis aAskedMs, Millis aNowMs);
+[[nodiscard]] Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer,
+                                       const std::vector<ReportedRun>& aRunning, Millis aAskedMs,
+                                       Millis aNowMs);
 
 /// \brief Applies the change of life of a server: what was seen running there is gone. A start
 /// without an answer stays, because the new life may still receive it.
-void DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs);
+/// \return the forgotten runs.
+std::vector<RunRef> DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs);
 
 /// \brief New shares for the fillers on a server, so that the serving subtasks beside them keep
 /// their tail targets. Only changed shares are returned.
--- a/src/job/JobBook.cpp
+++ b/src/job/JobBook.cpp
@@ -390,11 +390,12 @@
   return true;
 }
 
-void DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
+std::vector<RunRef> DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
 {
+  std::vector<RunRef> dropped;
   const auto found = aBook.m_byServer.find(aServer);
   if (found == aBook.m_byServer.end()) {
-    return;
+    return dropped;
   }
   const auto subtasks = found->second;
   for (const auto& id : subtasks) {
@@ -402,10 +403,12 @@
     const auto runs = subtask->m_runs;
     for (const auto& run : runs) {
       if (run.m_server == aServer) {
-        RemoveRun(aBook, *subtask, { id, run.m_number, aServer }, aNowMs);
+        dropped.push_back({ id, run.m_number, aServer });
+        RemoveRun(aBook, *subtask, dropped.back(), aNowMs);
       }
     }
   }
+  return dropped;
 }
 
 std::vector<RunRef> RunsToStop(JobBook& aBook)
--- a/src/job/Reconcile.cpp
+++ b/src/job/Reconcile.cpp
@@ -34,30 +34,31 @@
   }
 }
 
-/// \brief Decides about a run that the report does not list.
-/// \return true when a stop has to be sent.
-bool ReconcileMissing(JobBook& aBook, const RunRef& aRef, Run& aRun, Millis aAskedMs, Millis aNowMs)
+/// \brief What follows for a run that a report does not list.
+enum class Missing : std::uint8_t
+{
+  Waits,   ///< It may still be on its way.
+  Stopped, ///< A stop has to be sent.
+  Gone,    ///< It can't start any more.
+};
+
+Missing ReconcileMissing(const Run& aRun, Millis aAskedMs)
 {
   switch (aRun.m_phase) {
     case RunPhase::Planned:
-      return false;
+      return Missing::Waits;
     case RunPhase::Restored:
-      DropRun(aBook, aRef, aNowMs);
-      return false;
+      return Missing::Gone;
     case RunPhase::Sent:
-      return aRun.m_unansweredMs != 0 && aRun.m_unansweredMs <= aAskedMs;
+      return aRun.m_unansweredMs != 0 && aRun.m_unansweredMs <= aAskedMs ? Missing::Stopped
+                                                                         : Missing::Waits;
     case RunPhase::Running:
-      if (aRun.m_sinceMs < aAskedMs) {
-        DropRun(aBook, aRef, aNowMs);
-      }
-      return false;
+      return aRun.m_sinceMs < aAskedMs ? Missing::Gone : Missing::Waits;
     case RunPhase::Stopping:
-      if (aRun.m_stopAcceptedMs != 0 && aRun.m_stopAcceptedMs < aAskedMs) {
-        DropRun(aBook, aRef, aNowMs);
-      }
-      return false;
+      return aRun.m_stopAcceptedMs != 0 && aRun.m_stopAcceptedMs < aAskedMs ? Missing::Gone
+                                                                            : Missing::Waits;
   }
-  return false;
+  return Missing::Waits;
 }
 
 std::vector<RunRef> RunsOn(const JobBook& aBook, const ServerId& aServer)
@@ -81,17 +82,16 @@
 
 } // namespace
 
-std::vector<RunRef> Reconcile(JobBook& aBook, const ServerId& aServer,
-                              const std::vector<ReportedRun>& aRunning, Millis aAskedMs,
-                              Millis aNowMs)
+Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer,
+                         const std::vector<ReportedRun>& aRunning, Millis aAskedMs, Millis aNowMs)
 {
-  std::vector<RunRef> stops;
+  Reconciliation result;
   std::set<RunRef> listed;
   for (const auto& reported : aRunning) {
     const RunRef ref{ reported.m_subtask, reported.m_run, aServer };
     listed.insert(ref);
     if (FindRun(aBook, ref) == nullptr && !AdoptRun(aBook, ref, aNowMs)) {
-      stops.push_back(ref);
+      result.m_stops.push_back(ref);
       continue;
     }
     MarkRunning(aBook, ref, aNowMs);
@@ -99,22 +99,29 @@
            *FindSubtask(aBook, ref.m_subtask), reported, aNowMs);
   }
   for (const auto& ref : RunsOn(aBook, aServer)) {
-    if (!listed.contains(ref) &&
-        ReconcileMissing(aBook, ref, *FindRun(aBook, ref), aAskedMs, aNowMs)) {
-      stops.push_back(ref);
+    const auto missing =
+      listed.contains(ref) ? Missing::Waits : ReconcileMissing(*FindRun(aBook, ref), aAskedMs);
+    if (missing == Missing::Stopped) {
+      result.m_stops.push_back(ref);
+    } else if (missing == Missing::Gone) {
+      result.m_dropped.push_back(ref);
+      DropRun(aBook, ref, aNowMs);
     }
   }
-  return stops;
+  return result;
 }
 
-void DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
+std::vector<RunRef> DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
 {
+  std::vector<RunRef> dropped;
   for (const auto& ref : RunsOn(aBook, aServer)) {
     const RunPhase phase = FindRun(aBook, ref)->m_phase;
     if (phase != RunPhase::Sent && phase != RunPhase::Planned) {
+      dropped.push_back(ref);
       DropRun(aBook, ref, aNowMs);
     }
   }
+  return dropped;
 }
 
 std::vector<PaceChange> PlanPace(const JobBook& aBook, const ServerId& aServer)
--- a/src/manager/Committer.cpp
+++ b/src/manager/Committer.cpp
@@ -170,6 +170,13 @@
   }
   switch (aResult.m_outcome) {
     case platform::AppendOutcome::Stored:
+      if (aResult.m_first < m_end || aResult.m_end - aResult.m_first != m_records.size()) {
+        // The store has answered with the answer to an earlier append.
+        LogEvent("owner", "commit-not-new", "sequence={} records={} first={} end={} expected={}",
+                 m_sequence, m_records.size(), aResult.m_first, aResult.m_end, m_end);
+        Count(m_state.m_metrics, "commits_not_new_total");
+      }
+      m_end = aResult.m_end;
       m_copyAfter.OnAnswer(MonotonicMs() - aSentMs);
       ++m_sequence;
       Count(m_state.m_metrics, "commits_total");
--- a/src/manager/Committer.h
+++ b/src/manager/Committer.h
@@ -76,6 +76,7 @@
   std::vector<std::string> m_records; ///< Of the append in flight; repeated until it is answered.
   std::uint64_t m_batch{};            ///< Counts the appends; copies of one share its number.
   std::uint64_t m_sequence{ 1 };
+  Offset m_end{}; ///< Of the topic after the last append that was answered as stored.
   CallTimeout m_copyAfter{ kLeastCopyMs };
   Millis m_begunMs{};    ///< When the first copy of the append in flight was sent.
   unsigned m_copies{};   ///< Of the append in flight that were sent.
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -186,6 +186,27 @@
   }
 }
 
+void RunControl::LogDropped(const std::vector<RunRef>& aRuns, std::string_view aCause)
+{
+  for (const auto& run : aRuns) {
+    const Subtask* subtask = FindSubtask(m_state.m_book, run.m_subtask);
+    const auto server = m_state.m_servers.find(run.m_server);
+    Count(m_state.m_metrics, "runs_dropped_total");
+    LogEvent("run", "dropped", "task={} run={} server={} cause={} done={} contact_age_ms={}",
+             ToString(run.m_subtask), run.m_run, run.m_server, aCause,
+             subtask != nullptr && subtask->m_done,
+             server == m_state.m_servers.end() ? -1 : MonotonicMs() - server->second.m_contactMs);
+  }
+}
+
+void RunControl::Drop(const RunRef& aRun, std::string_view aCause)
+{
+  if (FindRun(m_state.m_book, aRun) != nullptr) {
+    DropRun(m_state.m_book, aRun, MonotonicMs());
+    LogDropped({ aRun }, aCause);
+  }
+}
+
 void RunControl::Start(const RunRef& aRun)
 {
   Run* run = FindRun(m_state.m_book, aRun);
@@ -196,7 +217,7 @@
   ServerState& server = m_state.m_servers[aRun.m_server];
   const auto clock = ServerClockMs(server, now);
   if (!m_state.m_mayAct() || !clock || !server.m_listed) {
-    DropRun(m_state.m_book, aRun, now);
+    Drop(aRun, "it may not be sent");
     return;
   }
   platform::StartOrder order;
@@ -214,9 +235,11 @@
   run->m_phase = RunPhase::Sent;
   run->m_sinceMs = now;
   Count(m_state.m_metrics, "starts_total");
-  LogEvent("run", "start", "task={} run={} server={} token={} lease_ms={} resumed={}",
+  const Subtask& subtask = *FindSubtask(m_state.m_book, aRun.m_subtask);
+  LogEvent("run", "start",
+           "task={} run={} server={} token={} lease_ms={} resumed={} done={} last_ended={}",
            ToString(aRun.m_subtask), aRun.m_run, aRun.m_server, m_state.m_token, lease,
-           !order.m_checkpoint.empty());
+           !order.m_checkpoint.empty(), subtask.m_done, subtask.m_lastEndedRun);
   m_state.m_orders.Start(
     server.m_entry, order, m_state.m_actUntilMs(), kStartTimeoutMs,
     m_state.Guard([this, sent = SentOrder{ aRun, server.m_entry.m_address, now }](
@@ -261,15 +284,15 @@
       LookNow(server);
       return;
     case CallOutcome::OtherServer:
-      DropRun(m_state.m_book, ref, now);
+      Drop(ref, "another server is at the address");
       OnOtherServer(server, aSent.m_address);
       break;
     case CallOutcome::NotSent:
-      DropRun(m_state.m_book, ref, now);
+      Drop(ref, "not sent");
       OnSilent(server);
       break;
     case CallOutcome::Unhealthy:
-      DropRun(m_state.m_book, ref, now);
+      Drop(ref, "the server is unhealthy");
       server.m_avoidUntilMs = now + kAvoidMs;
       break;
     case CallOutcome::Refused:
@@ -286,7 +309,7 @@
         LookNow(server);
         return;
       }
-      DropRun(m_state.m_book, ref, now);
+      Drop(ref, "refused");
       if (aResult.m_answer.m_refusal != OrderRefusal::NoTicket) {
         server.m_avoidUntilMs = now + kAvoidFullMs;
         LookNow(server);
@@ -305,7 +328,7 @@
   const Millis now = MonotonicMs();
   Run* run = FindRun(m_state.m_book, aRun);
   if (run != nullptr && run->m_phase == RunPhase::Planned) {
-    DropRun(m_state.m_book, aRun, now);
+    Drop(aRun, aReason);
     return;
   }
   if (run != nullptr) {
@@ -436,7 +459,7 @@
     if (aServer.m_incarnation != 0) {
       LogEvent("fleet", "server-reborn", "server={} born={} before={}", id, aReport.m_incarnation,
                aServer.m_incarnation);
-      DropFormerLife(m_state.m_book, id, now);
+      LogDropped(DropFormerLife(m_state.m_book, id, now), "the server started again");
     }
     aServer.m_incarnation = aReport.m_incarnation;
     aServer.m_appliedEnds = 0;
@@ -446,7 +469,9 @@
   aServer.m_contactMs = now;
   aServer.m_looked = true;
   ApplyEnds(aServer, aReport);
-  for (const auto& run : Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now)) {
+  const auto result = Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now);
+  LogDropped(result.m_dropped, "not reported");
+  for (const auto& run : result.m_stops) {
     Stop(run, "not expected there");
   }
   Pace(aServer);
@@ -513,7 +538,8 @@
   // Another process listens at the address, so the life that was addressed has ended.
   LogEvent("fleet", "server-replaced", "server={} address={}", aServer.m_entry.m_id,
            ToString(aServer.m_entry.m_address));
-  DropServer(m_state.m_book, aServer.m_entry.m_id, MonotonicMs());
+  LogDropped(DropServer(m_state.m_book, aServer.m_entry.m_id, MonotonicMs()),
+             "another server is at the address");
   aServer.m_listed = false;
   aServer.m_looked = false;
   m_committer.Wake();
@@ -524,7 +550,7 @@
   LogEvent("fleet", "lease-expired", "server={} silent_ms={}", aServer.m_entry.m_id,
            aNowMs - aServer.m_contactMs);
   Count(m_state.m_metrics, "leases_expired_total");
-  DropServer(m_state.m_book, aServer.m_entry.m_id, aNowMs);
+  LogDropped(DropServer(m_state.m_book, aServer.m_entry.m_id, aNowMs), "its lease has ended");
   aServer.m_looked = false;
   m_committer.Wake();
   m_onChange();
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -60,6 +60,10 @@
   };
 
   void Start(const RunRef& aRun);
+  /// \brief Forgets a run without an end, and logs why.
+  void Drop(const RunRef& aRun, std::string_view aCause);
+  /// \brief Logs why runs have left the book without an end.
+  void LogDropped(const std::vector<RunRef>& aRuns, std::string_view aCause);
   void OnStarted(const SentOrder& aSent, const platform::OrderResult& aResult);
   void OnStopped(const SentOrder& aSent, const platform::OrderResult& aResult);
   void Look(ServerState& aServer, Millis aWaitMs);
--- a/tests/unit/ReconcileTest.cpp
+++ b/tests/unit/ReconcileTest.cpp
@@ -16,7 +16,7 @@
 
   std::vector<RunRef> Report(const std::vector<ReportedRun>& aRunning)
   {
-    return Reconcile(m_book, "s1", aRunning, kAsked, kAnswered);
+    return Reconcile(m_book, "s1", aRunning, kAsked, kAnswered).m_stops;
   }
 
   fleet::Run& Planned(RunPhase aPhase)
