Stand-ins that start again, lose answers one way and remember five appends

A backend server can now start again under its id and address with ends and clock from the beginning, shorten leases to a maximum, lose or hold the answers to calls that it carries out, break the connection of a start and carry it out later, and list at most 500 ends. It keeps a history of its runs, so that a test can judge repeated runs. The store remembers the answers to the last five appends of an epoch, and an empty append of the same epoch no longer resets the sequence number. Runs are kept by subtask and run number.

--- a/tests/standins/PreparedServer.h
+++ b/tests/standins/PreparedServer.h
@@ -41,6 +41,53 @@
 
   [[nodiscard]] bool IsListening() const { return m_server != nullptr; }
 
+  /// \brief Ends this life and begins the next one under the same id and address. It knows nothing
+  /// of before: ends count from 1 and the clock from 0. Open connections break.
+  void Restart()
+  {
+    for (auto& one : m_history) {
+      if (one.m_endMs == 0) {
+        one.m_endMs = MonotonicMs();
+        one.m_how = "gone";
+      }
+    }
+    m_born = std::max(m_born + 1, WallMs());
+    m_clockBaseMs = MonotonicMs();
+    m_token = 0;
+    m_leaseEndMs = 0;
+    m_runs.clear();
+    m_highest.clear();
+    m_ends.clear();
+    m_lastEnd = 0;
+    m_waiting.clear();
+    m_heldLooks.clear();
+    m_lost.clear();
+  }
+
+  /// \brief One run that has begun here, for the judgement of a test.
+  struct PastRun
+  {
+    std::string m_task;
+    std::uint64_t m_run{};
+    Millis m_startMs{};
+    Millis m_endMs{}; ///< 0 while it runs.
+    std::string m_how;
+    std::uint64_t m_number{}; ///< Of its end, in its life.
+    bool m_acknowledged{};    ///< Its end.
+    bool m_lapsed{};          ///< A lease lapsed here between its end and the acknowledgement.
+    std::int64_t m_born{};    ///< Life of the server.
+  };
+  std::vector<PastRun> m_history;
+
+  /// \brief Lists this many ends of work that no test has submitted.
+  void AddForeignEnds(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      m_ends.push_back(nlohmann::json::array(
+        { ++m_lastEnd, fmt::format("{:016x}.0.0.0", 0xf000 + i), 1, "done", "" }));
+    }
+  }
+
   /// \brief The registration that the server writes into the store, by default of its first life.
   [[nodiscard]] std::string Entry(const std::string& aPool, int aLife = 0)
   {
@@ -52,7 +99,7 @@
       { "state", "ready" },
       { "capacity", { { "cpu", 8'000 }, { "mem-mb", 16'000 } } },
       { "labels", { "a", "r1" } },
-      { "clock-ms", MonotonicMs() },
+      { "clock-ms", ClockMs() },
       { "born", m_born },
       { "sequence", 1 }
     }.dump();
@@ -72,7 +119,20 @@
   Millis m_lookDelayMs{};
   /// \brief Leaves all requests open, and carries none out.
   bool m_hold{};
-  Millis m_runMs; ///< Duration of a run.
+  /// \brief Carries calls out and loses all answers.
+  bool m_loseAnswers{};
+  /// \brief Carries this many looks out and loses their answers.
+  int m_loseLookAnswers{};
+  /// \brief Keeps the answers to looks, made as each look arrives, until ReleaseLooks().
+  bool m_holdLookAnswers{};
+  /// \brief Breaks the connections of this many starts, which are carried out after a delay.
+  int m_breakStarts{};
+  Millis m_brokenStartMs{ 1'000 };
+  /// \brief Answers this many starts 503; nothing is done.
+  int m_unhealthyStarts{};
+  Millis m_maxHoldMs{};          ///< Longest lease; 0: not limited.
+  std::size_t m_mostEnds{ 500 }; ///< In one answer.
+  Millis m_runMs;                ///< Duration of a run.
   /// \brief When each look arrived, and each subtask was started last, on the steady clock.
   std::vector<Millis> m_lookMs;
   std::map<std::string, Millis> m_startMs;
@@ -87,12 +147,18 @@
 
   [[nodiscard]] std::size_t Held() const { return m_held.size(); }
 
-private:
-  struct RunState
+  void ReleaseLooks()
   {
-    std::uint64_t m_run{};
-    Millis m_endMs{};
-  };
+    m_holdLookAnswers = false;
+    for (auto& [respond, answer] : std::exchange(m_heldLooks, {})) {
+      respond(std::move(answer));
+    }
+  }
+
+  [[nodiscard]] std::size_t HeldLooks() const { return m_heldLooks.size(); }
+
+private:
+  using RunKey = std::pair<std::string, std::uint64_t>; ///< Subtask and run.
 
   struct WaitingLook
   {
@@ -101,7 +167,33 @@
     HttpResponder m_respond;
   };
 
+  [[nodiscard]] Millis ClockMs() const { return MonotonicMs() - m_clockBaseMs; }
+
   void Handle(const HttpRequest& aRequest, const HttpResponder& aRespond)
+  {
+    if (m_loseAnswers && !m_hold) {
+      m_lost.push_back(aRespond);
+      CarryOut(aRequest, [](const HttpResponse& /*aAnswer*/) {});
+      return;
+    }
+    if (aRequest.m_path == "/run-start" && m_breakStarts > 0) {
+      --m_breakStarts;
+      auto timer = std::make_shared<asio::steady_timer>(m_timer.get_executor());
+      timer->expires_after(std::chrono::milliseconds{ m_brokenStartMs });
+      timer->async_wait([this, timer, request = aRequest](const std::error_code& /*aError*/) {
+        CarryOut(request, [](const HttpResponse& /*aAnswer*/) {});
+      });
+      return; // The responder closes the connection.
+    }
+    if (aRequest.m_path == "/run-start" && m_unhealthyStarts > 0) {
+      --m_unhealthyStarts;
+      aRespond({ 503, {}, "{}" });
+      return;
+    }
+    CarryOut(aRequest, aRespond);
+  }
+
+  void CarryOut(const HttpRequest& aRequest, const HttpResponder& aRespond)
   {
     if (m_hold) {
       m_held.push_back(aRespond);
@@ -115,7 +207,9 @@
     }
     m_token = token;
     if (body.contains("deadline-ms")) {
-      m_leaseEndMs = std::max(m_leaseEndMs, body["deadline-ms"].get<Millis>());
+      const Millis longest =
+        m_maxHoldMs == 0 ? body["deadline-ms"].get<Millis>() : ClockMs() + m_maxHoldMs;
+      m_leaseEndMs = std::max(m_leaseEndMs, std::min(body["deadline-ms"].get<Millis>(), longest));
     }
     if (aRequest.m_path == "/run-start") {
       Start(body, aRespond);
@@ -123,25 +217,43 @@
       End(body.at("task"), body.at("run"), "stopped");
       m_highest[body.at("task")] =
         std::max(m_highest[body.at("task")], body.at("run").get<std::uint64_t>());
-      aRespond({ 200, {}, fmt::format(R"({{"clock-ms":{}}})", MonotonicMs()) });
+      aRespond({ 200, {}, fmt::format(R"({{"clock-ms":{}}})", ClockMs()) });
     } else {
-      std::erase_if(m_ends, [&body](const auto& aEnd) {
-        return aEnd.at(0).template get<std::uint64_t>() <=
-               body.value("ack-cursor", std::uint64_t{ 0 });
-      });
+      Acknowledge(body.value("ack-cursor", std::uint64_t{ 0 }));
       const Millis now = MonotonicMs();
       m_lookMs.push_back(now);
+      if (m_loseLookAnswers > 0) {
+        --m_loseLookAnswers;
+        m_lost.push_back(aRespond);
+        return;
+      }
+      if (m_holdLookAnswers) {
+        m_heldLooks.emplace_back(aRespond, Report());
+        return;
+      }
       m_waiting.push_back({ now + m_lookDelayMs,
                             now + m_lookDelayMs + body.value("wait-ms", Millis{ 0 }), aRespond });
       AnswerLooks();
     }
   }
 
+  void Acknowledge(std::uint64_t aNumber)
+  {
+    for (auto& one : m_history) {
+      if (one.m_born == m_born && one.m_number != 0 && one.m_number <= aNumber) {
+        one.m_acknowledged = true;
+      }
+    }
+    std::erase_if(m_ends, [aNumber](const auto& aEnd) {
+      return aEnd.at(0).template get<std::uint64_t>() <= aNumber;
+    });
+  }
+
   void Start(const nlohmann::json& aBody, const HttpResponder& aRespond)
   {
     const std::string task = aBody.at("task");
     const std::uint64_t run = aBody.at("run");
-    if (aBody.at("deadline-ms").get<Millis>() < MonotonicMs()) {
+    if (aBody.at("deadline-ms").get<Millis>() < ClockMs()) {
       Refuse(aRespond, "late");
       return;
     }
@@ -149,10 +261,11 @@
       Refuse(aRespond, "old");
       return;
     }
-    if (!m_runs.contains(task)) {
+    if (!m_runs.contains({ task, run })) {
       ++m_starts[task];
       m_startMs[task] = MonotonicMs();
-      m_runs[task] = { run, MonotonicMs() + m_runMs };
+      m_runs[{ task, run }] = MonotonicMs() + m_runMs;
+      m_history.push_back({ task, run, MonotonicMs(), 0, {}, 0, false, false, m_born });
     }
     if (m_endBeforeAnswer > 0) {
       --m_endBeforeAnswer;
@@ -166,39 +279,59 @@
       m_lost.push_back(aRespond); // Never answered.
       return;
     }
-    aRespond({ 200, {}, fmt::format(R"({{"clock-ms":{}}})", MonotonicMs()) });
+    aRespond({ 200, {}, fmt::format(R"({{"clock-ms":{}}})", ClockMs()) });
   }
 
-  static void Refuse(const HttpResponder& aRespond, const char* aReason)
+  void Refuse(const HttpResponder& aRespond, const char* aReason) const
   {
-    aRespond(
-      { 409, {}, fmt::format(R"({{"clock-ms":{},"reason":"{}"}})", MonotonicMs(), aReason) });
+    aRespond({ 409, {}, fmt::format(R"({{"clock-ms":{},"reason":"{}"}})", ClockMs(), aReason) });
   }
 
   void End(const std::string& aTask, std::uint64_t aRun, const char* aHow)
   {
-    const auto found = m_runs.find(aTask);
-    if (found == m_runs.end() || found->second.m_run > aRun) {
+    const auto found = m_runs.find({ aTask, aRun });
+    if (found == m_runs.end()) {
       return;
     }
-    m_highest[aTask] = std::max(m_highest[aTask], found->second.m_run);
-    m_ends.push_back(nlohmann::json::array({ ++m_lastEnd, aTask, found->second.m_run, aHow, "" }));
+    m_highest[aTask] = std::max(m_highest[aTask], aRun);
+    m_ends.push_back(nlohmann::json::array({ ++m_lastEnd, aTask, aRun, aHow, "" }));
     m_runs.erase(found);
+    for (auto& one : m_history) {
+      if (one.m_task == aTask && one.m_run == aRun && one.m_endMs == 0) {
+        one.m_endMs = MonotonicMs();
+        one.m_how = aHow;
+        one.m_number = m_lastEnd;
+      }
+    }
+  }
+
+  /// \brief Notes that the lease has lapsed, which ends all runs; without runs no lease is held.
+  void NoteLapse()
+  {
+    for (auto& one : m_history) {
+      if (one.m_born == m_born && one.m_endMs != 0 && !one.m_acknowledged) {
+        one.m_lapsed = true;
+      }
+    }
   }
 
   void Tick()
   {
     const Millis now = MonotonicMs();
-    std::vector<std::string> tasks;
-    for (const auto& [task, run] : m_runs) {
-      if (now >= run.m_endMs || now >= m_leaseEndMs) {
-        tasks.push_back(task);
+    const bool lapsed = ClockMs() >= m_leaseEndMs;
+    std::vector<RunKey> over;
+    for (const auto& [key, endMs] : m_runs) {
+      if (now >= endMs || lapsed) {
+        over.push_back(key);
       }
     }
-    for (const auto& task : tasks) {
-      const bool done = now >= m_runs.at(task).m_endMs;
-      m_done[task] += done ? 1 : 0;
-      End(task, m_runs.at(task).m_run, done ? "done" : "lapsed");
+    for (const auto& key : over) {
+      const bool done = now >= m_runs.at(key);
+      m_done[key.first] += done ? 1 : 0;
+      End(key.first, key.second, done ? "done" : "lapsed");
+    }
+    if (lapsed && !over.empty()) {
+      NoteLapse();
     }
     AnswerLooks();
     m_timer.expires_after(std::chrono::milliseconds{ 5 });
@@ -209,6 +342,25 @@
     });
   }
 
+  [[nodiscard]] HttpResponse Report() const
+  {
+    nlohmann::json running = nlohmann::json::array();
+    for (const auto& [key, endMs] : m_runs) {
+      running.push_back({ key.first, key.second, "", 50 });
+    }
+    const auto count = std::min(m_ends.size(), m_mostEnds);
+    return { 200,
+             {},
+             nlohmann::json{
+               { "clock-ms", ClockMs() },
+               { "born", m_born },
+               { "running", running },
+               { "finished",
+                 std::vector<nlohmann::json>(
+                   m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(count)) } }
+               .dump() };
+  }
+
   void AnswerLooks()
   {
     const Millis now = MonotonicMs();
@@ -216,34 +368,30 @@
       if (now < (m_ends.empty() ? aLook.m_latestMs : aLook.m_earliestMs)) {
         return false;
       }
-      nlohmann::json running = nlohmann::json::array();
-      for (const auto& [task, run] : m_runs) {
-        running.push_back({ task, run.m_run, "", 50 });
+      if (m_loseAnswers) {
+        m_lost.push_back(aLook.m_respond);
+      } else {
+        aLook.m_respond(Report());
       }
-      aLook.m_respond({ 200,
-                        {},
-                        nlohmann::json{ { "clock-ms", now },
-                                        { "born", m_born },
-                                        { "running", running },
-                                        { "finished", m_ends } }
-                          .dump() });
       return true;
     });
   }
 
   Endpoint m_listen;
   std::int64_t m_born = WallMs();
+  Millis m_clockBaseMs{}; ///< What the server's clock is behind the steady clock.
   asio::steady_timer m_timer;
   std::unique_ptr<HttpServer> m_server;
   std::uint64_t m_token{};
   Millis m_leaseEndMs{};
-  std::map<std::string, RunState> m_runs;
+  std::map<RunKey, Millis> m_runs; ///< When each run ends by itself.
   std::map<std::string, std::uint64_t> m_highest;
   std::vector<nlohmann::json> m_ends;
   std::uint64_t m_lastEnd{};
   std::vector<WaitingLook> m_waiting;
   std::vector<HttpResponder> m_held;
   std::vector<HttpResponder> m_lost;
+  std::vector<std::pair<HttpResponder, HttpResponse>> m_heldLooks;
 };
 
 } // namespace pistachiostand::fleet::standin
--- a/tests/standins/PreparedStore.h
+++ b/tests/standins/PreparedStore.h
@@ -18,6 +18,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,12 +78,21 @@
   Millis m_appendMs{};        ///< What an append takes in its log, and as long again its answer.
 
 private:
+  /// \brief What the store knows of a writer of a partition.
+  struct WriterState
+  {
+    std::uint64_t m_epoch{};
+    std::optional<std::uint64_t> m_sequence; ///< Last one; nothing before the first of the epoch.
+    std::map<std::uint64_t, std::string> m_answers; ///< To the last appends, by sequence number.
+  };
+
+  static constexpr std::size_t kRememberedAnswers = 5;
+
   struct Topic
   {
     std::vector<std::string> m_records;
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_writers; ///< Epoch, sequence.
-    std::string m_lastAnswer; ///< To the last append with a sequence number.
-    Millis m_freeMs{};        ///< When all its appends have ended, on the steady clock.
+    std::map<std::string, WriterState> m_writers;
+    Millis m_freeMs{}; ///< When all its appends have ended, on the steady clock.
   };
 
   /// \brief A read that waits for a record.
@@ -176,21 +186,25 @@
       return Json(412, { { "end", end } });
     }
     if (aRequest.m_query.contains("producer")) {
-      auto& [epoch, sequence] = aTopic.m_writers[aRequest.m_query.at("producer")];
-      const auto given = Number(aRequest, "epoch");
-      if (given < epoch) {
+      WriterState& writer = aTopic.m_writers[aRequest.m_query.at("producer")];
+      const auto epoch = Number(aRequest, "epoch");
+      const auto sequence = Number(aRequest, "sequence");
+      if (epoch < writer.m_epoch) {
         return Json(409, { { "reason", "fenced" } });
       }
-      if (given == epoch && !aRequest.m_body.empty() && sequence != 0 &&
-          Number(aRequest, "sequence") == sequence) {
-        return { 200, { { "content-type", "application/json" } }, aTopic.m_lastAnswer };
+      if (epoch > writer.m_epoch) {
+        writer = { epoch, {}, {} };
       }
-      if (given == epoch && !aRequest.m_body.empty() && sequence != 0 &&
-          Number(aRequest, "sequence") != sequence + 1) {
-        return Json(409, { { "reason", "seq" }, { "sequence", sequence + 1 } });
+      if (const auto known = writer.m_answers.find(sequence);
+          !aRequest.m_body.empty() && known != writer.m_answers.end()) {
+        return { 200, { { "content-type", "application/json" } }, known->second };
+      }
+      if (!aRequest.m_body.empty() && writer.m_sequence && sequence != *writer.m_sequence + 1) {
+        return Json(409, { { "reason", "seq" }, { "sequence", *writer.m_sequence + 1 } });
+      }
+      if (!aRequest.m_body.empty()) {
+        writer.m_sequence = sequence;
       }
-      sequence = aRequest.m_body.empty() ? 0 : Number(aRequest, "sequence");
-      epoch = given;
     }
     // The body has the same form as the records of an answer, without the two offsets.
     const auto batch = platform::DecodeRecords(std::string(16, '\0') + aRequest.m_body);
@@ -198,7 +212,13 @@
       aTopic.m_records.push_back(record);
     }
     auto answer = Json(200, { { "offset", end }, { "end", aTopic.m_records.size() } });
-    aTopic.m_lastAnswer = answer.m_body;
+    if (aRequest.m_query.contains("producer") && !aRequest.m_body.empty()) {
+      auto& answers = aTopic.m_writers[aRequest.m_query.at("producer")].m_answers;
+      answers.emplace(Number(aRequest, "sequence"), answer.m_body);
+      if (answers.size() > kRememberedAnswers) {
+        answers.erase(answers.begin());
+      }
+    }
     return answer;
   }
 
