Failing test: an end is acknowledged after its work was started again

Seen: the answers of a server are lost for 4 s while its only run ends as done. The owner gives the server up when the lease has ended (lease-expired, silent_ms=4216), starts run 2 elsewhere 3.6 s after the end of run 1, and acknowledges that end when the server answers again.

Violation(Subtask(kJob)) Which is: "run 2 began 3625 ms after the end of run 1 as done, acknowledged; "

Cause: ExpireLease takes the end of the lease for the end of all that ran. A run that was done before is not ended by it, its end is still listed, and a server without runs holds no lease that lapses.

--- /dev/null
+++ b/tests/manager/TwiceTest.cpp
@@ -0,0 +1,95 @@
+#include "ManagerFixture.h"
+
+#include <iterator>
+
+namespace pistachiostand::fleet {
+namespace {
+
+/// \brief Ways in which a subtask could be run again while or after an earlier run of it counts.
+class TwiceTest : public ManagerFixture
+{
+protected:
+  static constexpr const char* kNextJob = "00000000000000bb";
+
+  static std::string OneStep(int aCount = 1, int aCpuMillis = 1'000)
+  {
+    return fmt::format(R"({{"spec":"work","steps":[{{"count":{},"cpu":{},"mem-mb":100,)"
+                       R"("estimated-ms":400}}]}})",
+                       aCount, aCpuMillis);
+  }
+
+  void Submit(const std::string& aJob, int aCount = 1, int aCpuMillis = 1'000)
+  {
+    ASSERT_EQ(Call(1, "POST", "/lookups/" + aJob, OneStep(aCount, aCpuMillis)).m_status, 200);
+  }
+
+  static std::string Subtask(const std::string& aJob, int aIndex = 0)
+  {
+    return fmt::format("{}.0.0.{}", aJob, aIndex);
+  }
+
+  void Wait(Millis aMs)
+  {
+    RunUntil([] { return false; }, aMs);
+  }
+
+  /// \brief Lets the entry instance use only the first server for now.
+  void HideSecond() { m_store.Put("keyed.servers", "s2", std::nullopt); }
+  void ShowSecond() { m_store.Put("keyed.servers", "s2", m_second.Entry("lookup")); }
+
+  [[nodiscard]] std::vector<standin::PreparedServer::PastRun> RunsOf(
+    const std::string& aSubtask) const
+  {
+    std::vector<standin::PreparedServer::PastRun> runs;
+    for (const auto* server : { &m_first, &m_second }) {
+      std::ranges::copy_if(server->m_history, std::back_inserter(runs),
+                           [&](const auto& aOne) { return aOne.m_task == aSubtask; });
+    }
+    std::ranges::sort(runs, {}, &standin::PreparedServer::PastRun::m_startMs);
+    return runs;
+  }
+
+  /// \brief What breaks the rule on repeated runs; empty when it is kept.
+  [[nodiscard]] std::string Violation(const std::string& aSubtask) const
+  {
+    std::string seen;
+    const auto runs = RunsOf(aSubtask);
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+      for (std::size_t later = i + 1; later < runs.size(); ++later) {
+        const auto& one = runs[i];
+        const Millis start = runs[later].m_startMs;
+        if (one.m_endMs == 0 || start < one.m_endMs) {
+          seen += fmt::format("run {} began {} ms after run {}, which went on; ", runs[later].m_run,
+                              start - one.m_startMs, one.m_run);
+        } else if (one.m_how == "done" && one.m_acknowledged && !one.m_lapsed) {
+          seen += fmt::format("run {} began {} ms after the end of run {} as done, acknowledged; ",
+                              runs[later].m_run, start - one.m_endMs, one.m_run);
+        }
+      }
+    }
+    return seen;
+  }
+};
+
+// Guards against an end that is acknowledged after its work was given up and started again: the
+// answers of a server were lost for 4 s, and with its last run done it held no lease that lapsed.
+TEST_F(TwiceTest, SilentServer_LastRunDoneMeanwhile_EndIsNotAcknowledgedAfterASecondStart)
+{
+  m_first.m_runMs = 600;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+  Wait(50);
+  m_first.m_loseAnswers = true;
+  ShowSecond();
+  ASSERT_TRUE(RunUntil([this] { return m_second.m_starts[Subtask(kJob)] == 1; }));
+  m_first.m_loseAnswers = false;
+  ASSERT_TRUE(Completes(1));
+  Wait(2'000); // The owner looks at the server again.
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
