Failing test: a lease of a server that started again outlasts the owner's reckoning

Seen: a server starts again under its id with its clock from 0. The owner's first start goes by the clock of the former life, so the server shortens the lease to its maximum, 6 s, where the owner reckons 1.5 s. The server falls silent, is given up after 4.1 s, and the run goes on for 5.5 s.

Violation(Subtask(kJob)) Which is: "run 2 began 4203 ms after run 1, which went on; "

Cause: RunControl::Start and Look reckon a lease by a clock sample of an unconfirmed life.

--- a/tests/manager/TwiceTest.cpp
+++ b/tests/manager/TwiceTest.cpp
@@ -91,5 +91,26 @@
   EXPECT_EQ(Violation(Subtask(kJob)), "");
 }
 
+// Guards against work that is started elsewhere while it runs: a server had started again under its
+// id, its clock was behind that of its former life, and the first lease there lasted 6 s, the
+// longest, in place of the 1.5 s that the owner had meant.
+TEST_F(TwiceTest, ServerStartedAgain_SilentAfterAStart_LeaseIsReckonedAtItsLongest)
+{
+  m_first.m_runMs = 5'500;
+  m_first.m_maxHoldMs = 6'000;
+  m_second.m_runMs = 400;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Wait(200);
+  m_first.Restart();
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+  m_first.m_loseAnswers = true;
+  ShowSecond();
+  Wait(6'500);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
