Failing test: an end of a server's new life is acknowledged unseen

Seen: three ends of a server's former life are acknowledged, the server starts again, a run starts and ends there, and the answer to one look is lost. The next look acknowledges up to 3; the end of the new life is number 1 and is never listed.

Violation(Subtask(kNextJob)) Which is: "run 2 began 1670 ms after the end of run 1 as done, acknowledged; "

Cause: Look sends the stored number of the life that was last reported, whatever life answers. Nothing but a report or a registration shows the change, and a start is possible before both.

--- a/tests/manager/TwiceTest.cpp
+++ b/tests/manager/TwiceTest.cpp
@@ -112,5 +112,25 @@
   EXPECT_EQ(Violation(Subtask(kJob)), "");
 }
 
+// Guards against an end that is acknowledged unseen: the owner sent the number of the last end of
+// the server's former life to the new one, whose ends count from 1.
+TEST_F(TwiceTest, ServerStartedAgain_LookWithoutAnswer_EndOfTheNewLifeIsNotAcknowledgedUnseen)
+{
+  m_first.m_runMs = 300;
+  m_second.m_runMs = 300;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob, 3);
+  ASSERT_TRUE(Completes(1));
+  Wait(300);
+  m_first.Restart();
+  m_first.m_loseLookAnswers = 1;
+  Submit(kNextJob);
+  EXPECT_TRUE(RunUntil([this] { return RunsOf(Subtask(kNextJob)).size() == 2; }, 4'000) ||
+              RunsOf(Subtask(kNextJob)).size() == 1);
+  EXPECT_EQ(Violation(Subtask(kNextJob)), "");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
