Failing test: a run of a server's new life is dropped with the former life

Seen: a look reaches the new life before a start does, and its answer arrives after that of the start. The report shows another incarnation, and the run that has just been confirmed is dropped.

Violation(Subtask(kNextJob)) Which is: "run 2 began 40 ms after run 1, which went on; "

Cause: DropFormerLife drops each run in phase Running, also those that were confirmed after the report was asked for. Reconcile has this check, DropFormerLife has not.

--- a/tests/manager/TwiceTest.cpp
+++ b/tests/manager/TwiceTest.cpp
@@ -132,5 +132,28 @@
   EXPECT_EQ(Violation(Subtask(kNextJob)), "");
 }
 
+// Guards against a run of a server's new life that is given up for one of its former life: the
+// answer to a look that the new life had received before the start arrived after that of the start.
+TEST_F(TwiceTest, ServerStartedAgain_LookOvertakenByAStart_RunOfTheNewLifeGoesOnAlone)
+{
+  m_first.m_runMs = 4'000;
+  m_second.m_runMs = 4'000;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+  Wait(100);
+  m_first.m_holdLookAnswers = true;
+  m_first.Restart();
+  ASSERT_TRUE(RunUntil([this] { return m_first.HeldLooks() == 1; }, 2'000));
+  Submit(kNextJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }, 500));
+  Wait(20); // The start is answered.
+  m_first.ReleaseLooks();
+  Wait(1'000);
+  EXPECT_EQ(Violation(Subtask(kNextJob)), "");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
