Failing test: a start that the client repeated by itself is taken for not done

Seen: the connection of a start breaks without an answer. libcurl sends the request again on a new connection, the copy is answered 503, and the run is planned elsewhere. The first copy is carried out 1 s later, within its lease of 1.5 s.

Violation(Subtask(kJob)) Which is: "run 1 began 911 ms after run 2, which went on; "

Cause: orders to backend servers are sent without m_neverRepeat, so OnStarted takes the refusal of a copy for the fate of all copies (Unhealthy, and in the same way NoRoom, Late and OtherServer).

--- a/tests/manager/TwiceTest.cpp
+++ b/tests/manager/TwiceTest.cpp
@@ -155,5 +155,24 @@
   EXPECT_EQ(Violation(Subtask(kNextJob)), "");
 }
 
+// Guards against two runs at the same time: the client had repeated a start on a new connection by
+// itself, the copy was refused as not done, and the first one was carried out a second later.
+TEST_F(TwiceTest, ConnectionOfAStartBreaks_RepeatRefused_WorkIsNotStartedElsewhere)
+{
+  m_first.m_runMs = 3'000;
+  m_second.m_runMs = 3'000;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Wait(300);
+  m_first.m_breakStarts = 1;
+  m_first.m_unhealthyStarts = 1;
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.m_breakStarts == 0; }, 1'000));
+  ShowSecond();
+  Wait(2'500);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
