Failing test: an end beyond the first 500 counts as no end

Seen: a server has 500 unacknowledged ends when a later owner looks at it. The end of a run is number 501 and is not listed; the run is not listed either, is dropped and started again.

Violation(Subtask(kJob)) Which is: "run 2 began 1277 ms after the end of run 1 as done, acknowledged; "

Cause: Reconcile drops a missing run though the list of ends is cut off. It drops runs in phase Restored, Running and Stopping in this way.

--- a/tests/manager/TwiceTest.cpp
+++ b/tests/manager/TwiceTest.cpp
@@ -174,5 +174,26 @@
   EXPECT_EQ(Violation(Subtask(kJob)), "");
 }
 
+// Guards against work that a later owner runs again because its end is not among the 500 that a
+// server lists at a time.
+TEST_F(TwiceTest, OwnerDies_EndBeyondTheFirst500_WorkIsNotRunAgain)
+{
+  m_first.m_runMs = 500;
+  m_second.m_runMs = 500;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() + m_second.Running() == 1; }));
+  m_entries.erase(1);
+  m_first.AddForeignEnds(500);
+  m_second.AddForeignEnds(500);
+  ASSERT_TRUE(RunUntil([this] { return DoneCount(Subtask(kJob)) == 1; }));
+  Start(2);
+  ASSERT_TRUE(IsReady(2));
+  ASSERT_TRUE(Completes(2));
+  Wait(500);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
