Failing test: a second ownership with the same token takes records for stored

Seen: an ownership ends by an unexpected error while a renewal is on its way. The renewal is stored, and Elector::OnRecord begins an ownership with the token of the one that has ended. Its Committer counts appends from 1 under the same epoch; the store answers them as repeats of the first ones. A run is started and no record of its job exists.

Value of: m_store.Value("keyed.progress", kNextJob).has_value() Actual: false

Cause: OnRecord begins an ownership whenever its own record is newest and it holds no token. Fences do not tell the two ownerships apart either.

--- a/tests/manager/TwiceTest.cpp
+++ b/tests/manager/TwiceTest.cpp
@@ -1,6 +1,9 @@
 #include "ManagerFixture.h"
 
+#include <asio/post.hpp>
+
 #include <iterator>
+#include <stdexcept>
 
 namespace pistachiostand::fleet {
 namespace {
@@ -195,5 +198,29 @@
   EXPECT_EQ(Violation(Subtask(kJob)), "");
 }
 
+// Guards against records that are taken for stored: an ownership that began again with its token
+// counted its appends from 1, and the store took them for repeats of the first ones.
+TEST_F(TwiceTest, OwnershipBeginsAgainWithItsToken_RecordIsStoredBeforeTheStart)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(Completes(1));
+  Wait(300);
+  m_store.m_appendMs = 200;
+  Wait(300); // A renewal is on its way.
+  auto& entry = *m_entries.at(1);
+  asio::post(entry.m_loop, [] { throw std::runtime_error("unexpected"); });
+  asio::post(entry.m_loop, [&entry] { entry.m_loop.stop(); });
+  entry.m_manager->Run();
+  entry.m_loop.restart();
+  m_store.m_appendMs = 0;
+  Wait(600);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kNextJob);
+  ASSERT_TRUE(RunUntil([this] { return RunsOf(Subtask(kNextJob)).size() == 1; }));
+  EXPECT_TRUE(m_store.Value("keyed.progress", kNextJob).has_value());
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
