Failing test: a record is taken for stored after a copy that left too late

Seen, with a client that the test answers: the handler of the copy timer is queued when the answer to the append comes. It then runs and sends the stored records again with the next number, under the count of the answered append. The answer to an earlier copy is taken for the answer to it.

sequence=1 (24 bytes), sequence=1 (copy), sequence=2 (the stored records again), sequence=3 (the next record: 409, expected 2), sequence=2 (the next record: 200, as a repeat) owner: sequence sent=3 expected=2 Value of: IsInLog("next-job") Actual: false

The ends of the batch are acknowledged and its runs are sent, and no record holds them; the next owner begins from the record before. Cause: m_timer.cancel() does not stop a handler that is queued, and SendCopyLater does not check which append it is for; OutOfSequence then changes the number of an append while another one with that number is on its way.

The store must get sequence 2 of the late copy between the two tries of the next record.

--- /dev/null
+++ b/tests/unit/CommitterTest.cpp
@@ -0,0 +1,136 @@
+#include "OwnerFixture.h"
+
+#include "pistachiostand/job/JobCodec.h"
+
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <iterator>
+#include <map>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace pistachiostand::fleet {
+namespace {
+
+class CommitterTest : public OwnerFixture
+{
+protected:
+  CommitterTest()
+    : m_committer(m_state, [this](const CommitBatch& aBatch) { m_stored.push_back(aBatch); })
+  {
+    m_committer.Open([] {});
+    m_client.Answer(0, 200, R"({"offset":0,"end":0})");
+  }
+
+  /// \brief Appends that were sent so far, without the call that opens the topic.
+  [[nodiscard]] std::vector<std::size_t> Appends() const
+  {
+    auto found = m_client.Find("/log-append");
+    found.erase(found.begin());
+    return found;
+  }
+
+  /// \brief Carries an append out as the store would: by its sequence number.
+  /// \return status and body of the answer.
+  std::pair<std::uint16_t, std::string> CarryOut(std::size_t aIndex)
+  {
+    const auto& request = m_client.m_sent.at(aIndex).m_request;
+    const auto at = request.m_url.find("&sequence=") + std::string("&sequence=").size();
+    const auto sequence = std::stoull(request.m_url.substr(at));
+    if (const auto known = m_answers.find(sequence); known != m_answers.end()) {
+      return { 200, known->second };
+    }
+    if (!m_answers.empty() && sequence != m_answers.rbegin()->first + 1) {
+      return {
+        409,
+        nlohmann::json{ { "reason", "seq" }, { "sequence", m_answers.rbegin()->first + 1 } }.dump()
+      };
+    }
+    m_log.push_back(request.m_body);
+    m_answers[sequence] =
+      nlohmann::json{ { "offset", m_log.size() - 1 }, { "end", m_log.size() } }.dump();
+    return { 200, m_answers[sequence] };
+  }
+
+  void Answer(std::size_t aIndex, const std::pair<std::uint16_t, std::string>& aAnswer)
+  {
+    m_client.Answer(aIndex, aAnswer.first, aAnswer.second);
+  }
+
+  /// \brief An end of the server, whose record is to be stored.
+  void AddEnd(const JobId& aJob, std::uint64_t aNumber)
+  {
+    m_state.m_book.m_changed.insert(aJob);
+    m_committer.AddEnds({ "s1", 1, aNumber });
+    m_committer.Wake();
+  }
+
+  [[nodiscard]] bool IsAcknowledgedTo(std::uint64_t aNumber) const
+  {
+    return std::ranges::any_of(m_stored, [aNumber](const auto& aBatch) {
+      return std::ranges::any_of(
+        aBatch.m_ends, [aNumber](const EndMark& aMark) { return aMark.m_number >= aNumber; });
+    });
+  }
+
+  [[nodiscard]] bool IsInLog(const JobId& aJob) const
+  {
+    return std::ranges::any_of(m_log, [&aJob](const std::string& aBody) {
+      return aBody.find(static_cast<char>(aJob.size()) + aJob) != std::string::npos;
+    });
+  }
+
+  Committer m_committer;
+  std::vector<CommitBatch> m_stored;
+  std::vector<std::string> m_log;                 ///< Bodies that the store has appended.
+  std::map<std::uint64_t, std::string> m_answers; ///< By sequence number.
+};
+
+// Guards against a record that is taken for stored: a copy whose timer had ended before the answer
+// was sent after it, with the next sequence number, and the next record was answered as its repeat.
+TEST_F(CommitterTest, TimerOfACopyEndedBeforeTheAnswer_NextRecord_IsStoredBeforeItCounts)
+{
+  AddSubmission("next-job");
+  AddEnd("a", 1);
+  RunFor(20);
+  ASSERT_EQ(Appends().size(), 1U);
+  RunFor(170); // The first copy had no answer.
+  ASSERT_EQ(Appends().size(), 2U);
+  const auto first = Appends()[0];
+  const auto copy = Appends()[1];
+  // The loop is busy while the answer comes and the time of the next copy ends.
+  asio::post(m_loop, [this, first] {
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 350 });
+    asio::post(m_loop, [this, first] {
+      Answer(first, CarryOut(first));
+      AddEnd("next-job", 2);
+    });
+  });
+  RunFor(5);
+  m_loop.poll();
+  ASSERT_TRUE(IsAcknowledgedTo(1));
+  Answer(copy, CarryOut(copy)); // A repeat of the first append.
+  // Of the appends on their way, the newest one reaches the store first.
+  for (int i = 0; i < 20 && !IsAcknowledgedTo(2); ++i) {
+    RunFor(30);
+    const auto sent = Appends();
+    const auto isOpen = [this](std::size_t aIndex) {
+      return static_cast<bool>(m_client.m_sent[aIndex].m_callback);
+    };
+    std::vector<std::size_t> open;
+    std::ranges::copy_if(sent, std::back_inserter(open), isOpen);
+    std::ranges::reverse(open);
+    std::ranges::for_each(open, [this](std::size_t aIndex) { Answer(aIndex, CarryOut(aIndex)); });
+  }
+  ASSERT_TRUE(IsAcknowledgedTo(2));
+  EXPECT_TRUE(IsInLog("next-job"));
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/unit/HeldClient.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "pistachiostand/connection/HttpClient.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// \file
+/// \brief Client whose requests go nowhere: the test answers them, in any order or never.
+
+namespace pistachiostand {
+
+class HeldClient : public HttpClient
+{
+public:
+  struct Request
+  {
+    std::uint64_t m_id{};
+    ClientRequest m_request;
+    ClientCallback m_callback;
+  };
+
+  std::uint64_t Send(ClientRequest aRequest, ClientCallback aCallback) override
+  {
+    m_sent.push_back({ ++m_lastId, std::move(aRequest), std::move(aCallback) });
+    return m_lastId;
+  }
+
+  void Cancel(std::uint64_t aId) override
+  {
+    for (auto& one : m_sent) {
+      if (one.m_id == aId) {
+        one.m_callback = {};
+      }
+    }
+  }
+
+  /// \brief Answers a request once; does nothing when it was cancelled.
+  void Answer(std::size_t aIndex, std::uint16_t aStatus, std::string aBody)
+  {
+    const auto callback = std::exchange(m_sent.at(aIndex).m_callback, {});
+    if (callback) {
+      callback({ {}, aStatus, {}, std::move(aBody) });
+    }
+  }
+
+  /// \brief Indexes of the requests whose address contains the text, in the order of sending.
+  [[nodiscard]] std::vector<std::size_t> Find(const std::string& aText) const
+  {
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < m_sent.size(); ++i) {
+      if (m_sent[i].m_request.m_url.find(aText) != std::string::npos) {
+        found.push_back(i);
+      }
+    }
+    return found;
+  }
+
+  std::vector<Request> m_sent;
+
+private:
+  std::uint64_t m_lastId{};
+};
+
+} // namespace pistachiostand
