Failing test: ends that are listed out of order are dropped and acknowledged

Seen: a report lists end 2 before end 1. End 1 is not applied, and the acknowledgement covers both.

Value of: FindSubtask(m_state.m_book, other)->m_done Actual: false

Cause: ApplyEnds compares each number with the highest one so far.

--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -28,5 +28,20 @@
   EXPECT_TRUE(m_client.Find("/run-start").empty());
 }
 
+// Guards against an end that is acknowledged unseen because a server lists a later one before it.
+TEST_F(RunControlTest, EndsListedOutOfOrder_AllAreApplied)
+{
+  AddSubmission("b");
+  const SubtaskId other{ "b", 0, 0, 0 };
+  m_state.m_servers["s1"].m_looked = false;
+  m_runs.Tick(MonotonicMs());
+  ASSERT_EQ(m_client.Find("/hold").size(), 1U);
+  m_client.Answer(m_client.Find("/hold").front(), 200,
+                  R"({"clock-ms":50010,"born":5,"running":[],"finished":)"
+                  R"([[2,"a.0.0.0",1,"done",""],[1,"b.0.0.0",1,"done",""]]})");
+  EXPECT_TRUE(FindSubtask(m_state.m_book, m_subtask)->m_done);
+  EXPECT_TRUE(FindSubtask(m_state.m_book, other)->m_done);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
