Failing test: a lease goes by the clock of a life that was never looked at

Seen: a server registers, starts again before its first report, and registers again with its clock from 0. The look goes by the clock of the first registration.

Expected: (body.value("deadline-ms", Millis{ 0 })) <= (entry.m_clockMs + kLongestLeaseMs), actual: 904000 vs 6100

Cause: OnServerEntry compares the registration with the life of the last report only, and keeps the clock when there was no report. The lease then lasts the maximum, and the owner reckons 4 s.

--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -1,5 +1,7 @@
 #include "OwnerFixture.h"
 
+#include <nlohmann/json.hpp>
+
 namespace pistachiostand::fleet {
 namespace {
 
@@ -43,5 +45,27 @@
   EXPECT_TRUE(FindSubtask(m_state.m_book, other)->m_done);
 }
 
+// Guards against a lease that lasts longer than the owner reckons: a server started again before
+// its first report, and the owner went on by the clock of the former life.
+TEST_F(RunControlTest, ServerStartedAgainBeforeItsFirstReport_Lease_GoesByTheNewClock)
+{
+  constexpr Millis kLongestLeaseMs = 6'000;
+  m_state.m_servers.clear();
+  ServerEntry entry;
+  entry.m_id = "s2";
+  entry.m_address = { "127.0.0.1", 1'002 };
+  entry.m_incarnation = 5;
+  entry.m_clockMs = 900'000;
+  m_runs.OnServerEntry("s2", entry);
+  entry.m_incarnation = 9;
+  entry.m_clockMs = 100;
+  m_runs.OnServerEntry("s2", entry);
+  m_runs.Tick(MonotonicMs());
+  const auto looks = m_client.Find("/hold");
+  ASSERT_EQ(looks.size(), 1U);
+  const auto body = nlohmann::json::parse(m_client.m_sent[looks.front()].m_request.m_body);
+  EXPECT_LE(body.value("deadline-ms", Millis{ 0 }), entry.m_clockMs + kLongestLeaseMs);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
