Failing test: a run that has just been seen is given up by an old lease

Seen: a look without a lease, sent to a server that was silent, shows a run that the book does not have. The run is taken over, and the next tick gives its server up.

fleet: lease-expired server=s1 silent_ms=0 Expected: (FindRun(m_state.m_book, { m_subtask, 1, "s1" })) != (nullptr), actual: NULL vs (nullptr)

Cause: AdoptRun does not change m_leaseEndMs, and Tick checks it before it looks again. The run goes on by a lease that this owner does not know, beside its second run.

--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -67,5 +67,23 @@
   EXPECT_LE(body.value("deadline-ms", Millis{ 0 }), entry.m_clockMs + kLongestLeaseMs);
 }
 
+// Guards against a second run beside one that has just been seen: a look that had renewed no lease
+// showed it, and its server was given up in the next tick by the end of an old lease.
+TEST_F(RunControlTest, RunSeenAfterTheLeaseEnd_IsNotGivenUpAtOnce)
+{
+  ServerState& server = m_state.m_servers["s1"];
+  server.m_looked = false;
+  server.m_silent = 1;
+  server.m_leaseEndMs = MonotonicMs() - 100;
+  m_runs.Tick(MonotonicMs());
+  const auto looks = m_client.Find("/hold");
+  ASSERT_EQ(looks.size(), 1U);
+  m_client.Answer(looks.front(), 200,
+                  R"({"clock-ms":50010,"born":5,"running":[["a.0.0.0",1,"",40]],"finished":[]})");
+  ASSERT_NE(FindRun(m_state.m_book, { m_subtask, 1, "s1" }), nullptr);
+  m_runs.Tick(MonotonicMs());
+  EXPECT_NE(FindRun(m_state.m_book, { m_subtask, 1, "s1" }), nullptr);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
