Failing test: a planned run is dropped by the old lease of an idle server

Seen: a run is planned on a server that has been idle for longer than a lease. The next tick, up to 100 ms later, gives the server up when the record of the run is not stored by then.

fleet: lease-expired server=s1 Expected: (FindRun(m_state.m_book, { m_subtask, 1, "s1" })) != (nullptr), actual: NULL vs (nullptr)

Cause: Tick compares the end of the last lease when the server has runs, and a planned run counts as one. Nothing runs twice by this, because the run was not sent; it costs a number, a record and a look each time.

--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -85,5 +85,15 @@
   EXPECT_NE(FindRun(m_state.m_book, { m_subtask, 1, "s1" }), nullptr);
 }
 
+// Guards against a planned run that is dropped while its record is being stored, because the last
+// lease of its idle server ended long ago; each such run uses up a number and a record.
+TEST_F(RunControlTest, RunPlannedOnAnIdleServer_OldLease_IsKept)
+{
+  m_state.m_servers["s1"].m_leaseEndMs = MonotonicMs() - 10'000;
+  PlanRun(m_state.m_book, m_subtask, "s1", 1, MonotonicMs());
+  m_runs.Tick(MonotonicMs());
+  EXPECT_NE(FindRun(m_state.m_book, { m_subtask, 1, "s1" }), nullptr);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
