Failing test: a done end of an earlier run is ignored

Seen: run 1 is given up, run 2 ends as stopped, then the end of run 1 as done arrives.

Value of: End(first, EndKind::Done) Actual: false Value of: FindSubtask(m_book, kFirst)->m_done Actual: false

Cause: ApplyEnd takes each end of a run that is not in the book and not above the last ended one for a repeat. The end is acknowledged all the same, and the subtask is started a third time. A failure of such a run is not counted either.

--- a/tests/unit/JobBookTest.cpp
+++ b/tests/unit/JobBookTest.cpp
@@ -197,5 +197,17 @@
   EXPECT_EQ(DecodeSubmission(EncodeSubmission(spec)), spec);
 }
 
+// Guards against work that is run again after its end: a run that had been given up ended as done
+// after a later one had failed, and the end was ignored as an old one.
+TEST_F(JobBookTest, ApplyEnd_EarlierRunDoneAfterALaterOneEnded_SubtaskIsDone)
+{
+  Add("a", { Step(1) });
+  const auto first = Run(kFirst, "s1");
+  DropRun(m_book, first, kNow);
+  End(Run(kFirst, "s2"), EndKind::Stopped);
+  EXPECT_TRUE(End(first, EndKind::Done));
+  EXPECT_TRUE(FindSubtask(m_book, kFirst)->m_done);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
