Failing test: progress that is read twice counts its runs twice

Seen: a page of the progress fails, the load begins again, and each restored run is there twice.

FindSubtask(m_book, kFirst)->m_runs.size() Which is: 2

After the end of the run 1,000 millicores and 1,000 MB of its server still count as used. No subtask runs twice by this: RemoveRun removes both, and gives the room back once. Cause: Restore appends.

--- a/tests/unit/JobBookTest.cpp
+++ b/tests/unit/JobBookTest.cpp
@@ -209,5 +209,21 @@
   EXPECT_TRUE(FindSubtask(m_book, kFirst)->m_done);
 }
 
+// Guards against servers that seem full for a whole ownership: its progress was read a second time
+// because a later page had failed, and the runs were counted twice.
+TEST_F(JobBookTest, ApplyProgress_ReadTwice_CountsRunsOnce)
+{
+  Add("a", { Step(1) });
+  const auto run = Run(kFirst, "s1");
+  const auto record = EncodeProgress(m_book.m_jobs.at("a"));
+  m_book = {};
+  Add("a", { Step(1) });
+  ASSERT_TRUE(ApplyProgress(m_book, "a", record, kNow));
+  ASSERT_TRUE(ApplyProgress(m_book, "a", record, kNow));
+  EXPECT_EQ(FindSubtask(m_book, kFirst)->m_runs.size(), 1U);
+  End(run, EndKind::Done);
+  EXPECT_EQ(m_book.m_used["s1"], Resources{});
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
