Failing test: the stop of a start without an answer is dropped with a former life

Seen: a start without an answer is to be stopped. Its server starts again, and DropFormerLife drops the run because it is in phase Stopping. The new life knows no stop, its clock is behind the end of the lease, and the start can still be carried out.

Cause: DropFormerLife keeps only Sent and Planned. The same holds for a stop that the former life had accepted: ReconcileMissing drops the run by the report of the new one.

--- a/tests/unit/ReconcileTest.cpp
+++ b/tests/unit/ReconcileTest.cpp
@@ -101,6 +101,19 @@
   EXPECT_FALSE(HasRun());
 }
 
+// Guards against a second run beside one that begins late: a start without an answer was to be
+// stopped, its server started again and forgot the stop, and the start can still be carried out.
+TEST_F(ReconcileTest, FormerLife_StopOfAStartWithoutAnswer_IsKept)
+{
+  auto& run = Planned(RunPhase::Sent);
+  run.m_unansweredMs = kNow + 50;
+  ASSERT_EQ(Report({}).size(), 1U);
+  run.m_phase = RunPhase::Stopping;
+  run.m_stopSentMs = kNow + 110;
+  DropFormerLife(m_book, "s1", kNow + 200);
+  EXPECT_TRUE(HasRun());
+}
+
 class PaceTest : public JobFixture
 {
 protected:
