Failing test: an answer is handed on after its request was cancelled

Seen: two requests are answered in one turn of the loop, and each callback cancels the other request.

Cause: Complete posts the callback and forgets the transfer, so Cancel does not find it any more. A cancelled look can set m_lookCall to 0 while the next one is on its way, and a report of a former life can mark the server as looked at after its registration has shown the new one.

--- a/tests/manager/HttpClientTest.cpp
+++ b/tests/manager/HttpClientTest.cpp
@@ -87,5 +87,25 @@
   EXPECT_LT(std::ranges::max(Times(kServerPort, kRequests, 500)), kAtOnceMs);
 }
 
+// Guards against an answer that is handed on after its request was cancelled, because both came in
+// one turn of the loop: the owner took an old report of a server for one of its new life.
+TEST_F(HttpClientTest, CancelAfterTheAnswerCame_CallbackIsNotCalled)
+{
+  constexpr std::size_t kRequests = 2;
+  std::vector<std::uint64_t> ids(kRequests);
+  std::vector<int> calls(kRequests);
+  ASSERT_EQ(Times(kServerPort, kRequests, 500).size(), kRequests); // Two open connections.
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    ClientRequest request;
+    request.m_url = "http://127.0.0.1:" + std::to_string(kServerPort) + "/";
+    ids[i] = m_client->Send(std::move(request), [this, i, &ids, &calls](const ClientResponse&) {
+      ++calls[i];
+      m_client->Cancel(ids[1 - i]);
+    });
+  }
+  m_loop.run_for(std::chrono::milliseconds{ 300 });
+  EXPECT_EQ(calls[0] + calls[1], 1);
+}
+
 } // namespace
 } // namespace pistachiostand
