--- /dev/null
+++ b/tests/manager/TwiceTest.cpp
@@ -0,0 +1,226 @@
+#include "ManagerFixture.h"
+
+#include <asio/post.hpp>
+
+#include <iterator>
+#include <stdexcept>
+
+namespace pistachiostand::fleet {
+namespace {
+
+/// \brief Ways in which a subtask could be run again while or after an earlier run of it counts.
+class TwiceTest : public ManagerFixture
+{
+protected:
+  static constexpr const char* kNextJob = "00000000000000bb";
+
+  static std::string OneStep(int aCount = 1, int aCpuMillis = 1'000)
+  {
+    return fmt::format(R"({{"spec":"work","steps":[{{"count":{},"cpu":{},"mem-mb":100,)"
+                       R"("estimated-ms":400}}]}})",
+                       aCount, aCpuMillis);
+  }
+
+  void Submit(const std::string& aJob, int aCount = 1, int aCpuMillis = 1'000)
+  {
+    ASSERT_EQ(Call(1, "POST", "/lookups/" + aJob, OneStep(aCount, aCpuMillis)).m_status, 200);
+  }
+
+  static std::string Subtask(const std::string& aJob, int aIndex = 0)
+  {
+    return fmt::format("{}.0.0.{}", aJob, aIndex);
+  }
+
+  void Wait(Millis aMs)
+  {
+    RunUntil([] { return false; }, aMs);
+  }
+
+  /// \brief Lets the entry instance use only the first server for now.
+  void HideSecond() { m_store.Put("keyed.servers", "s2", std::nullopt); }
+  void ShowSecond() { m_store.Put("keyed.servers", "s2", m_second.Entry("lookup")); }
+
+  [[nodiscard]] std::vector<standin::PreparedServer::PastRun> RunsOf(
+    const std::string& aSubtask) const
+  {
+    std::vector<standin::PreparedServer::PastRun> runs;
+    for (const auto* server : { &m_first, &m_second }) {
+      std::ranges::copy_if(server->m_history, std::back_inserter(runs),
+                           [&](const auto& aOne) { return aOne.m_task == aSubtask; });
+    }
+    std::ranges::sort(runs, {}, &standin::PreparedServer::PastRun::m_startMs);
+    return runs;
+  }
+
+  /// \brief What breaks the rule on repeated runs; empty when it is kept.
+  [[nodiscard]] std::string Violation(const std::string& aSubtask) const
+  {
+    std::string seen;
+    const auto runs = RunsOf(aSubtask);
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+      for (std::size_t later = i + 1; later < runs.size(); ++later) {
+        const auto& one = runs[i];
+        const Millis start = runs[later].m_startMs;
+        if (one.m_endMs == 0 || start < one.m_endMs) {
+          seen += fmt::format("run {} began {} ms after run {}, which went on; ", runs[later].m_run,
+                              start - one.m_startMs, one.m_run);
+        } else if (one.m_how == "done" && one.m_acknowledged && !one.m_lapsed) {
+          seen += fmt::format("run {} began {} ms after the end of run {} as done, acknowledged; ",
+                              runs[later].m_run, start - one.m_endMs, one.m_run);
+        }
+      }
+    }
+    return seen;
+  }
+};
+
+// Guards against an end that is acknowledged after its work was given up and started again: the
+// answers of a server were lost for 4 s, and with its last run done it held no lease that lapsed.
+TEST_F(TwiceTest, SilentServer_LastRunDoneMeanwhile_EndIsNotAcknowledgedAfterASecondStart)
+{
+  m_first.m_runMs = 600;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+  Wait(50);
+  m_first.m_loseAnswers = true;
+  ShowSecond();
+  ASSERT_TRUE(RunUntil([this] { return m_second.m_starts[Subtask(kJob)] == 1; }));
+  m_first.m_loseAnswers = false;
+  ASSERT_TRUE(Completes(1));
+  Wait(2'000); // The owner looks at the server again.
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
+// Guards against work that is started elsewhere while it runs: a server had started again under its
+// id, its clock was behind that of its former life, and the first lease there lasted 6 s, the
+// longest, in place of the 1.5 s that the owner had meant.
+TEST_F(TwiceTest, ServerStartedAgain_SilentAfterAStart_LeaseIsReckonedAtItsLongest)
+{
+  m_first.m_runMs = 5'500;
+  m_first.m_maxHoldMs = 6'000;
+  m_second.m_runMs = 400;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Wait(200);
+  m_first.Restart();
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+  m_first.m_loseAnswers = true;
+  ShowSecond();
+  Wait(6'500);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
+// Guards against an end that is acknowledged unseen: the owner sent the number of the last end of
+// the server's former life to the new one, whose ends count from 1.
+TEST_F(TwiceTest, ServerStartedAgain_LookWithoutAnswer_EndOfTheNewLifeIsNotAcknowledgedUnseen)
+{
+  m_first.m_runMs = 300;
+  m_second.m_runMs = 300;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob, 3);
+  ASSERT_TRUE(Completes(1));
+  Wait(300);
+  m_first.Restart();
+  m_first.m_loseLookAnswers = 1;
+  Submit(kNextJob);
+  EXPECT_TRUE(RunUntil([this] { return RunsOf(Subtask(kNextJob)).size() == 2; }, 4'000) ||
+              RunsOf(Subtask(kNextJob)).size() == 1);
+  EXPECT_EQ(Violation(Subtask(kNextJob)), "");
+}
+
+// Guards against a run of a server's new life that is given up for one of its former life: the
+// answer to a look that the new life had received before the start arrived after that of the start.
+TEST_F(TwiceTest, ServerStartedAgain_LookOvertakenByAStart_RunOfTheNewLifeGoesOnAlone)
+{
+  m_first.m_runMs = 4'000;
+  m_second.m_runMs = 4'000;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+  Wait(100);
+  m_first.m_holdLookAnswers = true;
+  m_first.Restart();
+  ASSERT_TRUE(RunUntil([this] { return m_first.HeldLooks() == 1; }, 2'000));
+  Submit(kNextJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }, 500));
+  Wait(20); // The start is answered.
+  m_first.ReleaseLooks();
+  Wait(1'000);
+  EXPECT_EQ(Violation(Subtask(kNextJob)), "");
+}
+
+// Guards against two runs at the same time: the client had repeated a start on a new connection by
+// itself, the copy was refused as not done, and the first one was carried out a second later.
+TEST_F(TwiceTest, ConnectionOfAStartBreaks_RepeatRefused_WorkIsNotStartedElsewhere)
+{
+  m_first.m_runMs = 3'000;
+  m_second.m_runMs = 3'000;
+  HideSecond();
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Wait(300);
+  m_first.m_breakStarts = 1;
+  m_first.m_unhealthyStarts = 1;
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.m_breakStarts == 0; }, 1'000));
+  ShowSecond();
+  Wait(2'500);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
+// Guards against work that a later owner runs again because its end is not among the 500 that a
+// server lists at a time.
+TEST_F(TwiceTest, OwnerDies_EndBeyondTheFirst500_WorkIsNotRunAgain)
+{
+  m_first.m_runMs = 500;
+  m_second.m_runMs = 500;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() + m_second.Running() == 1; }));
+  m_entries.erase(1);
+  m_first.AddForeignEnds(500);
+  m_second.AddForeignEnds(500);
+  ASSERT_TRUE(RunUntil([this] { return DoneCount(Subtask(kJob)) == 1; }));
+  Start(2);
+  ASSERT_TRUE(IsReady(2));
+  ASSERT_TRUE(Completes(2));
+  Wait(500);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
+// Guards against records that are taken for stored: an ownership that began again with its token
+// counted its appends from 1, and the store took them for repeats of the first ones.
+TEST_F(TwiceTest, OwnershipBeginsAgainWithItsToken_RecordIsStoredBeforeTheStart)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob);
+  ASSERT_TRUE(Completes(1));
+  Wait(300);
+  m_store.m_appendMs = 200;
+  Wait(300); // A renewal is on its way.
+  auto& entry = *m_entries.at(1);
+  asio::post(entry.m_loop, [] { throw std::runtime_error("unexpected"); });
+  asio::post(entry.m_loop, [&entry] { entry.m_loop.stop(); });
+  entry.m_manager->Run();
+  entry.m_loop.restart();
+  m_store.m_appendMs = 0;
+  Wait(600);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kNextJob);
+  ASSERT_TRUE(RunUntil([this] { return RunsOf(Subtask(kNextJob)).size() == 1; }));
+  EXPECT_TRUE(m_store.Value("keyed.progress", kNextJob).has_value());
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- a/tests/unit/JobBookTest.cpp
+++ b/tests/unit/JobBookTest.cpp
@@ -197,5 +197,33 @@
   EXPECT_EQ(DecodeSubmission(EncodeSubmission(spec)), spec);
 }
 
+// Guards against work that is run again after its end: a run that had been given up ended as done
+// after a later one had failed, and the end was ignored as an old one.
+TEST_F(JobBookTest, ApplyEnd_EarlierRunDoneAfterALaterOneEnded_SubtaskIsDone)
+{
+  Add("a", { Step(1) });
+  const auto first = Run(kFirst, "s1");
+  DropRun(m_book, first, kNow);
+  End(Run(kFirst, "s2"), EndKind::Stopped);
+  EXPECT_TRUE(End(first, EndKind::Done));
+  EXPECT_TRUE(FindSubtask(m_book, kFirst)->m_done);
+}
+
+// Guards against servers that seem full for a whole ownership: its progress was read a second time
+// because a later page had failed, and the runs were counted twice.
+TEST_F(JobBookTest, ApplyProgress_ReadTwice_CountsRunsOnce)
+{
+  Add("a", { Step(1) });
+  const auto run = Run(kFirst, "s1");
+  const auto record = EncodeProgress(m_book.m_jobs.at("a"));
+  m_book = {};
+  Add("a", { Step(1) });
+  ASSERT_TRUE(ApplyProgress(m_book, "a", record, kNow));
+  ASSERT_TRUE(ApplyProgress(m_book, "a", record, kNow));
+  EXPECT_EQ(FindSubtask(m_book, kFirst)->m_runs.size(), 1U);
+  End(run, EndKind::Done);
+  EXPECT_EQ(m_book.m_used["s1"], Resources{});
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
