Never give the sequence number of an append to other records

Cause: the copy of an append is sent by a timer. Its handler could be queued already when the answer to an earlier copy arrived, and then sent the stored records again under the next number. The answer to another copy of the same batch was taken for the answer to that one, so the number moved on without the store; the refusal that followed set the number back to what the store expected, and the next batch went out under the number of the old records. If those arrived first, the store answered the batch as a repeat: stored for the owner, not in the log. Ends of the batch were acknowledged and runs of it sent without a record, and the next owner began from the older ones.

Now an append owns its number: copies carry it, handlers and answers of other appends are ignored, and a number that the store does not expect, or an answer with the offset of an earlier append, ends the ownership, because what the store holds is not known any more.

--- a/src/manager/Committer.cpp
+++ b/src/manager/Committer.cpp
@@ -30,7 +30,8 @@
 Committer::Committer(OwnerState& aState, std::function<void(const CommitBatch&)> aOnStored)
   : m_state(aState)
   , m_onStored(std::move(aOnStored))
-  , m_timer(aState.m_loop)
+  , m_gatherTimer(aState.m_loop)
+  , m_copyTimer(aState.m_loop)
 {
 }
 
@@ -51,8 +52,8 @@
       } else {
         LogEvent("owner", "open-failed", "outcome={} token={}", static_cast<int>(aResult.m_outcome),
                  m_state.m_token);
-        m_timer.expires_after(std::chrono::milliseconds{ kRetryMs });
-        m_timer.async_wait(m_state.Guard([this, done = std::move(done)](const auto& aError) {
+        m_gatherTimer.expires_after(std::chrono::milliseconds{ kRetryMs });
+        m_gatherTimer.async_wait(m_state.Guard([this, done = std::move(done)](const auto& aError) {
           if (!aError) {
             Open(done);
           }
@@ -68,13 +69,13 @@
 
 void Committer::Wake()
 {
-  if (!m_open || m_busy || m_armed || IsIdle()) {
+  if (!m_open || m_inFlight || m_gathering || IsIdle()) {
     return;
   }
-  m_armed = true;
-  m_timer.expires_after(std::chrono::milliseconds{ kGatherMs });
-  m_timer.async_wait(m_state.Guard([this](const std::error_code& aError) {
-    m_armed = false;
+  m_gathering = true;
+  m_gatherTimer.expires_after(std::chrono::milliseconds{ kGatherMs });
+  m_gatherTimer.async_wait(m_state.Guard([this](const std::error_code& aError) {
+    m_gathering = false;
     if (!aError) {
       Flush();
     }
@@ -83,136 +84,133 @@
 
 void Committer::Flush()
 {
-  if (m_busy || IsIdle()) {
+  if (m_inFlight || IsIdle()) {
     return;
   }
-  m_inFlight = std::exchange(m_next, {});
-  ++m_batch;
-  m_begunMs = MonotonicMs();
-  m_records.clear();
+  Append append;
+  append.m_batch = std::exchange(m_next, {});
   auto& changed = m_state.m_book.m_changed;
-  while (!changed.empty() && m_records.size() < kMaxJobsPerAppend) {
+  while (!changed.empty() && append.m_records.size() < kMaxJobsPerAppend) {
     const JobId id = *changed.begin();
     changed.erase(changed.begin());
     const auto job = m_state.m_book.m_jobs.find(id);
     if (job == m_state.m_book.m_jobs.end()) {
-      m_records.push_back(platform::EncodeKeyed(id, std::nullopt));
+      append.m_records.push_back(platform::EncodeKeyed(id, std::nullopt));
       continue;
     }
-    m_records.push_back(platform::EncodeKeyed(id, EncodeProgress(job->second)));
+    append.m_records.push_back(platform::EncodeKeyed(id, EncodeProgress(job->second)));
     if (job->second.m_phase != JobPhase::Active && !job->second.m_phaseStored) {
-      m_inFlight.m_finished.push_back(id);
+      append.m_batch.m_finished.push_back(id);
     }
   }
   if (!changed.empty()) {
     // The rest waits for the next append, and so do the runs and ends that belong to it.
-    m_next = std::exchange(m_inFlight, {});
-    m_inFlight.m_finished = std::exchange(m_next.m_finished, {});
+    m_next = std::exchange(append.m_batch, {});
+    append.m_batch.m_finished = std::exchange(m_next.m_finished, {});
+  }
+  append.m_begunMs = MonotonicMs();
+  const bool hasRecords = !append.m_records.empty();
+  append.m_sequence = hasRecords ? ++m_lastSequence : m_lastSequence;
+  m_inFlight = std::move(append);
+  if (hasRecords) {
+    Send();
+  } else {
+    OnStored();
   }
-  Send();
 }
 
 void Committer::Send()
 {
-  m_busy = true;
-  if (m_records.empty()) {
-    OnStored();
-    return;
-  }
-  ++m_copies;
+  ++m_inFlight->m_copies;
   platform::AppendRequest request;
   request.m_partition.m_topic = kProgressTopic;
-  request.m_records = m_records;
-  request.m_writer = platform::Writer{ kWriterName, m_state.m_token, m_sequence };
+  request.m_records = m_inFlight->m_records;
+  request.m_writer = platform::Writer{ kWriterName, m_state.m_token, m_inFlight->m_sequence };
   request.m_timeoutMs = CallTimeout::kMostMs;
   m_state.m_store.Append(
     std::move(request),
-    m_state.Guard([this, batch = m_batch, sent = MonotonicMs()](
-                    const platform::AppendResult& aResult) { OnAnswer(batch, sent, aResult); }));
-  SendCopyLater();
+    m_state.Guard([this, sequence = m_inFlight->m_sequence, sent = MonotonicMs()](
+                    const platform::AppendResult& aResult) { OnAnswer(sequence, sent, aResult); }));
+  SendCopyAfter(CopyPauseMs());
 }
 
-void Committer::SendCopyLater()
+Millis Committer::CopyPauseMs() const noexcept
 {
   const Millis first = m_copyAfter.CurrentMs();
-  const Millis pause = std::min(first * m_copies, std::max(first, kMaxCopyPauseMs));
-  m_timer.expires_after(std::chrono::milliseconds{ pause });
-  m_timer.async_wait(m_state.Guard([this](const std::error_code& aError) {
-    if (!aError) {
-      Send();
-    }
-  }));
+  return std::min(first * m_inFlight->m_copies, std::max(first, kMaxCopyPauseMs));
 }
 
-void Committer::RetryNow()
+void Committer::SendCopyAfter(Millis aDelayMs)
 {
-  if (m_busy && m_failures != 0 && m_timer.cancel() != 0) {
-    Send();
-  }
+  m_copyTimer.expires_after(std::chrono::milliseconds{ aDelayMs });
+  m_copyTimer.async_wait(
+    m_state.Guard([this, sequence = m_inFlight->m_sequence](const std::error_code& aError) {
+      // The end of a timer whose handler is queued already can't be cancelled any more.
+      if (!aError && m_inFlight && m_inFlight->m_sequence == sequence) {
+        Send();
+      }
+    }));
 }
 
-void Committer::Retry()
+void Committer::RetryNow()
 {
-  const Millis delay = std::min(kRetryMs * (1 + static_cast<Millis>(m_failures)), kMaxRetryMs);
-  m_timer.expires_after(std::chrono::milliseconds{ delay });
-  m_timer.async_wait(m_state.Guard([this](const std::error_code& aError) {
-    if (!aError) {
-      Send();
-    }
-  }));
+  if (m_inFlight && m_inFlight->m_failures != 0 && m_copyTimer.cancel() != 0) {
+    Send();
+  }
 }
 
-void Committer::OnAnswer(std::uint64_t aBatch, Millis aSentMs,
+void Committer::OnAnswer(std::uint64_t aSequence, Millis aSentMs,
                          const platform::AppendResult& aResult)
 {
-  if (aBatch != m_batch || !m_busy) {
+  if (!m_inFlight || aSequence != m_inFlight->m_sequence) {
     return; // Another copy has been answered before.
   }
   switch (aResult.m_outcome) {
     case platform::AppendOutcome::Stored:
-      if (aResult.m_first < m_end || aResult.m_end - aResult.m_first != m_records.size()) {
-        // The store has answered with the answer to an earlier append.
-        LogEvent("owner", "commit-not-new", "sequence={} records={} first={} end={} expected={}",
-                 m_sequence, m_records.size(), aResult.m_first, aResult.m_end, m_end);
+      if (aResult.m_first < m_end) {
+        LogEvent("owner", "commit-not-new", "sequence={} records={} first={} expected={}",
+                 aSequence, m_inFlight->m_records.size(), aResult.m_first, m_end);
         Count(m_state.m_metrics, "commits_not_new_total");
+        m_state.m_stepDown("the store answered as to an earlier append");
+        return;
       }
       m_end = aResult.m_end;
       m_copyAfter.OnAnswer(MonotonicMs() - aSentMs);
-      ++m_sequence;
       Count(m_state.m_metrics, "commits_total");
-      Observe(m_state.m_metrics, "commit_ms", "", MonotonicMs() - m_begunMs);
+      Observe(m_state.m_metrics, "commit_ms", "", MonotonicMs() - m_inFlight->m_begunMs);
       OnStored();
       return;
     case platform::AppendOutcome::Fenced:
       m_state.m_stepDown("a later owner writes the progress");
       return;
     case platform::AppendOutcome::OutOfSequence:
-      LogEvent("owner", "sequence", "sent={} expected={}", m_sequence, aResult.m_sequence);
-      m_sequence = aResult.m_sequence;
-      break;
+      // What the store holds under the numbers of this owner is not known any more.
+      LogEvent("owner", "sequence", "sent={} expected={}", aSequence, aResult.m_sequence);
+      m_state.m_stepDown("the store expects another sequence number");
+      return;
     default:
-      if (m_failures++ == 0) {
+      if (m_inFlight->m_failures++ == 0) {
         LogEvent("owner", "commit-delayed", "outcome={} jobs={} after_ms={}",
-                 static_cast<int>(aResult.m_outcome), m_records.size(), MonotonicMs() - m_begunMs);
+                 static_cast<int>(aResult.m_outcome), m_inFlight->m_records.size(),
+                 MonotonicMs() - m_inFlight->m_begunMs);
       }
       Count(m_state.m_metrics, "commit_retries_total");
       break;
   }
-  Retry();
+  SendCopyAfter(
+    std::min(kRetryMs * (1 + static_cast<Millis>(m_inFlight->m_failures)), kMaxRetryMs));
 }
 
 void Committer::OnStored()
 {
-  m_timer.cancel();
-  m_copies = 0;
-  m_busy = false;
-  m_failures = 0;
-  for (const auto& id : m_inFlight.m_finished) {
+  m_copyTimer.cancel();
+  const CommitBatch batch = std::exchange(m_inFlight, std::nullopt)->m_batch;
+  for (const auto& id : batch.m_finished) {
     Job& job = m_state.m_book.m_jobs.at(id);
     job.m_phaseStored = true;
     job.m_finishedMs = MonotonicMs();
   }
-  m_onStored(std::exchange(m_inFlight, {}));
+  m_onStored(batch);
   Wake();
 }
 
--- a/src/manager/Committer.h
+++ b/src/manager/Committer.h
@@ -60,30 +60,38 @@
   /// append that leaves early shows it, while a copy sent before waits to its end.
   static constexpr Millis kLeastCopyMs = 150;
 
+  /// \brief An append that is repeated until it is answered. Its sequence number never goes to
+  /// other records: the store answers a number that it knows without storing anything.
+  struct Append
+  {
+    std::uint64_t m_sequence{};
+    std::vector<std::string> m_records;
+    CommitBatch m_batch;
+    Millis m_begunMs{};    ///< When the first copy was sent.
+    unsigned m_copies{};   ///< Sent so far.
+    unsigned m_failures{}; ///< Copies without success, in a row.
+  };
+
   void Flush();
   void Send();
-  void SendCopyLater();
-  void OnAnswer(std::uint64_t aBatch, Millis aSentMs, const platform::AppendResult& aResult);
+  /// \brief Sends another copy of the append in flight, unless it is answered before.
+  void SendCopyAfter(Millis aDelayMs);
+  [[nodiscard]] Millis CopyPauseMs() const noexcept;
+  void OnAnswer(std::uint64_t aSequence, Millis aSentMs, const platform::AppendResult& aResult);
   void OnStored();
-  void Retry();
   [[nodiscard]] bool IsIdle() const;
 
   OwnerState& m_state;
   std::function<void(const CommitBatch&)> m_onStored;
-  asio::steady_timer m_timer;
+  asio::steady_timer m_gatherTimer;
+  asio::steady_timer m_copyTimer;
   CommitBatch m_next;
-  CommitBatch m_inFlight;
-  std::vector<std::string> m_records; ///< Of the append in flight; repeated until it is answered.
-  std::uint64_t m_batch{};            ///< Counts the appends; copies of one share its number.
-  std::uint64_t m_sequence{ 1 };
-  Offset m_end{}; ///< Of the topic after the last append that was answered as stored.
+  std::optional<Append> m_inFlight;
+  std::uint64_t m_lastSequence{}; ///< That of the call which opens the topic is 0.
+  Offset m_end{};                 ///< Of the topic after the last append that was stored.
   CallTimeout m_copyAfter{ kLeastCopyMs };
-  Millis m_begunMs{};    ///< When the first copy of the append in flight was sent.
-  unsigned m_copies{};   ///< Of the append in flight that were sent.
-  unsigned m_failures{}; ///< Copies without success, in a row.
   bool m_open{};
-  bool m_busy{};
-  bool m_armed{};
+  bool m_gathering{};
 };
 
 /// \brief Topic of the records of job progress.
