Do not begin an ownership again with the token of one that ended

Nothing was seen by callers. An owner that steps down by itself (an unexpected error) while a renewal is on its way read that renewal as its own and began a second ownership with the same token. Its writer counted its appends from 1 under the same epoch, so the store answered the first five as repeats: runs were sent and ends acknowledged without a record. An ownership that has ended stays ended; the process claims with a new token like any other.

--- a/src/manager/Elector.cpp
+++ b/src/manager/Elector.cpp
@@ -79,8 +79,10 @@
 
 void Elector::StepDown(std::string_view aReason)
 {
-  if (std::exchange(m_token, 0) != 0) {
-    LogEvent("owner", "stepped-down", "process={} reason={}", m_process, aReason);
+  if (m_token != 0) {
+    m_endedToken = std::exchange(m_token, 0);
+    LogEvent("owner", "stepped-down", "process={} token={} reason={}", m_process, m_endedToken,
+             aReason);
     m_handlers.m_onLost(aReason);
   }
 }
@@ -160,7 +162,9 @@
     }
     return;
   }
-  if (m_retired) {
+  // A renewal that was on its way when the ownership ended does not bring it back: the writer of
+  // the progress would count its appends anew, and the store would take them for repeats.
+  if (m_retired || m_view.m_token == m_endedToken) {
     return;
   }
   if (record->m_sentMs >= m_confirmedMs) {
--- a/src/manager/Elector.h
+++ b/src/manager/Elector.h
@@ -73,6 +73,7 @@
   Ticker m_ticker;
   std::shared_ptr<int> m_alive = std::make_shared<int>();
   FencingToken m_token{};
+  FencingToken m_endedToken{}; ///< Of the last ownership that ended; it does not begin again.
   Millis m_confirmedMs{};
   Millis m_actMs{};  ///< Of the last stored record of this owner.
   Millis m_callMs{}; ///< Recent longest time of an append.
