Do not hand on an answer whose request was cancelled meanwhile

An answer that libcurl has completed waits in the loop for its callback. A cancel in between did not hold it back, so a report of a server that was asked for before its restart could be taken for one of its new life, or clear the call that had replaced it. Answers wait under the id of their request, and a cancel removes them.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -168,9 +168,17 @@
       curl_multi_remove_handle(m_multi, found->second->m_easy);
       m_transfers.erase(found);
     }
+    m_answered.erase(aId);
   }
 
 private:
+  /// \brief An answer on its way to its caller.
+  struct Answer
+  {
+    ClientCallback m_callback;
+    ClientResponse m_response;
+  };
+
   CURL* TakeHandle()
   {
     if (m_idleHandles.empty()) {
@@ -427,12 +435,22 @@
     transfer->m_response.m_failure = FailureOf(aCode, aEasy);
     curl_multi_remove_handle(m_multi, aEasy);
     KeepHandle(*transfer);
-    asio::post(m_loop, [callback = std::move(transfer->m_callback),
-                        response = std::move(transfer->m_response)]() mutable {
-      callback(std::move(response));
+    m_answered.emplace(transfer->m_id,
+                       Answer{ std::move(transfer->m_callback), std::move(transfer->m_response) });
+    asio::post(m_loop, [this, id = transfer->m_id, alive = std::weak_ptr<int>(m_alive)] {
+      if (alive.lock()) {
+        HandOn(id);
+      }
     });
   }
 
+  void HandOn(std::uint64_t aId)
+  {
+    if (auto answer = m_answered.extract(aId)) {
+      answer.mapped().m_callback(std::move(answer.mapped().m_response));
+    }
+  }
+
   asio::io_context& m_loop;
   asio::steady_timer m_timer;
   std::optional<std::chrono::steady_clock::time_point> m_due; ///< When libcurl wants to be driven.
@@ -443,6 +461,7 @@
   std::vector<CURL*> m_idleHandles;
   std::uint64_t m_lastId{};
   std::map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
+  std::map<std::uint64_t, Answer> m_answered;
   std::map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
 };
 
