Send a start once, also when its connection turns out to be dead

Two runs of a subtask could be at work at the same time. libcurl repeats a request by itself when a reused connection breaks before any answer. The copy of a start can be refused as not done (503, no room), which drops the run, while the first one is carried out a second later. A start now fails as unanswered when it would be sent a second time, and the server's list decides, as for any start without an answer. Other orders may be repeated: a copy of theirs changes nothing. A connection of its own for each start was ruled out: it would cost one for each of thousands of starts.

--- a/include/pistachiostand/connection/HttpClient.h
+++ b/include/pistachiostand/connection/HttpClient.h
@@ -39,6 +39,8 @@
   /// Sends on a connection of its own. libcurl repeats a request by itself when a reused
   /// connection turns out to be dead, which a non-idempotent request must not see.
   bool m_neverRepeat{};
+  /// The same on any connection: the transfer fails when the request would be sent a second time.
+  bool m_sendOnce{};
   /// Moment of the monotonic clock after which the request is no longer sent, however long the
   /// process was paused or waited for its connection; 0: none. It then fails as NotSent.
   Millis m_sendBeforeMs{};
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -34,6 +34,7 @@
   ClientCallback m_callback;
   CURL* m_easy{};
   curl_slist* m_headerList{};
+  bool m_begun{}; ///< libcurl has begun to send the request.
 
   Transfer() = default;
   Transfer(const Transfer&) = delete;
@@ -86,8 +87,14 @@
 int OnBeforeRequest(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
                     int /*aLocalPort*/)
 {
-  const Millis sendBefore = static_cast<Transfer*>(aTransfer)->m_request.m_sendBeforeMs;
-  return MonotonicMs() <= sendBefore ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  const ClientRequest& request = transfer.m_request;
+  if ((request.m_sendOnce && transfer.m_begun) ||
+      (request.m_sendBeforeMs != 0 && MonotonicMs() > request.m_sendBeforeMs)) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer.m_begun = true;
+  return CURL_PREREQFUNC_OK;
 }
 
 /// \brief True when the request was not handed to a connection.
@@ -233,7 +240,7 @@
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
-    if (request.m_sendBeforeMs != 0) {
+    if (request.m_sendBeforeMs != 0 || request.m_sendOnce) {
       curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
       curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
     }
