Do not send a planned run whose subtask is done or whose job has ended

A run waits for its record, 1.2 s and more under a slow store. The end of another run of its subtask, or the cancel of its job, may come meanwhile; the run was sent all the same and stopped afterwards, because only its phase was looked at.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -213,6 +213,11 @@
   if (run == nullptr || run->m_phase != RunPhase::Planned) {
     return; // Cancelled meanwhile.
   }
+  const Job& job = m_state.m_book.m_jobs.at(aRun.m_subtask.m_job);
+  if (job.m_phase != JobPhase::Active || FindSubtask(m_state.m_book, aRun.m_subtask)->m_done) {
+    Drop(aRun, "not needed any more");
+    return;
+  }
   const Millis now = MonotonicMs();
   ServerState& server = m_state.m_servers[aRun.m_server];
   const auto clock = ServerClockMs(server, now);
@@ -222,7 +227,7 @@
   }
   platform::StartOrder order;
   order.m_run = aRun;
-  order.m_payload = m_state.m_book.m_jobs.at(aRun.m_subtask.m_job).m_spec.m_payload;
+  order.m_payload = job.m_spec.m_payload;
   order.m_checkpoint = FindSubtask(m_state.m_book, aRun.m_subtask)->m_checkpoint;
   const Millis lease = std::min(kStartLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
   order.m_leaseEndMs = *clock + lease;
@@ -235,11 +240,10 @@
   run->m_phase = RunPhase::Sent;
   run->m_sinceMs = now;
   Count(m_state.m_metrics, "starts_total");
-  const Subtask& subtask = *FindSubtask(m_state.m_book, aRun.m_subtask);
-  LogEvent("run", "start",
-           "task={} run={} server={} token={} lease_ms={} resumed={} done={} last_ended={}",
+  LogEvent("run", "start", "task={} run={} server={} token={} lease_ms={} resumed={} last_ended={}",
            ToString(aRun.m_subtask), aRun.m_run, aRun.m_server, m_state.m_token, lease,
-           !order.m_checkpoint.empty(), subtask.m_done, subtask.m_lastEndedRun);
+           !order.m_checkpoint.empty(),
+           FindSubtask(m_state.m_book, aRun.m_subtask)->m_lastEndedRun);
   m_state.m_orders.Start(
     server.m_entry, order, m_state.m_actUntilMs(), kStartTimeoutMs,
     m_state.Guard([this, sent = SentOrder{ aRun, server.m_entry.m_address, now }](
