Let no old lease end a run that is only planned

A run was planned on an idle server whose last lease had ended, and the next tick, up to 100 ms later, gave it up by that lease while its record was still being stored: a used number, a used record, and the work waits for another pass. It was never sent, so nothing ran twice. A lease now ends only what may have begun.

--- a/include/pistachiostand/job/JobBook.h
+++ b/include/pistachiostand/job/JobBook.h
@@ -189,6 +189,9 @@
 /// \brief Run of a subtask with this number, or null.
 [[nodiscard]] Run* FindRun(JobBook& aBook, const RunRef& aRef) noexcept;
 
+/// \brief All runs on a server, in whatever phase.
+[[nodiscard]] std::vector<RunRef> RunsOn(const JobBook& aBook, const ServerId& aServer);
+
 /// \brief True when all steps that the step waits for are done.
 [[nodiscard]] bool IsStepOpen(const Job& aJob, const Occurrence& aOccurrence,
                               std::uint32_t aStep) noexcept;
--- a/src/job/JobBook.cpp
+++ b/src/job/JobBook.cpp
@@ -275,6 +275,25 @@
   return found == subtask->m_runs.end() ? nullptr : &*found;
 }
 
+std::vector<RunRef> RunsOn(const JobBook& aBook, const ServerId& aServer)
+{
+  std::vector<RunRef> runs;
+  const auto found = aBook.m_byServer.find(aServer);
+  if (found == aBook.m_byServer.end()) {
+    return runs;
+  }
+  for (const auto& id : found->second) {
+    const auto& subtask =
+      aBook.m_jobs.at(id.m_job).m_occurrences.at(id.m_occurrence).m_steps[id.m_step][id.m_index];
+    for (const auto& run : subtask.m_runs) {
+      if (run.m_server == aServer) {
+        runs.push_back({ id, run.m_number, aServer });
+      }
+    }
+  }
+  return runs;
+}
+
 bool IsStepOpen(const Job& aJob, const Occurrence& aOccurrence, std::uint32_t aStep) noexcept
 {
   return std::ranges::all_of(aJob.m_spec.m_steps[aStep].m_after, [&](std::uint32_t aEarlier) {
@@ -392,23 +411,9 @@
 
 std::vector<RunRef> DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
 {
-  std::vector<RunRef> dropped;
-  const auto found = aBook.m_byServer.find(aServer);
-  if (found == aBook.m_byServer.end()) {
-    return dropped;
-  }
-  const auto subtasks = found->second;
-  for (const auto& id : subtasks) {
-    Subtask* subtask = FindSubtask(aBook, id);
-    const auto runs = subtask->m_runs;
-    for (const auto& run : runs) {
-      if (run.m_server == aServer) {
-        dropped.push_back({ id, run.m_number, aServer });
-        RemoveRun(aBook, *subtask, dropped.back(), aNowMs);
-      }
-    }
-  }
-  return dropped;
+  const auto runs = RunsOn(aBook, aServer);
+  std::ranges::for_each(runs, [&](const RunRef& aRef) { DropRun(aBook, aRef, aNowMs); });
+  return runs;
 }
 
 std::vector<RunRef> RunsToStop(JobBook& aBook)
--- a/src/job/Reconcile.cpp
+++ b/src/job/Reconcile.cpp
@@ -61,25 +61,6 @@
   return Missing::Waits;
 }
 
-std::vector<RunRef> RunsOn(const JobBook& aBook, const ServerId& aServer)
-{
-  std::vector<RunRef> runs;
-  const auto found = aBook.m_byServer.find(aServer);
-  if (found == aBook.m_byServer.end()) {
-    return runs;
-  }
-  for (const auto& id : found->second) {
-    const auto& subtask =
-      aBook.m_jobs.at(id.m_job).m_occurrences.at(id.m_occurrence).m_steps[id.m_step][id.m_index];
-    for (const auto& run : subtask.m_runs) {
-      if (run.m_server == aServer) {
-        runs.push_back({ id, run.m_number, aServer });
-      }
-    }
-  }
-  return runs;
-}
-
 } // namespace
 
 Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer,
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -63,6 +63,13 @@
   return m_state.m_book.m_byServer.contains(aId);
 }
 
+bool RunControl::HasSentRuns(const ServerId& aId) const
+{
+  return std::ranges::any_of(RunsOn(m_state.m_book, aId), [this](const RunRef& aRef) {
+    return FindRun(m_state.m_book, aRef)->m_phase != RunPhase::Planned;
+  });
+}
+
 Millis RunControl::LookWaitMs(const ServerId& aId, Millis aWaitMs) const
 {
   const auto found = m_state.m_book.m_byServer.find(aId);
@@ -566,7 +573,7 @@
   std::size_t looks = direct ? kDirectLooksPerTick : m_state.m_servers.size();
   for (auto& [id, server] : m_state.m_servers) {
     const bool runs = HasRuns(id);
-    if (runs && aNowMs > server.m_leaseEndMs) {
+    if (runs && aNowMs > server.m_leaseEndMs && HasSentRuns(id)) {
       ExpireLease(server, aNowMs);
       continue;
     }
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -78,6 +78,8 @@
   void ExpireLease(ServerState& aServer, Millis aNowMs);
   void NoteClock(ServerState& aServer, Millis aServerMs);
   [[nodiscard]] bool HasRuns(const ServerId& aId) const;
+  /// \brief True when a run there may have begun: planned ones hold no lease yet.
+  [[nodiscard]] bool HasSentRuns(const ServerId& aId) const;
   [[nodiscard]] Millis LookWaitMs(const ServerId& aId, Millis aWaitMs) const;
   [[nodiscard]] Millis LeaseMs(Millis aNowMs) const;
   [[nodiscard]] std::uint32_t MaxFailures(const SubtaskId& aId) const;
