Keep a run that was just seen although the last known lease has ended

A run that a report shows and the book does not know is taken over, but the end of the lease of its server stayed that of an earlier order. The next tick gave it up and started the work again elsewhere while it ran (TWICE). It needs a look without a lease, so a server that has missed one answer, or a takeover whose first look goes out without the server's clock. Found by reading; the test failed with 'lease-expired silent_ms=0'. The lease is now reckoned from the report: every grant of another owner was sent before it, and none is longer than 4 s.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -485,6 +485,11 @@
   for (const auto& run : result.m_stops) {
     Stop(run, "not expected there");
   }
+  if (!aReport.m_running.empty() && aServer.m_leaseEndMs < now) {
+    // What runs there holds a lease of an earlier owner, which it can't renew from now on.
+    aServer.m_leaseEndMs =
+      LatestLeaseEndMs(now, std::min(kLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs));
+  }
   Pace(aServer);
 }
 
