Begin anew with a backend server that has started again under its id

What callers could see: a subtask that is run again after its end, or twice at a time, around a restart of a server under its id (TWICE). Cause: what belongs to the former life was taken for the new one until a report had shown the new incarnation, and answers of starts and stops come before that: the clock (the first lease is cut to the longest, 6 s, where 1.5 s were reckoned), the number of acknowledged ends (end 1 of the new life was acknowledged unseen), and the runs (one that the new life had confirmed was dropped, and a start without an answer was forgotten with its stop).

Now each answer's clock is compared with the lowest one that the known life can show. A lower one begins a new life at once: nothing is acknowledged before it has listed its ends, its leases count as the longest, and its runs are looked at. A run that was confirmed after the report was asked for, and a start without an answer, outlive the change.

ReconcileTest's calls carry the new argument, their expectations are unchanged.

--- a/include/pistachiostand/job/Reconcile.h
+++ b/include/pistachiostand/job/Reconcile.h
@@ -62,10 +62,15 @@
                                        const std::vector<ReportedRun>& aRunning, Millis aAskedMs,
                                        Millis aNowMs);
 
-/// \brief Applies the change of life of a server: what was seen running there is gone. A start
-/// without an answer stays, because the new life may still receive it.
+/// \brief Applies the change of life of a server: what was seen running there is gone.
+///
+/// Kept are a start without an answer, which the new life may still receive (its stop, if ordered,
+/// is forgotten there and due again), and a run that was confirmed at `aAskedMs` or later, when the
+/// new life may already have begun.
+/// \param aAskedMs when the answer that shows the new life was asked for.
 /// \return the forgotten runs.
-std::vector<RunRef> DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs);
+std::vector<RunRef> DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aAskedMs,
+                                   Millis aNowMs);
 
 /// \brief New shares for the fillers on a server, so that the serving subtasks beside them keep
 /// their tail targets. Only changed shares are returned.
--- a/src/job/Reconcile.cpp
+++ b/src/job/Reconcile.cpp
@@ -92,12 +92,19 @@
   return result;
 }
 
-std::vector<RunRef> DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
+std::vector<RunRef> DropFormerLife(JobBook& aBook, const ServerId& aServer, Millis aAskedMs,
+                                   Millis aNowMs)
 {
   std::vector<RunRef> dropped;
   for (const auto& ref : RunsOn(aBook, aServer)) {
-    const RunPhase phase = FindRun(aBook, ref)->m_phase;
-    if (phase != RunPhase::Sent && phase != RunPhase::Planned) {
+    Run& run = *FindRun(aBook, ref);
+    const bool isUnanswered = run.m_phase == RunPhase::Sent ||
+                              (run.m_phase == RunPhase::Stopping && run.m_unansweredMs != 0);
+    const bool isConfirmedLater = run.m_phase == RunPhase::Running && run.m_sinceMs >= aAskedMs;
+    if (isUnanswered) {
+      run.m_phase = RunPhase::Sent;
+      run.m_stopAcceptedMs = 0;
+    } else if (run.m_phase != RunPhase::Planned && !isConfirmedLater) {
       dropped.push_back(ref);
       DropRun(aBook, ref, aNowMs);
     }
--- a/src/manager/OwnerState.cpp
+++ b/src/manager/OwnerState.cpp
@@ -22,6 +22,13 @@
   return aServer.m_clock->m_serverMs + elapsed * (100 - kClockDriftPercent) / 100;
 }
 
+bool IsOfLaterLife(const ServerState& aServer, Millis aServerMs, Millis aSentMs) noexcept
+{
+  // A call that was sent before the clock was noted may have been answered before, too.
+  return aServer.m_clock && aSentMs >= aServer.m_clock->m_localMs &&
+         aServerMs < *ServerClockMs(aServer, aSentMs) - kLeaseMarginMs;
+}
+
 Millis LatestLeaseEndMs(Millis aNowMs, Millis aLeaseMs) noexcept
 {
   return aNowMs + aLeaseMs * 100 / (100 - kClockDriftPercent) + kLeaseMarginMs;
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -39,6 +39,7 @@
   ServerEntry m_entry;
   bool m_listed{};                   ///< Registered at the moment.
   bool m_looked{};                   ///< Has reported under this ownership.
+  bool m_listsEnds{};                ///< Its last report had ends.
   std::int64_t m_incarnation{};      ///< 0: not known yet.
   std::int64_t m_endedIncarnation{}; ///< Lives up to this one were ended by an order; 0: none.
   Millis m_endedMs{};                ///< When that order was answered.
@@ -101,6 +102,11 @@
 [[nodiscard]] std::optional<Millis> ServerClockMs(const ServerState& aServer,
                                                   Millis aNowMs) noexcept;
 
+/// \brief True when an answer to a call of `aSentMs` shows a clock that began anew: the server has
+/// started again since its clock was noted. A life younger than its first answers goes unnoticed.
+[[nodiscard]] bool IsOfLaterLife(const ServerState& aServer, Millis aServerMs,
+                                 Millis aSentMs) noexcept;
+
 /// \brief Latest moment of the owner's steady clock at which a lease granted now may still run.
 [[nodiscard]] Millis LatestLeaseEndMs(Millis aNowMs, Millis aLeaseMs) noexcept;
 
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -114,9 +114,34 @@
          aServer.m_silent < kSilentCalls && aNowMs >= aServer.m_avoidUntilMs;
 }
 
-void RunControl::NoteClock(ServerState& aServer, Millis aServerMs)
+void RunControl::OnClock(ServerState& aServer, Millis aServerMs, Millis aSentMs)
 {
-  aServer.m_clock = ClockSample{ aServerMs, MonotonicMs() };
+  const Millis now = MonotonicMs();
+  if (IsOfLaterLife(aServer, aServerMs, aSentMs)) {
+    LogEvent("fleet", "server-reborn", "server={} clock_ms={} expected_ms={}", aServer.m_entry.m_id,
+             aServerMs, *ServerClockMs(aServer, now));
+    // Calls that are not answered yet may have reached the new life.
+    LogDropped(DropFormerLife(m_state.m_book, aServer.m_entry.m_id, now, now),
+               "the server started again");
+    BeginLife(aServer);
+    aServer.m_incarnation = 0;
+    aServer.m_looked = false;
+    aServer.m_nextLookMs = now;
+    CancelLook(aServer);
+  }
+  aServer.m_clock = ClockSample{ aServerMs, now };
+}
+
+void RunControl::BeginLife(ServerState& aServer)
+{
+  aServer.m_appliedEnds = 0;
+  aServer.m_storedEnds = 0;
+  aServer.m_listsEnds = false;
+  // Leases by the clock of the former life end far ahead, so the server has cut them to its
+  // longest.
+  aServer.m_leaseEndMs =
+    std::max(aServer.m_leaseEndMs,
+             LatestLeaseEndMs(MonotonicMs(), m_state.m_settings.m_bounds.m_maxLeaseMs));
 }
 
 void RunControl::OnServerEntry(const ServerId& aId, const std::optional<ServerEntry>& aEntry)
@@ -136,11 +161,11 @@
     return; // Written before its instance was ordered away.
   }
   const bool moved = server.m_listed && server.m_entry.m_address != aEntry->m_address;
-  const bool reborn = server.m_incarnation != 0 && aEntry->m_incarnation != 0 &&
-                      server.m_incarnation < aEntry->m_incarnation;
+  const std::int64_t known = std::max(server.m_incarnation, server.m_entry.m_incarnation);
+  const bool reborn = known != 0 && known < aEntry->m_incarnation;
   if (!server.m_listed || moved || reborn || server.m_entry.m_draining != aEntry->m_draining) {
     LogEvent("fleet", "server", "server={} pool={} draining={} born={} known_born={}", aId,
-             aEntry->m_pool, aEntry->m_draining, aEntry->m_incarnation, server.m_incarnation);
+             aEntry->m_pool, aEntry->m_draining, aEntry->m_incarnation, known);
   }
   if (!server.m_listed || moved || reborn) {
     server.m_looked = false;
@@ -155,7 +180,7 @@
   server.m_entry = *aEntry;
   server.m_listed = true;
   if (!server.m_clock) {
-    NoteClock(server, aEntry->m_clockMs);
+    server.m_clock = ClockSample{ aEntry->m_clockMs, now };
   }
   m_onChange();
 }
@@ -264,8 +289,8 @@
   const RunRef& ref = aSent.m_run;
   const Millis now = MonotonicMs();
   ServerState& server = m_state.m_servers[ref.m_server];
-  if (aResult.m_answer.m_clockMs) {
-    NoteClock(server, *aResult.m_answer.m_clockMs);
+  if (aResult.m_answer.m_clockMs && aResult.m_outcome != CallOutcome::OtherServer) {
+    OnClock(server, *aResult.m_answer.m_clockMs, aSent.m_sentMs);
     server.m_contactMs = now;
     server.m_silent = 0;
   }
@@ -359,10 +384,11 @@
 {
   const Millis now = MonotonicMs();
   ServerState& server = m_state.m_servers[aSent.m_run.m_server];
-  Run* run = FindRun(m_state.m_book, aSent.m_run);
   if (aResult.m_outcome == platform::CallOutcome::Done) {
-    NoteClock(server, aResult.m_answer.m_clockMs.value_or(0));
-    if (run != nullptr) {
+    if (aResult.m_answer.m_clockMs) {
+      OnClock(server, *aResult.m_answer.m_clockMs, aSent.m_sentMs);
+    }
+    if (Run* run = FindRun(m_state.m_book, aSent.m_run); run != nullptr) {
       run->m_stopAcceptedMs = now;
     }
     return;
@@ -410,7 +436,10 @@
   }
   platform::LookOrder order;
   order.m_token = m_state.m_token;
-  order.m_acknowledged = aServer.m_looked ? aServer.m_storedEnds : 0;
+  // A number goes only to a server that has just listed its ends: sent to one that has started
+  // again meanwhile, it would acknowledge ends of the new life that nobody has seen.
+  const bool listsEnds = aServer.m_looked && aServer.m_listsEnds && aServer.m_silent == 0;
+  order.m_acknowledged = listsEnds ? aServer.m_storedEnds : 0;
   order.m_waitMs = LookWaitMs(aServer.m_entry.m_id, aWaitMs);
   // A silent server's lease is left to end: a renewal without an answer may still take effect, and
   // each one would put off the moment from which its work may start elsewhere.
@@ -470,15 +499,17 @@
     if (aServer.m_incarnation != 0) {
       LogEvent("fleet", "server-reborn", "server={} born={} before={}", id, aReport.m_incarnation,
                aServer.m_incarnation);
-      LogDropped(DropFormerLife(m_state.m_book, id, now), "the server started again");
+      LogDropped(DropFormerLife(m_state.m_book, id, aSentMs, now), "the server started again");
+      BeginLife(aServer);
     }
     aServer.m_incarnation = aReport.m_incarnation;
     aServer.m_appliedEnds = 0;
     aServer.m_storedEnds = 0;
   }
-  NoteClock(aServer, aReport.m_clockMs);
+  aServer.m_clock = ClockSample{ aReport.m_clockMs, now };
   aServer.m_contactMs = now;
   aServer.m_looked = true;
+  aServer.m_listsEnds = !aReport.m_ended.empty();
   ApplyEnds(aServer, aReport);
   const auto result = Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now);
   LogDropped(result.m_dropped, "not reported");
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -76,7 +76,11 @@
   void OnSilent(ServerState& aServer);
   void OnOtherServer(ServerState& aServer, const Endpoint& aAddress);
   void ExpireLease(ServerState& aServer, Millis aNowMs);
-  void NoteClock(ServerState& aServer, Millis aServerMs);
+  /// \brief Notes the clock that a server tells in its answer to a call of `aSentMs`.
+  void OnClock(ServerState& aServer, Millis aServerMs, Millis aSentMs);
+  /// \brief Begins anew with a server whose former life has ended: what it has acknowledged and
+  /// the time of its clock say nothing of the new one.
+  void BeginLife(ServerState& aServer);
   [[nodiscard]] bool HasRuns(const ServerId& aId) const;
   /// \brief True when a run there may have begun: planned ones hold no lease yet.
   [[nodiscard]] bool HasSentRuns(const ServerId& aId) const;
--- a/tests/unit/ReconcileTest.cpp
+++ b/tests/unit/ReconcileTest.cpp
@@ -94,10 +94,10 @@
 TEST_F(ReconcileTest, FormerLife_StartInFlight_IsKept)
 {
   Planned(RunPhase::Sent);
-  DropFormerLife(m_book, "s1", kNow);
+  DropFormerLife(m_book, "s1", kAsked, kNow);
   EXPECT_TRUE(HasRun());
   FindRun(m_book, { m_subtask, 1, "s1" })->m_phase = RunPhase::Running;
-  DropFormerLife(m_book, "s1", kNow);
+  DropFormerLife(m_book, "s1", kAsked, kNow);
   EXPECT_FALSE(HasRun());
 }
 
@@ -110,7 +110,7 @@
   ASSERT_EQ(Report({}).size(), 1U);
   run.m_phase = RunPhase::Stopping;
   run.m_stopSentMs = kNow + 110;
-  DropFormerLife(m_book, "s1", kNow + 200);
+  DropFormerLife(m_book, "s1", kAsked, kNow + 200);
   EXPECT_TRUE(HasRun());
 }
 
