Count the end as done of an earlier run that was given up

A subtask was started a third time: run 1 was given up, run 2 ended as stopped, and the end of run 1 as done was taken for a repeat and acknowledged (TWICE). An end as done whose subtask is not done can't be a repeat, because a done subtask stays done. The test failed with 'm_done false' and passes now. Failed ends of earlier runs can't be told from repeats without their numbers in the record of the job, so they are still not counted as attempts.

--- a/src/job/JobBook.cpp
+++ b/src/job/JobBook.cpp
@@ -172,6 +172,15 @@
   return left;
 }
 
+/// \brief True for the first end as done of a subtask that ends by itself. A run that was given up
+/// while it worked may end so after a later run.
+bool IsFirstDone(const JobBook& aBook, const Subtask& aSubtask, const RunEnd& aEnd)
+{
+  const auto& spec = aBook.m_jobs.at(aEnd.m_subtask.m_job).m_spec;
+  return aEnd.m_kind == EndKind::Done && !aSubtask.m_done &&
+         !spec.m_steps.at(aEnd.m_subtask.m_step).m_lasting;
+}
+
 } // namespace
 
 double WorkOf(const StepSpec& aStep, Millis aRunMs) noexcept
@@ -387,8 +396,8 @@
   if (listed) {
     RemoveRun(aBook, *subtask, { aEnd.m_subtask, aEnd.m_run, run->m_server }, aNowMs);
   }
-  if (!listed && aEnd.m_run <= subtask->m_lastEndedRun) {
-    return false;
+  if (!listed && aEnd.m_run <= subtask->m_lastEndedRun && !IsFirstDone(aBook, *subtask, aEnd)) {
+    return false; // Repeated.
   }
   subtask->m_lastRun = std::max(subtask->m_lastRun, aEnd.m_run);
   subtask->m_lastEndedRun = std::max(subtask->m_lastEndedRun, aEnd.m_run);
@@ -411,7 +420,7 @@
 
 std::vector<RunRef> DropServer(JobBook& aBook, const ServerId& aServer, Millis aNowMs)
 {
-  const auto runs = RunsOn(aBook, aServer);
+  auto runs = RunsOn(aBook, aServer);
   std::ranges::for_each(runs, [&](const RunRef& aRef) { DropRun(aBook, aRef, aNowMs); });
   return runs;
 }
