Reckon the longest lease wherever a server may have been ordered by the clock of an earlier life

Four tests failed (lease end short of 6 s; clock above 50,000 in place of 100) and pass.

A registration or a first report of another life now counts as the longest lease, a call that was sent before the clock was noted is compared with the clock of its sending, and its answer never sets the clock.

--- a/src/manager/OwnerState.cpp
+++ b/src/manager/OwnerState.cpp
@@ -24,9 +24,14 @@
 
 bool IsOfLaterLife(const ServerState& aServer, Millis aServerMs, Millis aSentMs) noexcept
 {
-  // A call that was sent before the clock was noted may have been answered before, too.
-  return aServer.m_clock && aSentMs >= aServer.m_clock->m_localMs &&
-         aServerMs < *ServerClockMs(aServer, aSentMs) - kLeaseMarginMs;
+  if (!aServer.m_clock) {
+    return false;
+  }
+  // A call that was sent before the clock was noted may have been answered as much earlier.
+  const Millis lowest = aSentMs < aServer.m_clock->m_localMs
+                          ? aServer.m_clock->m_serverMs - (aServer.m_clock->m_localMs - aSentMs)
+                          : *ServerClockMs(aServer, aSentMs);
+  return aServerMs < lowest - kLeaseMarginMs;
 }
 
 Millis LatestLeaseEndMs(Millis aNowMs, Millis aLeaseMs) noexcept
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -103,7 +103,7 @@
                                                   Millis aNowMs) noexcept;
 
 /// \brief True when an answer to a call of `aSentMs` shows a clock that began anew: the server has
-/// started again since its clock was noted. A life younger than its first answers goes unnoticed.
+/// started again since its clock was noted. A restart of a younger life may go unnoticed.
 [[nodiscard]] bool IsOfLaterLife(const ServerState& aServer, Millis aServerMs,
                                  Millis aSentMs) noexcept;
 
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -120,14 +120,15 @@
   if (IsOfLaterLife(aServer, aServerMs, aSentMs)) {
     LogEvent("fleet", "server-reborn", "server={} clock_ms={} expected_ms={}", aServer.m_entry.m_id,
              aServerMs, *ServerClockMs(aServer, now));
-    // Calls that are not answered yet may have reached the new life.
-    LogDropped(DropFormerLife(m_state.m_book, aServer.m_entry.m_id, now, now),
+    LogDropped(DropFormerLife(m_state.m_book, aServer.m_entry.m_id, aSentMs, now),
                "the server started again");
     BeginLife(aServer);
     aServer.m_incarnation = 0;
     aServer.m_looked = false;
     aServer.m_nextLookMs = now;
     CancelLook(aServer);
+  } else if (aServer.m_clock && aSentMs < aServer.m_clock->m_localMs) {
+    return; // It may have been answered before, by a former life too.
   }
   aServer.m_clock = ClockSample{ aServerMs, now };
 }
@@ -137,6 +138,11 @@
   aServer.m_appliedEnds = 0;
   aServer.m_storedEnds = 0;
   aServer.m_listsEnds = false;
+  ReckonLongestLease(aServer);
+}
+
+void RunControl::ReckonLongestLease(ServerState& aServer)
+{
   // Leases by the clock of the former life end far ahead, so the server has cut them to its
   // longest.
   aServer.m_leaseEndMs =
@@ -176,6 +182,7 @@
   }
   if (reborn) {
     server.m_clock.reset();
+    ReckonLongestLease(server);
   }
   server.m_entry = *aEntry;
   server.m_listed = true;
@@ -501,6 +508,10 @@
                aServer.m_incarnation);
       LogDropped(DropFormerLife(m_state.m_book, id, aSentMs, now), "the server started again");
       BeginLife(aServer);
+    } else if (aServer.m_entry.m_incarnation != 0 &&
+               aServer.m_entry.m_incarnation != aReport.m_incarnation) {
+      // The look went by the clock of the life that is registered.
+      ReckonLongestLease(aServer);
     }
     aServer.m_incarnation = aReport.m_incarnation;
     aServer.m_appliedEnds = 0;
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -81,6 +81,7 @@
   /// \brief Begins anew with a server whose former life has ended: what it has acknowledged and
   /// the time of its clock say nothing of the new one.
   void BeginLife(ServerState& aServer);
+  void ReckonLongestLease(ServerState& aServer);
   [[nodiscard]] bool HasRuns(const ServerId& aId) const;
   /// \brief True when a run there may have begun: planned ones hold no lease yet.
   [[nodiscard]] bool HasSentRuns(const ServerId& aId) const;
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <thread>
+
 namespace pistachiostand::fleet {
 namespace {
 
@@ -14,6 +17,33 @@
   {
   }
 
+  static constexpr Millis kLongestLeaseMs = 6'000;
+
+  /// \brief Answers the only call so far to a path.
+  void Answer(const std::string& aPath, const std::string& aBody)
+  {
+    const auto calls = m_client.Find(aPath);
+    ASSERT_EQ(calls.size(), 1U);
+    m_client.Answer(calls.front(), 200, aBody);
+  }
+
+  void Register(std::int64_t aIncarnation, Millis aClockMs)
+  {
+    ServerEntry entry = m_state.m_servers["s1"].m_entry;
+    entry.m_incarnation = aIncarnation;
+    entry.m_clockMs = aClockMs;
+    m_runs.OnServerEntry("s1", entry);
+  }
+
+  /// \brief Sends the start of the first run.
+  void StartRun()
+  {
+    PlanRun(m_state.m_book, m_subtask, "s1", 1, MonotonicMs());
+    CommitBatch batch;
+    batch.m_planned.push_back({ m_subtask, 1, "s1" });
+    m_runs.OnStored(batch);
+  }
+
   Committer m_committer;
   RunControl m_runs;
 };
@@ -49,7 +79,6 @@
 // its first report, and the owner went on by the clock of the former life.
 TEST_F(RunControlTest, ServerStartedAgainBeforeItsFirstReport_Lease_GoesByTheNewClock)
 {
-  constexpr Millis kLongestLeaseMs = 6'000;
   m_state.m_servers.clear();
   ServerEntry entry;
   entry.m_id = "s2";
@@ -95,5 +124,49 @@
   EXPECT_NE(FindRun(m_state.m_book, { m_subtask, 1, "s1" }), nullptr);
 }
 
+// Guards against a second run beside a first one: a server had started again and got a start by its
+// former clock, the answer was lost, and only its registration told of the new life.
+TEST_F(RunControlTest, StartWithoutAnswer_ServerRegistersANewLife_LeaseIsReckonedAtItsLongest)
+{
+  Register(5, 50'000);
+  StartRun();
+  Register(9, 100);
+  EXPECT_GE(m_state.m_servers["s1"].m_leaseEndMs, MonotonicMs() + kLongestLeaseMs);
+}
+
+// Guards against the same failure under a new owner, which knows the former life by its
+// registration only: the first look goes by the former clock.
+TEST_F(RunControlTest, FirstReportIsOfALaterLife_LeaseIsReckonedAtItsLongest)
+{
+  Register(5, 50'000);
+  m_state.m_servers["s1"].m_looked = false;
+  m_runs.Tick(MonotonicMs());
+  Answer("/hold", R"({"clock-ms":120,"born":9,"running":[],"finished":[]})");
+  EXPECT_GE(m_state.m_servers["s1"].m_leaseEndMs, MonotonicMs() + kLongestLeaseMs);
+}
+
+// Guards against the same failure when a start is overtaken by a look that the former life answers.
+TEST_F(RunControlTest, StartSentBeforeALook_AnsweredByALaterLife_LeaseIsReckonedAtItsLongest)
+{
+  StartRun();
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
+  m_runs.Tick(MonotonicMs());
+  Answer("/hold", R"({"clock-ms":50010,"born":5,"running":[],"finished":[]})");
+  Answer("/run-start", R"({"clock-ms":5})");
+  EXPECT_GE(m_state.m_servers["s1"].m_leaseEndMs, MonotonicMs() + kLongestLeaseMs);
+}
+
+// Guards against runs of a new life that are given up, because a late answer of the former life
+// brings its clock back and the next answer of the new one seems to show another restart.
+TEST_F(RunControlTest, AnswerOfTheFormerLife_AfterTheNewRegistration_DoesNotSetTheClock)
+{
+  Register(5, 50'000);
+  StartRun();
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
+  Register(9, 100);
+  Answer("/run-start", R"({"clock-ms":50005})");
+  EXPECT_LT(ServerClockMs(m_state.m_servers["s1"], MonotonicMs()), 10'000);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
