--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -519,7 +519,7 @@
   }
   aServer.m_clock = ClockSample{ aReport.m_clockMs, now };
   aServer.m_contactMs = now;
-  aServer.m_looked = true;
+  const bool isFirst = !std::exchange(aServer.m_looked, true);
   aServer.m_listsEnds = !aReport.m_ended.empty();
   ApplyEnds(aServer, aReport);
   const auto result = Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now);
@@ -527,10 +527,10 @@
   for (const auto& run : result.m_stops) {
     Stop(run, "not expected there");
   }
-  if (!aReport.m_running.empty() && aServer.m_leaseEndMs < now) {
+  if (!aReport.m_running.empty() && (isFirst || aServer.m_leaseEndMs < now)) {
     // What runs there holds a lease of an earlier owner, which it can't renew from now on.
-    aServer.m_leaseEndMs =
-      LatestLeaseEndMs(now, std::min(kLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs));
+    const Millis longest = std::min(kLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
+    aServer.m_leaseEndMs = std::max(aServer.m_leaseEndMs, LatestLeaseEndMs(now, longest));
   }
   Pace(aServer);
 }
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -124,6 +124,19 @@
   EXPECT_NE(FindRun(m_state.m_book, { m_subtask, 1, "s1" }), nullptr);
 }
 
+// Guards against the failure above when the owner's own lease ends between the look and the tick.
+TEST_F(RunControlTest, RunSeenShortlyBeforeTheLeaseEnd_IsNotGivenUpAtOnce)
+{
+  ServerState& server = m_state.m_servers["s1"];
+  server.m_looked = false;
+  server.m_silent = 1;
+  server.m_leaseEndMs = MonotonicMs() + 50;
+  m_runs.Tick(MonotonicMs());
+  Answer("/hold", R"({"clock-ms":50010,"born":5,"running":[["a.0.0.0",1,"",40]],"finished":[]})");
+  m_runs.Tick(MonotonicMs() + 100);
+  EXPECT_NE(FindRun(m_state.m_book, { m_subtask, 1, "s1" }), nullptr);
+}
+
 // Guards against a second run beside a first one: a server had started again and got a start by its
 // former clock, the answer was lost, and only its registration told of the new life.
 TEST_F(RunControlTest, StartWithoutAnswer_ServerRegistersANewLife_LeaseIsReckonedAtItsLongest)
