Drop a look that cannot be sent within a second

Starts and stops have a time after which they are not sent; looks had none. A process or carrier that had been paused for seconds sent its look afterwards, with an acknowledgement and a lease by the clock of a life that may have ended meanwhile. The test failed with no end of sending, and passes; carriers drop such a look with the other late orders.

--- a/src/manager/OrderCarrier.cpp
+++ b/src/manager/OrderCarrier.cpp
@@ -237,7 +237,9 @@
       m_orders.Pace(server, run, aOrder.m_percent, permission, aOrder.m_timeoutMs, answered);
       break;
     case OrderKind::Look:
-      m_orders.Look(server, { aOrder.m_leaseEndMs, aToken, aOrder.m_acknowledged, aOrder.m_waitMs },
+      m_orders.Look(server,
+                    { aOrder.m_leaseEndMs, aToken, aOrder.m_acknowledged, aOrder.m_waitMs,
+                      permission.m_sendBeforeMs },
                     aOrder.m_timeoutMs, guarded([](const platform::LookResult& aResult) {
                       CarriedResult result{ 0, aResult.m_outcome, aResult.m_refusal, {}, {} };
                       if (aResult.m_outcome == platform::CallOutcome::Done) {
--- a/src/manager/OrderRouter.cpp
+++ b/src/manager/OrderRouter.cpp
@@ -108,7 +108,7 @@
                                 Millis aTimeoutMs,
                                 std::function<void(const platform::LookResult&)> aDone)
 {
-  auto order = MakeOrder(OrderKind::Look, {}, 0, aTimeoutMs);
+  auto order = MakeOrder(OrderKind::Look, {}, aOrder.m_sendBeforeMs, aTimeoutMs);
   order.m_leaseEndMs = aOrder.m_leaseEndMs;
   order.m_acknowledged = aOrder.m_acknowledged;
   order.m_waitMs = aOrder.m_waitMs;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -32,6 +32,9 @@
 /// The same for a server that missed it. Two such looks fit into a lease, so that the work of a
 /// server that is only slow to answer is not given up.
 constexpr Millis kSlowLookAnswerMs = 1'500;
+/// A look that could not leave by then, because its process or its carrier was paused, is dropped:
+/// its acknowledgement may be for an earlier life of the server.
+constexpr Millis kLookSendMs = 1'000;
 constexpr Millis kLookRetryMs = 250;
 /// A look without acknowledgement while the store delays the record of the ends.
 constexpr Millis kUnstoredLookMs = 500;
@@ -448,6 +451,7 @@
   const bool listsEnds = aServer.m_looked && aServer.m_listsEnds && aServer.m_silent == 0;
   order.m_acknowledged = listsEnds ? aServer.m_storedEnds : 0;
   order.m_waitMs = LookWaitMs(aServer.m_entry.m_id, aWaitMs);
+  order.m_sendBeforeMs = now + kLookSendMs;
   // A silent server's lease is left to end: a renewal without an answer may still take effect, and
   // each one would put off the moment from which its work may start elsewhere.
   if (clock && aServer.m_silent == 0) {
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -181,5 +181,18 @@
   EXPECT_LT(ServerClockMs(m_state.m_servers["s1"], MonotonicMs()), 10'000);
 }
 
+// Guards against a look that leaves seconds late, after a pause of its process or its carrier: its
+// number of acknowledged ends may then reach a life that counts its ends anew.
+TEST_F(RunControlTest, Look_ThatWaitsToBeSent_HasAnEnd)
+{
+  m_state.m_servers["s1"].m_looked = false;
+  m_runs.Tick(MonotonicMs());
+  const auto looks = m_client.Find("/hold");
+  ASSERT_EQ(looks.size(), 1U);
+  const Millis end = m_client.m_sent[looks.front()].m_request.m_sendBeforeMs;
+  EXPECT_GT(end, MonotonicMs());
+  EXPECT_LE(end, MonotonicMs() + 1'000);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
