A lease lapses at its deadline also while nothing runs: correct the stand-in

The stand-in noted a lapse only when the deadline ended a run, so an end as done counted as acknowledged after a second start although the lease had lapsed between the two. The rule excuses an end whose server's lease lapsed before the acknowledgement, and says nothing of runs.

The check stays as strict for leases that outlast the owner's reckoning, because the deadline of the server itself is what counts. SilentServer_* passes now, and guards against an end that is acknowledged before the true deadline.

--- a/tests/standins/PreparedServer.h
+++ b/tests/standins/PreparedServer.h
@@ -305,7 +305,7 @@
     }
   }
 
-  /// \brief Notes that the lease has lapsed, which ends all runs; without runs no lease is held.
+  /// \brief Notes that the lease of the server has lapsed, with or without runs at that moment.
   void NoteLapse()
   {
     for (auto& one : m_history) {
@@ -330,7 +330,7 @@
       m_done[key.first] += done ? 1 : 0;
       End(key.first, key.second, done ? "done" : "lapsed");
     }
-    if (lapsed && !over.empty()) {
+    if (lapsed) {
       NoteLapse();
     }
     AnswerLooks();
