Restore a run once when the progress of its job is read twice

Servers seemed full for a whole ownership: when a later page of the progress could not be read, all pages were read again, and the runs of the first ones were added and counted a second time. Restore now skips a run that is already known by its number and server.

--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -109,6 +109,9 @@
   subtask->m_done = aStored.m_done;
   subtask->m_checkpoint = aStored.m_checkpoint;
   for (const auto& stored : aStored.m_runs) {
+    if (FindRun(aBook, { aId, stored.m_number, stored.m_server }) != nullptr) {
+      continue;
+    }
     Run run;
     run.m_number = stored.m_number;
     run.m_server = stored.m_server;
