Let no odd record in the log of ownership end or seize the ownership

One record of another writer in keyed.owner, unreadable or under another key, left the fleet without an owner for ever: claims and renewals are appended at the end that was read, which stopped at the last readable record, and the store refused all of them. Records that can be read but say what no process says (an empty process, a time to act near 2^63, a renewal with a token of the future, a time of the owner's own process that has not come) took the ownership away, let the owner act for ever or kept others from claiming.

The end now follows the reader of the topic. A record that cannot be used is logged with key and cause, counted (records_unreadable_total) and passed over. A known owner stays the owner. When none is known, the record may hide one, so others claim after the longest time that an owner acts (2.6 s and the margin); further odd records do not prolong it.

The five tests of manager/OddRecordTest failed before: no owner within 10 s, jobs not completed within 20 s after the record, no take-over.

--- a/include/pistachiostand/ownership/Leadership.h
+++ b/include/pistachiostand/ownership/Leadership.h
@@ -96,10 +96,12 @@
   Millis m_actMs{ kMaxActMs };          ///< For how long its author acts.
   EarlierOwner m_lastAuthor;            ///< Author of the last record read.
   EarlierOwner m_earlier;               ///< Author of the records before the current owner's.
-  bool m_current{};                     ///< The log was read to its end at least once.
-  Millis m_currentMs{};                 ///< When it was last read to its end,
-  Millis m_readableSinceMs{};           ///< and since when that has gone without a gap.
-  bool m_hadGap{};                      ///< There was one since the log was first read.
+  /// A record could not be read while no owner was known: there may be one.
+  bool m_maybeOwned{};
+  bool m_current{};           ///< The log was read to its end at least once.
+  Millis m_currentMs{};       ///< When it was last read to its end,
+  Millis m_readableSinceMs{}; ///< and since when that has gone without a gap.
+  bool m_hadGap{};            ///< There was one since the log was first read.
 
   friend bool operator==(const OwnershipView&, const OwnershipView&) = default;
 };
@@ -108,6 +110,22 @@
 void ApplyOwnershipRecord(OwnershipView& aView, Offset aOffset, const OwnershipRecord& aRecord,
                           Millis aNowMs);
 
+/// \brief What of the record at `aOffset` no process writes; empty when there is nothing.
+///
+/// Values out of range would let an owner act, or others wait, for longer than kMaxActMs. A renewal
+/// or release belongs to the owner, or to a later one whose claim has expired unread.
+[[nodiscard]] std::string_view FaultOf(const OwnershipView& aView, Offset aOffset,
+                                       const OwnershipRecord& aRecord) noexcept;
+
+/// \brief Passes over a record that cannot be read. A known owner stays; when there is none, others
+/// claim after the longest time that an owner acts, because the record may hide one. Further such
+/// records do not prolong that.
+void SkipOwnershipRecord(OwnershipView& aView, Millis aNowMs);
+
+/// \brief Marks that the log was read to `aEnd`, its end. The next record is appended there, also
+/// after records that could not be read.
+void MarkRead(OwnershipView& aView, Offset aEnd, Millis aNowMs);
+
 /// \brief Marks that the log was read to its end.
 void MarkCurrent(OwnershipView& aView, Millis aNowMs);
 
--- a/src/manager/Elector.cpp
+++ b/src/manager/Elector.cpp
@@ -3,6 +3,7 @@
 #include "BackOff.h"
 #include "EventLog.h"
 
+#include "pistachiostand/base/Bounds.h"
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/base/Hash.h"
 
@@ -43,11 +44,9 @@
   , m_handlers(std::move(aHandlers))
   , m_tail(aLoop, aStore, { { kTopic }, kReadWaitMs, 0 },
            { [this](const std::string& aKey, const auto& aValue, Offset aOffset) {
-              if (aKey == kKey) {
-                OnRecord(aValue, aOffset);
-              }
+              OnRecord(aKey, aValue, aOffset);
             },
-             [this](Millis /*aSentMs*/) { MarkCurrent(m_view, MonotonicMs()); } })
+             [this](Millis /*aSentMs*/) { MarkRead(m_view, m_tail.Next(), MonotonicMs()); } })
   , m_ticker(aLoop, kTickMs, [this] { Tick(); })
   , m_claimDelay(std::move(aClaimDelay))
   , m_claimSpreadMs(static_cast<Millis>(Hash(m_process) % kClaimSpreadMs))
@@ -122,7 +121,7 @@
     }
     EndCall();
     if (aResult.m_outcome == platform::AppendOutcome::Stored) {
-      OnRecord(EncodeOwnershipRecord(record), aResult.m_first);
+      Apply(record, aResult.m_first);
     } else {
       if (record.m_kind == OwnershipRecordKind::Claim) {
         m_claimAfterMs = MonotonicMs() + BackOffMs(kClaimPause, m_failedClaims++);
@@ -141,15 +140,42 @@
   m_callMs = std::max(MonotonicMs() - m_sentMs, m_callMs * kCallKeptPercent / 100);
 }
 
-void Elector::OnRecord(const std::optional<std::string>& aValue, Offset aOffset)
+void Elector::OnRecord(const std::string& aKey, const std::optional<std::string>& aValue,
+                       Offset aOffset)
 {
+  if (aKey == kKey && aOffset < m_view.m_next) {
+    return;
+  }
   const auto record = aValue ? DecodeOwnershipRecord(*aValue) : std::nullopt;
-  if (!record || aOffset < m_view.m_next) {
+  std::string_view fault = "it is no ownership record";
+  if (aKey != kKey) {
+    fault = "the key is unknown";
+  } else if (record) {
+    fault = FaultOf(m_view, aOffset, *record);
+    if (fault.empty() && record->m_process == m_process && record->m_sentMs > MonotonicMs()) {
+      fault = "this process has not sent it";
+    }
+  }
+  if (fault.empty()) {
+    Apply(*record, aOffset);
+    return;
+  }
+  LogEvent("owner", "record-unreadable", "key={} offset={} bytes={} cause={}", Printable(aKey),
+           aOffset, aValue ? aValue->size() : 0, fault);
+  m_handlers.m_onUnreadable();
+  if (aKey == kKey) {
+    SkipOwnershipRecord(m_view, MonotonicMs());
+  }
+}
+
+void Elector::Apply(const OwnershipRecord& aRecord, Offset aOffset)
+{
+  if (aOffset < m_view.m_next) {
     return;
   }
   const FencingToken before = m_view.m_token;
-  ApplyOwnershipRecord(m_view, aOffset, *record, MonotonicMs());
-  if (m_inFlight && record->m_process == m_process && record->m_sentMs == m_sentMs) {
+  ApplyOwnershipRecord(m_view, aOffset, aRecord, MonotonicMs());
+  if (m_inFlight && aRecord.m_process == m_process && aRecord.m_sentMs == m_sentMs) {
     EndCall();
   }
   if (m_view.m_token != before) {
@@ -167,14 +193,14 @@
   if (m_retired || m_view.m_token == m_endedToken) {
     return;
   }
-  if (record->m_sentMs >= m_confirmedMs) {
-    m_confirmedMs = record->m_sentMs;
-    m_actMs = record->m_actMs;
+  if (aRecord.m_sentMs >= m_confirmedMs) {
+    m_confirmedMs = aRecord.m_sentMs;
+    m_actMs = aRecord.m_actMs;
   }
   if (m_token != m_view.m_token) {
     m_token = m_view.m_token;
     m_failedClaims = 0;
-    m_handlers.m_onOwner(m_token, record->m_sentMs);
+    m_handlers.m_onOwner(m_token, aRecord.m_sentMs);
   }
 }
 
--- a/src/manager/Elector.h
+++ b/src/manager/Elector.h
@@ -18,7 +18,8 @@
 {
   std::function<void(FencingToken aToken, Millis aClaimedMs)> m_onOwner; ///< This process owns now.
   std::function<void(std::string_view aReason)> m_onLost;                ///< It owns no longer.
-  std::function<bool()> m_isOwnerSilent; ///< The owner does not answer this process.
+  std::function<bool()> m_isOwnerSilent;        ///< The owner does not answer this process.
+  std::function<void()> m_onUnreadable = [] {}; ///< A record could not be read.
 };
 
 class Elector
@@ -62,7 +63,8 @@
   void Tick();
   void Propose(OwnershipRecordKind aKind);
   void EndCall();
-  void OnRecord(const std::optional<std::string>& aValue, Offset aOffset);
+  void OnRecord(const std::string& aKey, const std::optional<std::string>& aValue, Offset aOffset);
+  void Apply(const OwnershipRecord& aRecord, Offset aOffset);
 
   platform::Store& m_store;
   std::string m_process;
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -115,7 +115,8 @@
       },
       { [this](FencingToken aToken, Millis aClaimedMs) { BeginOwnership(aToken, aClaimedMs); },
         [this](std::string_view /*aReason*/) { EndOwnership(); },
-        [this] { return IsOwnerSilent(m_reach, MonotonicMs()); } })
+        [this] { return IsOwnerSilent(m_reach, MonotonicMs()); },
+        [this] { Count(m_metrics, "records_unreadable_total"); } })
   , m_writer(aLoop, m_store, OwnPartition(m_settings))
   , m_relayWriter(aLoop, m_store, m_settings.m_storePartitions - 1, kRelayFlights)
   , m_front({ aLoop, m_writer, m_metrics, m_configuration,
--- a/src/manager/TopicTail.h
+++ b/src/manager/TopicTail.h
@@ -57,6 +57,9 @@
   /// \brief When the call was sent that last showed the end of the topic; nothing before that.
   [[nodiscard]] std::optional<Millis> CurrentAsOf() const noexcept { return m_currentMs; }
 
+  /// \brief Offset after the last record that was passed on.
+  [[nodiscard]] Offset Next() const noexcept { return m_next; }
+
   /// \brief True from a failed call until the next one that is answered.
   [[nodiscard]] bool IsLost() const noexcept { return m_lost; }
 
--- a/src/ownership/Leadership.cpp
+++ b/src/ownership/Leadership.cpp
@@ -2,6 +2,9 @@
 
 #include "process/Pack.h"
 
+#include "pistachiostand/base/Bounds.h"
+#include "pistachiostand/base/Endpoint.h"
+
 #include <algorithm>
 
 namespace pistachiostand::fleet {
@@ -35,6 +38,7 @@
     return;
   }
   aView.m_next = aOffset + 1;
+  aView.m_maybeOwned = false;
   aView.m_lastRecordMs = aNowMs;
   aView.m_actMs = aRecord.m_actMs;
   if (aView.m_lastAuthor.m_process != aRecord.m_process) {
@@ -61,6 +65,51 @@
   }
 }
 
+std::string_view FaultOf(const OwnershipView& aView, Offset aOffset,
+                         const OwnershipRecord& aRecord) noexcept
+{
+  if (!IsName(aRecord.m_process)) {
+    return "the process has no name";
+  }
+  if (!IsTime(aRecord.m_sentMs)) {
+    return "the time is out of range";
+  }
+  if (aRecord.m_kind == OwnershipRecordKind::Release) {
+    if (aRecord.m_actMs < 0 || aRecord.m_actMs > kMaxActMs) {
+      return "the time to act is out of range";
+    }
+  } else if (aRecord.m_actMs < kMinActMs || aRecord.m_actMs > kMaxActMs) {
+    return "the time to act is out of range";
+  } else if (!ParseEndpoint(aRecord.m_address)) {
+    return "the address cannot be read";
+  }
+  if (aRecord.m_kind == OwnershipRecordKind::Claim) {
+    return {};
+  }
+  if (aRecord.m_token == 0 || aRecord.m_token > aOffset || aRecord.m_token < aView.m_token) {
+    return "the token is out of range";
+  }
+  const bool isOther =
+    aView.m_token != 0 && (aRecord.m_token == aView.m_token ? aRecord.m_process != aView.m_owner
+                                                            : aRecord.m_token <= aView.m_next);
+  return isOther ? "the author is not the owner" : "";
+}
+
+void SkipOwnershipRecord(OwnershipView& aView, Millis aNowMs)
+{
+  if (aView.m_owner.empty() && !aView.m_maybeOwned) {
+    aView.m_maybeOwned = true;
+    aView.m_actMs = kMaxActMs;
+    aView.m_lastRecordMs = aNowMs;
+  }
+}
+
+void MarkRead(OwnershipView& aView, Offset aEnd, Millis aNowMs)
+{
+  aView.m_next = std::max(aView.m_next, aEnd);
+  MarkCurrent(aView, aNowMs);
+}
+
 void MarkCurrent(OwnershipView& aView, Millis aNowMs)
 {
   if (!aView.m_current || aNowMs - aView.m_currentMs > kReadGapMs) {
@@ -92,7 +141,7 @@
   if (!aView.m_current || !aView.m_lastRecordMs || aNowMs - aView.m_currentMs > kReadGapMs) {
     return false;
   }
-  if (aView.m_owner.empty()) {
+  if (aView.m_owner.empty() && !aView.m_maybeOwned) {
     return aNowMs >= *aView.m_lastRecordMs + aDelayMs;
   }
   const Millis free = *aView.m_lastRecordMs + aView.m_actMs + kClaimMarginMs;
--- /dev/null
+++ b/tests/manager/OddRecordTest.cpp
@@ -0,0 +1,197 @@
+#include "ManagerFixture.h"
+
+#include "src/manager/CarrierMessage.h"
+#include "src/manager/CarrierPool.h"
+#include "src/manager/Committer.h"
+#include "src/manager/FleetControl.h"
+#include "src/manager/OrderCarrier.h"
+#include "src/manager/SubmissionCleaner.h"
+#include "src/manager/SubmissionWriter.h"
+
+#include "platform/Topics.h"
+
+#include "pistachiostand/connection/FrameLink.h"
+#include "pistachiostand/fleet/WaveRecord.h"
+#include "pistachiostand/job/JobCodec.h"
+#include "pistachiostand/ownership/Leadership.h"
+
+#include <limits>
+
+namespace pistachiostand::fleet {
+namespace {
+
+constexpr Millis kMostMs = std::numeric_limits<Millis>::max();
+
+/// \brief Entry instances while another writer puts odd records among theirs.
+class OddRecordManagerTest : public ManagerFixture
+{
+protected:
+  static constexpr const char* kOwnerTopic = "keyed.owner";
+  static constexpr const char* kOtherJob = "00000000000000bb";
+
+  static std::string Deep() { return std::string(100'000, '\x91'); }
+
+  static std::string OneStep(std::uint32_t aCount = 1)
+  {
+    return fmt::format(
+      R"({{"spec":"work","steps":[{{"count":{},"cpu":1000,"mem-mb":100,"estimated-ms":400}}]}})",
+      aCount);
+  }
+
+  std::uint16_t Submit(int aInstance, const std::string& aBody, const std::string& aJob = kJob)
+  {
+    return Call(aInstance, "POST", "/lookups/" + aJob, aBody).m_status;
+  }
+
+  /// \brief Value of a counter on the page of metrics; 0 when it is not there.
+  int Counter(int aInstance, const std::string& aName)
+  {
+    ClientRequest request;
+    request.m_url = "http://" + pistachiostand::ToString(At(10 * aInstance + 4)) + "/metrics";
+    request.m_timeoutMs = 2'000;
+    const std::string page = Call(std::move(request)).m_body;
+    const std::string line = "pistachiostand_" + aName + " ";
+    const auto at = page.find(line);
+    return at == std::string::npos ? 0 : std::stoi(page.substr(at + line.size()));
+  }
+
+  static std::string Record(OwnershipRecordKind aKind, const std::string& aProcess,
+                            FencingToken aToken, Millis aSentMs, Millis aActMs)
+  {
+    return EncodeOwnershipRecord({ aKind, aProcess, "127.0.0.1:9", aToken, aSentMs, aActMs });
+  }
+
+  /// \brief Newest ownership record that can be read.
+  std::optional<OwnershipRecord> NewestOwner()
+  {
+    const auto value = m_store.Value(kOwnerTopic, "owner");
+    return value ? DecodeOwnershipRecord(*value) : std::nullopt;
+  }
+
+  static std::string Submission(const JobId& aId, std::uint32_t aCount)
+  {
+    JobSpec spec;
+    spec.m_id = aId;
+    spec.m_queue = "r";
+    spec.m_pool = "lookup";
+    spec.m_payload = "work";
+    spec.m_acceptedMs = 1;
+    StepSpec step;
+    step.m_count = aCount;
+    step.m_need = { 1'000, 100, 0 };
+    step.m_estimateMs = 400;
+    spec.m_steps = { step };
+    return EncodeSubmission(spec);
+  }
+
+  void Wait(Millis aMs)
+  {
+    RunUntil([] { return false; }, aMs);
+  }
+};
+
+// Guards against a fleet without an owner for ever: claims were appended at the end of the last
+// record that could be read, and the store refused them all.
+TEST_F(OddRecordManagerTest, OddOwnershipRecordBeforeTheFirstStart_FleetIsOwned)
+{
+  m_store.Put(kOwnerTopic, "owner", Deep());
+  m_store.Put(kOwnerTopic, "other", "x");
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Submit(1, OneStep()), 200);
+  EXPECT_TRUE(Completes(1));
+  EXPECT_EQ(Counter(1, "records_unreadable_total"), 2);
+}
+
+// Guards against an owner that loses the fleet for ever because of a record of another writer.
+TEST_F(OddRecordManagerTest, OddOwnershipRecords_OwnerRenewsAndWorksOn)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  const auto before = NewestOwner();
+  ASSERT_TRUE(before);
+  m_store.Put(kOwnerTopic, "owner", Deep());
+  m_store.Put(kOwnerTopic, "other", "x");
+  m_store.Put(kOwnerTopic, "owner", std::string{ "\xff" });
+  m_store.Put(kOwnerTopic, "owner", std::nullopt);
+  Wait(1'500); // Longer than the owner acts on one record.
+  ASSERT_EQ(Submit(1, OneStep()), 200);
+  EXPECT_TRUE(Completes(1));
+  const auto after = NewestOwner();
+  ASSERT_TRUE(after);
+  EXPECT_EQ(after->m_process, before->m_process);
+  EXPECT_EQ(after->m_kind, OwnershipRecordKind::Renewal);
+}
+
+// Guards against records that can be read and say what no process says: they must neither keep the
+// ownership from being claimed, nor take it from its owner, nor let the owner act for ever.
+TEST_F(OddRecordManagerTest, OwnershipRecordsOutOfRange_OwnerStays)
+{
+  constexpr auto kRenewal = OwnershipRecordKind::Renewal;
+  constexpr auto kClaim = OwnershipRecordKind::Claim;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  const auto owner = NewestOwner();
+  ASSERT_TRUE(owner);
+  const Millis now = MonotonicMs();
+  for (const auto& record :
+       { Record(kClaim, "", 0, now, kMinActMs), Record(kClaim, "x@1", 0, now, kMostMs),
+         Record(kClaim, "x@1", 0, now, -1), Record(kClaim, "x@1", 0, kMostMs, kMinActMs),
+         Record(kClaim, std::string(1'000, 'x'), 0, now, kMinActMs),
+         Record(kRenewal, "x@1", std::numeric_limits<FencingToken>::max(), now, kMinActMs),
+         Record(kRenewal, "x@1", 0, now, kMinActMs),
+         Record(kRenewal, owner->m_process, 1'000'000, now, kMinActMs),
+         Record(kRenewal, owner->m_process, owner->m_token, now + 1'000'000, kMinActMs),
+         Record(OwnershipRecordKind::Release, "x@1", 1, now, kMinActMs) }) {
+    m_store.Put(kOwnerTopic, "owner", record);
+    Wait(50);
+  }
+  Wait(1'000);
+  ASSERT_EQ(Submit(1, OneStep()), 200);
+  EXPECT_TRUE(Completes(1));
+  const auto after = NewestOwner();
+  ASSERT_TRUE(after);
+  EXPECT_EQ(after->m_process, owner->m_process);
+  EXPECT_EQ(after->m_token, owner->m_token == 0 ? after->m_token : owner->m_token);
+  EXPECT_LE(after->m_sentMs, MonotonicMs());
+}
+
+// Guards against two owners: to a process that starts, an odd record hides the owner's last one.
+TEST_F(OddRecordManagerTest, OddRecordHidesTheOwner_AnotherProcessStarts_OwnerStays)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  const auto owner = NewestOwner();
+  ASSERT_TRUE(owner);
+  m_paused.insert(1);
+  m_store.Put(kOwnerTopic, "owner", Deep());
+  Start(2);
+  Wait(kMinActMs);
+  const auto hidden = NewestOwner();
+  EXPECT_FALSE(hidden) << "claimed by " << hidden->m_process << " while the owner may act";
+  // The wait is bounded by the longest time that any owner acts.
+  EXPECT_TRUE(RunUntil([this] { return NewestOwner().has_value(); }, kMaxActMs + 1'500));
+}
+
+// Guards against an owner that is not replaced because odd records follow its last one.
+TEST_F(OddRecordManagerTest, OwnerLost_OddRecordsGoOn_AnotherTakesOver)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Start(2);
+  ASSERT_TRUE(IsReady(2));
+  ASSERT_EQ(Submit(2, TwoSteps()), 200);
+  m_entries.erase(1);
+  const Millis begin = MonotonicMs();
+  while (MonotonicMs() - begin < 2'400) {
+    m_store.Put(kOwnerTopic, "owner", "odd");
+    Wait(300);
+  }
+  EXPECT_TRUE(Completes(2));
+  for (const auto& subtask : AllSubtasks()) {
+    EXPECT_EQ(DoneCount(subtask), 1) << subtask;
+  }
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
