Hold submissions that are read back to the limits for callers

A submission of another writer with four billion subtasks took all memory of each owner in turn. A caller could do the same through the API: a repeat count of four billion whose occurrences are all due was accepted, and the owner opened them all (std::bad_alloc ended the process; negative needs and times were accepted, too). Steps that follow themselves never opened, times near 2^63 overflowed, an id longer than the length byte of a key garbled the key of its progress, and a record under another key took the place of the job that it named.

CallerFront answers 400 with the cause; the owner logs the key and the cause, counts the record (records_unreadable_total) and reads on. A good job is not changed by a later unreadable submission under its key.

--- a/include/pistachiostand/job/JobCodec.h
+++ b/include/pistachiostand/job/JobCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/base/Reason.h"
 #include "pistachiostand/job/JobBook.h"
 
 #include <optional>
@@ -15,6 +16,9 @@
 namespace pistachiostand::fleet {
 
 [[nodiscard]] std::string EncodeSubmission(const JobSpec& aSpec);
+
+/// \brief Reads a submission; nothing when it cannot be read or exceeds the limits of JobLimits.h.
+[[nodiscard]] std::optional<JobSpec> DecodeSubmission(std::string_view aBytes, Reason& aReason);
 [[nodiscard]] std::optional<JobSpec> DecodeSubmission(std::string_view aBytes);
 
 /// \brief Durable part of a job: phase, ended subtasks, runs that may exist and where.
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "process/Pack.h"
 
+#include "pistachiostand/job/JobLimits.h"
+
 #include <algorithm>
 
 namespace pistachiostand::fleet {
@@ -97,6 +99,11 @@
   return stored;
 }
 
+Reason Unreadable(std::string_view aCause)
+{
+  return { ReasonKind::BadValue, std::string{ aCause }, "the record is not used", {} };
+}
+
 void Restore(JobBook& aBook, const SubtaskId& aId, const StoredSubtask& aStored, Millis aNowMs)
 {
   Subtask* subtask = FindSubtask(aBook, aId);
@@ -159,9 +166,21 @@
   return internal::Pack(aSpec);
 }
 
+std::optional<JobSpec> DecodeSubmission(std::string_view aBytes, Reason& aReason)
+{
+  auto spec = internal::Unpack<JobSpec>(aBytes);
+  const std::string_view fault = spec ? FaultOf(*spec) : "it is no submission";
+  if (!fault.empty()) {
+    aReason = Unreadable(fault);
+    return std::nullopt;
+  }
+  return spec;
+}
+
 std::optional<JobSpec> DecodeSubmission(std::string_view aBytes)
 {
-  return internal::Unpack<JobSpec>(aBytes);
+  Reason ignored;
+  return DecodeSubmission(aBytes, ignored);
 }
 
 std::string EncodeProgress(const Job& aJob)
--- /dev/null
+++ b/src/job/JobLimits.cpp
@@ -0,0 +1,83 @@
+#include "pistachiostand/job/JobLimits.h"
+
+#include "pistachiostand/base/Bounds.h"
+
+#include <algorithm>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+bool IsNeed(std::int64_t aNeed) noexcept
+{
+  return aNeed >= 0 && aNeed <= kMaxNeed;
+}
+
+std::string_view FaultOf(const StepSpec& aStep, std::size_t aIndex) noexcept
+{
+  if (aStep.m_count == 0 || aStep.m_count > kMaxSubtasks) {
+    return "the number of subtasks of a step is out of range";
+  }
+  if (!IsNeed(aStep.m_need.m_cpuMillis) || !IsNeed(aStep.m_need.m_memoryMb) ||
+      !IsNeed(aStep.m_need.m_gpus)) {
+    return "the need of a step is out of range";
+  }
+  if (!IsTime(aStep.m_estimateMs) || !IsTime(aStep.m_tailTargetMs)) {
+    return "a time of a step is out of range";
+  }
+  if (aStep.m_after.size() > kMaxSteps ||
+      std::ranges::any_of(aStep.m_after,
+                          [aIndex](std::uint32_t aEarlier) { return aEarlier >= aIndex; })) {
+    return "a step follows itself or a later one";
+  }
+  if (aStep.m_image.size() > kMaxTextBytes || aStep.m_requiredLabel.size() > kMaxTextBytes ||
+      aStep.m_dataRack.size() > kMaxTextBytes) {
+    return "the image, label or rack of a step is too long";
+  }
+  return {};
+}
+
+} // namespace
+
+bool IsJobKey(std::string_view aId) noexcept
+{
+  return IsName(aId) && std::ranges::all_of(aId, [](char aDigit) {
+           return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'z') ||
+                  (aDigit >= 'A' && aDigit <= 'Z') || aDigit == '-' || aDigit == '_';
+         });
+}
+
+std::string_view FaultOf(const JobSpec& aSpec) noexcept
+{
+  if (!IsJobKey(aSpec.m_id)) {
+    return "the id is no job id";
+  }
+  if (aSpec.m_queue.size() > kMaxTextBytes || aSpec.m_pool.size() > kMaxTextBytes) {
+    return "the queue or pool is too long";
+  }
+  if (aSpec.m_payload.size() > kMaxPayloadBytes) {
+    return "the payload is too long";
+  }
+  if (!IsTime(aSpec.m_acceptedMs) || !IsTime(aSpec.m_firstDueMs) || !IsTime(aSpec.m_intervalMs) ||
+      (aSpec.m_intervalMs > 0 && aSpec.m_occurrences > kMaxTimeMs / aSpec.m_intervalMs)) {
+    return "a time is out of range";
+  }
+  if (aSpec.m_steps.empty() || aSpec.m_steps.size() > kMaxSteps) {
+    return "the number of steps is out of range";
+  }
+  std::uint64_t subtasks = 0;
+  for (std::size_t index = 0; index < aSpec.m_steps.size(); ++index) {
+    const auto fault = FaultOf(aSpec.m_steps[index], index);
+    if (!fault.empty()) {
+      return fault;
+    }
+    subtasks += aSpec.m_steps[index].m_count;
+  }
+  if (subtasks > kMaxSubtasks ||
+      subtasks * std::max<std::uint64_t>(aSpec.m_occurrences, 1) > kMaxOccurrenceSubtasks) {
+    return "there are too many subtasks";
+  }
+  return {};
+}
+
+} // namespace pistachiostand::fleet
--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -9,6 +9,7 @@
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/base/PercentCoding.h"
 #include "pistachiostand/job/JobCodec.h"
+#include "pistachiostand/job/JobLimits.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -166,6 +167,13 @@
   spec->m_queue = aQueue.m_name;
   spec->m_pool = aQueue.m_pool;
   spec->m_acceptedMs = WallMs();
+  // The owner reads no job beyond these limits back.
+  const auto fault = FaultOf(*spec);
+  if (!fault.empty()) {
+    LogEvent("http", "malformed", "id={} queue={} cause={}", aId, aQueue.m_name, fault);
+    aRespond(Refusal(400, fault));
+    return;
+  }
   const Millis now = MonotonicMs();
   auto submission = std::make_shared<Submission>(Submission{
     aId, aQueue.m_name,
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -5,6 +5,7 @@
 
 #include "platform/Topics.h"
 
+#include "pistachiostand/base/Bounds.h"
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/job/Backlog.h"
 #include "pistachiostand/job/JobCodec.h"
@@ -171,9 +172,16 @@
     ScheduleSoon();
     return;
   }
-  auto spec = DecodeSubmission(*aValue);
+  Reason reason;
+  auto spec = DecodeSubmission(*aValue, reason);
+  // Under another key it would take the place of the job whose id it names.
+  if (spec && key != std::string{ kSubmissionPrefix } + spec->m_id) {
+    reason.m_cause = "the key is of another job";
+    spec.reset();
+  }
   if (!spec) {
-    LogEvent("job", "unreadable", "key={} bytes={}", aKey, aValue->size());
+    LogEvent("job", "unreadable", "key={} bytes={} cause={}", Printable(aKey), aValue->size(),
+             reason.m_cause);
     Count(m_state.m_metrics, "records_unreadable_total");
     return;
   }
--- a/tests/manager/OddRecordTest.cpp
+++ b/tests/manager/OddRecordTest.cpp
@@ -193,5 +193,53 @@
   }
 }
 
+// Guards against jobs that wait, or an owner that ends, because of a submission of another writer:
+// one with four billion subtasks took all memory of each owner in turn.
+TEST_F(OddRecordManagerTest, OddSubmissionsAmongGoodOnes_JobsAreDone)
+{
+  const std::string prefix{ kSubmissionPrefix };
+  m_store.Put(kSubmissionTopic, prefix + kOtherJob, Submission(kOtherJob, 4'000'000'000U));
+  m_store.Put(kSubmissionTopic, prefix + "00000000000000cc", Deep());
+  m_store.Put(kSubmissionTopic, "", "x");
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  m_store.Put(kSubmissionTopic, prefix + "00000000000000dd", "\xff\xff");
+  m_store.Put(kSubmissionTopic, "z", "z");
+  ASSERT_EQ(Submit(1, OneStep()), 200);
+  EXPECT_TRUE(Completes(1));
+  EXPECT_GE(Counter(1, "records_unreadable_total"), 4);
+}
+
+// Guards against a record under an odd key that takes the place of the job whose id it names.
+TEST_F(OddRecordManagerTest, SubmissionUnderAnotherKey_DoesNotReplaceTheJob)
+{
+  m_store.Put(kSubmissionTopic, std::string{ kSubmissionPrefix } + kOtherJob, Submission(kJob, 3));
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Submit(1, OneStep(1)), 200);
+  ASSERT_TRUE(Completes(1));
+  EXPECT_EQ(DoneCount(std::string{ kJob } + ".0.0.2"), 0);
+}
+
+// Guards against a request of a caller that ends the process or is taken for another one.
+TEST_F(OddRecordManagerTest, OddRequests_AreRefusedAndOthersServed)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  EXPECT_EQ(Submit(1, std::string(100'000, '[')), 400);
+  EXPECT_EQ(Submit(1, "\"\xff\xfe"), 400);
+  EXPECT_EQ(Submit(1, OneStep(0)), 400);
+  EXPECT_EQ(Submit(1, OneStep(4'000'000'000U)), 400);
+  const std::string step = R"("steps":[{"count":1,"cpu":1000}])";
+  EXPECT_EQ(Submit(1, R"({"spec":"w","repeat-count":4000000000,)" + step + "}"), 400);
+  EXPECT_EQ(Submit(1, R"({"spec":"w","interval-ms":-1,)" + step + "}"), 400);
+  EXPECT_EQ(Submit(1, R"({"spec":"w","steps":[{"count":1,"cpu":-1000}]})"), 400);
+  EXPECT_EQ(Submit(1, R"({"spec":"w","steps":[{"count":1,"estimated-ms":9e18}]})"), 400);
+  EXPECT_EQ(Call(1, "GET", "/lookups/%00%0a%ff").m_status, 400);
+  EXPECT_EQ(Call(1, "GET", "/lookups/?a=%ff&b=1e999&b=").m_status, 200);
+  ASSERT_EQ(Submit(1, OneStep()), 200);
+  EXPECT_TRUE(Completes(1));
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/unit/OddRecordTest.cpp
@@ -0,0 +1,169 @@
+#include "JobFixture.h"
+
+#include "src/manager/CarrierMessage.h"
+#include "src/manager/Metrics.h"
+#include "src/process/Pack.h"
+
+#include "pistachiostand/base/Bounds.h"
+#include "pistachiostand/fleet/WaveRecord.h"
+#include "pistachiostand/job/JobCodec.h"
+#include "pistachiostand/ownership/InstanceOrder.h"
+#include "pistachiostand/ownership/Leadership.h"
+
+#include <functional>
+#include <limits>
+
+namespace pistachiostand::fleet {
+namespace {
+
+constexpr Millis kMostMs = std::numeric_limits<Millis>::max();
+constexpr Millis kLeastMs = std::numeric_limits<Millis>::min();
+
+/// \brief Records that another writer has put among those of the product.
+class OddRecordTest : public JobFixture
+{
+protected:
+  static constexpr const char* kId = "00000000000000aa";
+
+  /// \brief Bytes that are no record of any kind.
+  static std::vector<std::string> NoRecords()
+  {
+    constexpr std::size_t kLevels = 100'000;
+    return { "",
+             "{}",
+             std::string(1, '\0'),
+             "\xff\xfe\xfd",
+             std::string(kLevels, '\x91'),                                 // Nested arrays.
+             std::string(kLevels, '['),                                    // Nested JSON.
+             std::string("\xdd\xff\xff\xff\xff", 5),                       // An array of 2^32-1.
+             std::string("\xdf\xff\xff\xff\xff", 5),                       // A map of 2^32-1.
+             std::string("\xc6\xff\xff\xff\xff", 5),                       // Bytes, 2^32-1 of them.
+             std::string("\xc9\xff\xff\xff\xff\x01", 6),                   // An extension.
+             std::string("\xd4\x01\x00", 3),                               // A short extension.
+             std::string("\x99", 1) + std::string(kLevels, '\xc0'),        // Trailing bytes.
+             std::string("\xdc\xff\xff", 3) + std::string(65'535, '\x91'), // Broken inside.
+             std::string(std::size_t{ 1 } << 20U, 'x') };
+  }
+
+  /// \brief A job as the book knows it, for the encoding of its progress.
+  Job KnownJob(std::uint32_t aCount = 2)
+  {
+    Add(kId, { Step(aCount) });
+    return m_book.m_jobs.at(kId);
+  }
+
+  Subtask& FirstOf(Job& aJob) { return aJob.m_occurrences.at(0).m_steps.at(0).at(0); }
+
+  /// \brief True when the progress of a changed job is refused and leaves no run in the book.
+  bool IsRefused(const std::function<void(Job&)>& aChange)
+  {
+    m_book = {};
+    Job job = KnownJob();
+    FirstOf(job).m_lastRun = 2;
+    FirstOf(job).m_runs.resize(1);
+    FirstOf(job).m_runs.front().m_number = 2;
+    FirstOf(job).m_runs.front().m_server = "s1";
+    aChange(job);
+    return !ApplyProgress(m_book, kId, EncodeProgress(job), kNow) && m_book.m_byServer.empty() &&
+           m_book.m_jobs.at(kId).m_occurrences.size() == 1;
+  }
+
+  /// \brief True when the submission of a changed job is refused.
+  static bool IsSubmissionRefused(const std::function<void(JobSpec&)>& aChange)
+  {
+    JobSpec spec = Spec(kId, { Step(2), Step(1) });
+    aChange(spec);
+    return !DecodeSubmission(EncodeSubmission(spec));
+  }
+};
+
+// Guards against bytes of another format that end or fill the process which reads them.
+TEST_F(OddRecordTest, Decode_BytesOfNoRecord_AreRefused)
+{
+  Add(kId, { Step(2) });
+  for (const auto& bytes : NoRecords()) {
+    const std::string shown = bytes.substr(0, 8) + ", " + std::to_string(bytes.size()) + " bytes";
+    EXPECT_FALSE(DecodeSubmission(bytes)) << shown;
+    EXPECT_FALSE(ApplyProgress(m_book, kId, bytes, kNow)) << shown;
+    EXPECT_FALSE(DecodeOwnershipRecord(bytes)) << shown;
+    EXPECT_FALSE(DecodeInstanceOrder(bytes)) << shown;
+    EXPECT_FALSE(DecodeWaveRecord(bytes)) << shown;
+    EXPECT_FALSE(DecodeCarrierMessage(bytes)) << shown;
+  }
+}
+
+// Guards against a small record that takes all memory of each owner which reads it, and against
+// arithmetic that overflows with its times and needs.
+TEST_F(OddRecordTest, DecodeSubmission_BeyondTheLimitsForCallers_IsRefused)
+{
+  EXPECT_FALSE(IsSubmissionRefused([](JobSpec&) {}));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_count = 0; }));
+  EXPECT_TRUE(
+    IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_count = 4'000'000'000U; }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) {
+    aSpec.m_steps[0].m_count = 10'001;
+    aSpec.m_steps[1].m_count = 10'001;
+  }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) {
+    aSpec.m_steps[0].m_count = std::numeric_limits<std::uint32_t>::max();
+    aSpec.m_steps[1].m_count = 2; // The sum does not fit in 32 bits.
+  }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps.clear(); }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps.resize(257, Step(1)); }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_payload.assign(4'001, 'x'); }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_occurrences = 4'000'000'000U; }));
+}
+
+// Guards against work that waits for ever: a step that follows itself or a later one never opens.
+TEST_F(OddRecordTest, DecodeSubmission_StepAfterItselfOrALaterOne_IsRefused)
+{
+  EXPECT_FALSE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[1].m_after = { 0 }; }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_after = { 0 }; }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_after = { 1 }; }));
+  EXPECT_TRUE(
+    IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[1].m_after = { 4'000'000'000U }; }));
+}
+
+// Guards against sums of times and needs that overflow, and against needs that add room.
+TEST_F(OddRecordTest, DecodeSubmission_TimesAndNeedsOutOfRange_AreRefused)
+{
+  for (const std::int64_t value : { std::int64_t{ -1 }, kLeastMs, kMostMs }) {
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_acceptedMs = value; }));
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_firstDueMs = value; }));
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_intervalMs = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_estimateMs = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_tailTargetMs = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_need.m_cpuMillis = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_need.m_memoryMb = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_need.m_gpus = value; }));
+  }
+}
+
+// Guards against an id that does not fit in the key of a record, whose length is one byte, and
+// against one that cannot be told from the other parts of the name of a subtask.
+TEST_F(OddRecordTest, DecodeSubmission_IdThatIsNoKey_IsRefused)
+{
+  for (const auto& id : { std::string{}, std::string(300, 'a'), std::string{ "a.0.0" },
+                          std::string{ "a\nb" }, std::string{ "\xff\xfe" } }) {
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_id = id; })) << id;
+  }
+}
+
+// Guards against log lines that are broken in two, cannot be read as UTF-8 or fill the output,
+// because of a name from outside.
+TEST_F(OddRecordTest, Printable_BytesThatAreNoText_AreEscapedAndCut)
+{
+  EXPECT_EQ(Printable("a b\n\x7f\xff\xc0\x80\xed\xa0\x80\xe2\x82"),
+            "a b\\x0a\\x7f\\xff\\xc0\\x80\\xed\\xa0\\x80\\xe2\\x82");
+  EXPECT_EQ(Printable("Sa\u0303o \u20ac \U0001f600"), "Sa\u0303o \u20ac \U0001f600");
+  EXPECT_EQ(Printable("abcd\u20ac", 6), "abcd...");
+  EXPECT_LE(Printable(std::string(1'000'000, '\xff')).size(), kMaxNameBytes + 3);
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
