Run nothing again when the progress of a job cannot be read

An unreadable record under the key of an active job left its job as one that had never begun: a later owner planned its first runs anew, also those that had ended. In the test the servers refused the old run numbers, and the job neither ran nor ended within 10 s. The record was not counted. Progress that could be read but did not fit its job was applied: occurrences that the job does not have (each takes memory for all its subtasks), run numbers of 2^64-1, after which the next run gets the number 0, runs above the last one, runs on servers without a name.

Progress is now checked as a whole against its job before any of it is applied. When it cannot be used, the job ends as failed: that it may have run is true, no subtask starts again, and its runs are stopped where servers list them.

unit/OddRecordTest.ApplyProgress_*, Book_RunNumberNearTheLargest_IsNotTaken and manager/OddRecordTest ProgressUnreadable_WorkIsNotRunAgain failed before.

--- a/include/pistachiostand/job/JobBook.h
+++ b/include/pistachiostand/job/JobBook.h
@@ -180,6 +180,10 @@
 /// \brief Cancels an active job; its runs are left to be stopped.
 void CancelJob(JobBook& aBook, const JobId& aId);
 
+/// \brief Ends an active job as failed because what it has done cannot be told; its runs are left
+/// to be stopped.
+void FailJob(JobBook& aBook, const JobId& aId);
+
 /// \brief Makes occurrences whose time has come available. `aWallMs` is the time of day.
 void OpenDueOccurrences(JobBook& aBook, Millis aWallMs, Millis aNowMs);
 
--- a/include/pistachiostand/job/JobCodec.h
+++ b/include/pistachiostand/job/JobCodec.h
@@ -28,7 +28,10 @@
 ///
 /// A finished job that the book does not know is added without its specification. Runs come back as
 /// Restored: whether they exist is for their backend servers to say.
-/// \return false when the bytes are malformed or belong to an active job that is not in the book.
+/// \return false, with the book unchanged, when the bytes are malformed, do not fit the job, or
+/// belong to an active job that is not in the book.
+bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs,
+                   Reason& aReason);
 bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs);
 
 } // namespace pistachiostand::fleet
--- a/src/job/JobBook.cpp
+++ b/src/job/JobBook.cpp
@@ -1,5 +1,7 @@
 #include "pistachiostand/job/JobBook.h"
 
+#include "pistachiostand/job/JobLimits.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -226,6 +228,15 @@
   }
 }
 
+void FailJob(JobBook& aBook, const JobId& aId)
+{
+  const auto found = aBook.m_jobs.find(aId);
+  if (found != aBook.m_jobs.end() && found->second.m_phase == JobPhase::Active) {
+    found->second.m_begun = true;
+    FinishJob(aBook, found->second, JobPhase::Failed);
+  }
+}
+
 void OpenDueOccurrences(JobBook& aBook, Millis aWallMs, Millis aNowMs)
 {
   for (const auto& id : aBook.m_active) {
@@ -353,7 +364,7 @@
 {
   Subtask* subtask = FindSubtask(aBook, aRef.m_subtask);
   const StepSpec* step = FindStep(aBook, aRef.m_subtask);
-  if (subtask == nullptr || step == nullptr) {
+  if (subtask == nullptr || step == nullptr || aRef.m_run > kMaxRunNumber) {
     return false;
   }
   subtask->m_lastRun = std::max(subtask->m_lastRun, aRef.m_run);
@@ -378,7 +389,7 @@
 bool ApplyEnd(JobBook& aBook, const RunEnd& aEnd, std::uint32_t aMaxFailures, Millis aNowMs)
 {
   Subtask* subtask = FindSubtask(aBook, aEnd.m_subtask);
-  if (subtask == nullptr) {
+  if (subtask == nullptr || aEnd.m_run > kMaxRunNumber) {
     return false;
   }
   const auto run = std::ranges::find(subtask->m_runs, aEnd.m_run, &Run::m_number);
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "process/Pack.h"
 
+#include "pistachiostand/base/Bounds.h"
 #include "pistachiostand/job/JobLimits.h"
 
 #include <algorithm>
@@ -104,6 +105,68 @@
   return { ReasonKind::BadValue, std::string{ aCause }, "the record is not used", {} };
 }
 
+std::string_view FaultOf(const StoredSubtask& aSubtask)
+{
+  if (aSubtask.m_lastRun == 0 || aSubtask.m_lastRun > kMaxRunNumber ||
+      aSubtask.m_lastEndedRun > aSubtask.m_lastRun) {
+    return "the last run of a subtask is out of range";
+  }
+  if (aSubtask.m_failures > kMaxFailures || aSubtask.m_runs.size() > kMaxRunsOfSubtask) {
+    return "a subtask has too many runs or failures";
+  }
+  const bool isRange = std::ranges::all_of(aSubtask.m_runs, [&aSubtask](const StoredRun& aRun) {
+    return aRun.m_number != 0 && aRun.m_number <= aSubtask.m_lastRun && IsName(aRun.m_server);
+  });
+  return isRange ? "" : "a run or its server is out of range";
+}
+
+std::string_view FaultOf(const StoredOccurrence& aOccurrence, const JobSpec& aSpec)
+{
+  if (aOccurrence.m_steps.size() > aSpec.m_steps.size()) {
+    return "the job has fewer steps";
+  }
+  for (std::size_t step = 0; step < aOccurrence.m_steps.size(); ++step) {
+    const auto& subtasks = aOccurrence.m_steps[step];
+    // The writer sorts them by index and repeats none.
+    const bool isSorted = std::ranges::adjacent_find(subtasks, std::ranges::greater_equal{},
+                                                     &StoredSubtask::m_index) == subtasks.end();
+    if (!isSorted ||
+        (!subtasks.empty() && subtasks.back().m_index >= aSpec.m_steps[step].m_count)) {
+      return "a step has other subtasks";
+    }
+    for (const auto& subtask : subtasks) {
+      const auto fault = FaultOf(subtask);
+      if (!fault.empty()) {
+        return fault;
+      }
+    }
+  }
+  return {};
+}
+
+/// \brief What of the progress does not fit the job; empty when there is nothing.
+std::string_view FaultOf(const StoredProgress& aProgress, const JobSpec& aSpec)
+{
+  const auto total = std::max<std::uint32_t>(aSpec.m_occurrences, 1);
+  if (aProgress.m_opened > total || aProgress.m_occurrences.size() > aProgress.m_opened) {
+    return "the job has fewer occurrences";
+  }
+  const bool isSorted =
+    std::ranges::adjacent_find(aProgress.m_occurrences, std::ranges::greater_equal{},
+                               &StoredOccurrence::m_number) == aProgress.m_occurrences.end();
+  if (!isSorted || (!aProgress.m_occurrences.empty() &&
+                    aProgress.m_occurrences.back().m_number >= aProgress.m_opened)) {
+    return "the job has other occurrences";
+  }
+  for (const auto& occurrence : aProgress.m_occurrences) {
+    const auto fault = FaultOf(occurrence, aSpec);
+    if (!fault.empty()) {
+      return fault;
+    }
+  }
+  return {};
+}
+
 void Restore(JobBook& aBook, const SubtaskId& aId, const StoredSubtask& aStored, Millis aNowMs)
 {
   Subtask* subtask = FindSubtask(aBook, aId);
@@ -202,14 +265,24 @@
   return internal::Pack(progress);
 }
 
-bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs)
+bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs,
+                   Reason& aReason)
 {
   const auto progress = internal::Unpack<StoredProgress>(aBytes);
-  if (!progress) {
-    return false;
+  const auto found = aBook.m_jobs.find(aId);
+  const bool known = found != aBook.m_jobs.end();
+  std::string_view fault;
+  if (!IsJobKey(aId)) {
+    fault = "the key is no job id";
+  } else if (!progress || progress->m_queue.size() > kMaxTextBytes) {
+    fault = "it is no progress of a job";
+  } else if (!known && progress->m_phase == JobPhase::Active) {
+    fault = "the job has no submission that can be read";
+  } else if (known && !found->second.m_spec.m_steps.empty()) {
+    fault = FaultOf(*progress, found->second.m_spec);
   }
-  const auto known = aBook.m_jobs.contains(aId);
-  if (!known && progress->m_phase == JobPhase::Active) {
+  if (!fault.empty()) {
+    aReason = Unreadable(fault);
     return false;
   }
   Job& job = aBook.m_jobs[aId];
@@ -225,6 +298,9 @@
   job.m_finishedMs = aNowMs;
   job.m_begun = progress->m_begun;
   job.m_opened = progress->m_opened;
+  if (job.m_spec.m_steps.empty()) {
+    return true; // Its subtasks are not known; servers that list any are told to stop them.
+  }
   for (const auto& stored : progress->m_occurrences) {
     auto& occurrence = job.m_occurrences[stored.m_number];
     occurrence.m_steps.resize(std::max(occurrence.m_steps.size(), job.m_spec.m_steps.size()));
@@ -242,4 +318,10 @@
   return true;
 }
 
+bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs)
+{
+  Reason ignored;
+  return ApplyProgress(aBook, aId, aBytes, aNowMs, ignored);
+}
+
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -260,8 +260,13 @@
     return;
   }
   for (const auto& item : aPage->m_items) {
-    if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs())) {
-      LogEvent("job", "progress-unreadable", "id={} bytes={}", item.m_key, item.m_value.size());
+    Reason reason;
+    if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs(), reason)) {
+      LogEvent("job", "progress-unreadable", "id={} bytes={} cause={}", Printable(item.m_key),
+               item.m_value.size(), reason.m_cause);
+      Count(m_state.m_metrics, "records_unreadable_total");
+      // What has run cannot be told, and nothing may run twice.
+      FailJob(m_state.m_book, item.m_key);
     }
   }
   if (aPage->m_more && !aPage->m_items.empty()) {
--- a/tests/manager/OddRecordTest.cpp
+++ b/tests/manager/OddRecordTest.cpp
@@ -221,6 +221,30 @@
   EXPECT_EQ(DoneCount(std::string{ kJob } + ".0.0.2"), 0);
 }
 
+// Guards against work that runs twice: what its job has done can no longer be read, and a later
+// owner took the job for a new one.
+TEST_F(OddRecordManagerTest, ProgressUnreadable_WorkIsNotRunAgain)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Submit(1, TwoSteps()), 200);
+  const std::string first = std::string{ kJob } + ".0.0.0";
+  ASSERT_TRUE(RunUntil([&] { return m_first.m_starts[first] + m_second.m_starts[first] > 0; }));
+  m_entries.erase(1);
+  Wait(1'000); // The runs of the first step end meanwhile.
+  m_store.Put(kProgressTopic, kJob, Deep());
+  m_store.Put(kProgressTopic, "odd\nkey", "\xff");
+  Start(2);
+  ASSERT_TRUE(IsReady(2));
+  ASSERT_EQ(Submit(2, OneStep(), kOtherJob), 200);
+  EXPECT_TRUE(RunUntil([this] { return DoneCount(std::string{ kOtherJob } + ".0.0.0") == 1; }));
+  EXPECT_TRUE(RunUntil([this] { return StateAt(2) == "failed"; }));
+  for (const auto& subtask : AllSubtasks()) {
+    EXPECT_LE(m_first.m_starts[subtask] + m_second.m_starts[subtask], 1) << subtask;
+  }
+  EXPECT_EQ(Counter(2, "records_unreadable_total"), 2);
+}
+
 // Guards against a request of a caller that ends the process or is taken for another one.
 TEST_F(OddRecordManagerTest, OddRequests_AreRefusedAndOthersServed)
 {
--- a/tests/unit/OddRecordTest.cpp
+++ b/tests/unit/OddRecordTest.cpp
@@ -154,6 +154,65 @@
   }
 }
 
+// Guards against progress that brings parts into the book which the job does not have.
+TEST_F(OddRecordTest, ApplyProgress_PartsThatTheJobDoesNotHave_IsRefused)
+{
+  EXPECT_FALSE(IsRefused([](Job&) {}));
+  EXPECT_TRUE(IsRefused([](Job& aJob) { aJob.m_occurrences[7] = aJob.m_occurrences[0]; }));
+  EXPECT_TRUE(IsRefused([](Job& aJob) { aJob.m_opened = 4'000'000'000U; }));
+  EXPECT_TRUE(IsRefused([](Job& aJob) {
+    auto& steps = aJob.m_occurrences[0].m_steps;
+    steps.push_back(steps[0]);
+  }));
+  EXPECT_TRUE(IsRefused([](Job& aJob) {
+    auto& step = aJob.m_occurrences[0].m_steps[0];
+    step.push_back(step[0]);
+  }));
+}
+
+// Guards against a run number that wraps to one that was used before, and against runs on servers
+// that cannot exist.
+TEST_F(OddRecordTest, ApplyProgress_RunsOutOfRange_IsRefused)
+{
+  EXPECT_TRUE(IsRefused(
+    [this](Job& aJob) { FirstOf(aJob).m_lastRun = std::numeric_limits<std::uint64_t>::max(); }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_lastEndedRun = 3; }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_number = 3; }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_number = 0; }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_server.clear(); }));
+  EXPECT_TRUE(
+    IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_server.assign(1'000, 's'); }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) {
+    auto& runs = FirstOf(aJob).m_runs;
+    runs.resize(10'000, runs[0]);
+  }));
+  EXPECT_TRUE(IsRefused(
+    [this](Job& aJob) { FirstOf(aJob).m_failures = std::numeric_limits<std::uint32_t>::max(); }));
+}
+
+// Guards against a job of a name that no later record can have as its key.
+TEST_F(OddRecordTest, ApplyProgress_KeyThatIsNoJobId_IsRefused)
+{
+  Job job = KnownJob();
+  job.m_phase = JobPhase::Completed;
+  for (const auto& id : { std::string{}, std::string(255, 'a') + "b", std::string{ "a.b" } }) {
+    EXPECT_FALSE(ApplyProgress(m_book, id, EncodeProgress(job), kNow)) << id;
+    EXPECT_FALSE(m_book.m_jobs.contains(id));
+  }
+}
+
+// Guards against a run number near the largest one, listed by a server, after which the next run
+// of the subtask has a number that was used before.
+TEST_F(OddRecordTest, Book_RunNumberNearTheLargest_IsNotTaken)
+{
+  constexpr auto kMost = std::numeric_limits<std::uint64_t>::max();
+  Add(kId, { Step(1) });
+  const SubtaskId id{ kId, 0, 0, 0 };
+  EXPECT_FALSE(AdoptRun(m_book, { id, kMost, "s1" }, kNow));
+  EXPECT_FALSE(ApplyEnd(m_book, { id, kMost, EndKind::Failed, "" }, 3, kNow));
+  EXPECT_EQ(NextRunNumber(m_book, id), 1U);
+}
+
 // Guards against log lines that are broken in two, cannot be read as UTF-8 or fill the output,
 // because of a name from outside.
 TEST_F(OddRecordTest, Printable_BytesThatAreNoText_AreEscapedAndCut)
