Refuse waves and instance orders whose values are out of range

An age of a wave near 2^63 or a time of an order at either end of the type overflowed in the time that is left of the wave and in the age of the order. A key such as wave/7x counted as wave 7, keys of no known kind were dropped without a line, and no unreadable record of the topic was counted.

Times are now between 0 and 10^15 ms, names are not empty, and a key is read to its end; anything else is logged with its key and counted. An unreadable order still means that the instance may have been ordered just now, so the exclusive time is waited for; an unreadable wave keeps what is known of it.

unit/OddRecordTest.DecodeInstanceOrder_*, DecodeWaveRecord_* and manager/ OddRecordTest OddFleetRecords_JobsAreDone failed before.

--- a/src/fleet/WaveRecord.cpp
+++ b/src/fleet/WaveRecord.cpp
@@ -2,6 +2,10 @@
 
 #include "process/Pack.h"
 
+#include "pistachiostand/base/Bounds.h"
+
+#include <algorithm>
+
 namespace pistachiostand::fleet {
 
 template<typename V>
@@ -18,7 +22,9 @@
 std::optional<WaveRecord> DecodeWaveRecord(std::string_view aBytes)
 {
   auto record = internal::Unpack<WaveRecord>(aBytes);
-  return record && record->m_ageMs >= 0 ? record : std::nullopt;
+  return record && IsTime(record->m_ageMs) && std::ranges::all_of(record->m_done, IsName)
+           ? record
+           : std::nullopt;
 }
 
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -81,6 +81,7 @@
   const auto record = DecodeWaveRecord(aBytes);
   if (!record) {
     LogEvent("wave", "unreadable", "wave={} bytes={}", aNumber, aBytes.size());
+    Count(m_state.m_metrics, "records_unreadable_total");
     return;
   }
   Wave& wave = m_waves[aNumber];
@@ -98,6 +99,7 @@
   const auto order = DecodeInstanceOrder(aBytes);
   if (!order) {
     LogEvent("fleet", "order-unreadable", "instance={} bytes={}", aInstance, aBytes.size());
+    Count(m_state.m_metrics, "records_unreadable_total");
   }
   m_orderedByOthers.insert_or_assign(aInstance, order);
 }
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -55,6 +55,15 @@
 /// A hand-over waits for a record of ownership that is on its way, a few milliseconds.
 constexpr Millis kHandOverRetryMs = 500;
 
+/// \brief The number that the whole text is; nothing for any other text.
+std::optional<std::uint64_t> ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  const bool isWhole = error == std::errc{} && end == aText.data() + aText.size();
+  return isWhole ? std::optional{ number } : std::nullopt;
+}
+
 } // namespace
 
 FleetOwner::FleetOwner(OwnerState aState)
@@ -230,15 +239,20 @@
 
 void FleetOwner::OnFleetRecord(const std::string& aKey, const std::optional<std::string>& aValue)
 {
-  std::uint64_t number = 0;
-  if (aValue && aKey.starts_with(kStoredWavePrefix) &&
-      std::from_chars(aKey.data() + kStoredWavePrefix.size(), aKey.data() + aKey.size(), number)
-          .ec == std::errc{}) {
-    m_fleet.OnStoredWave(number, *aValue);
+  if (!aValue) {
+    return;
   }
   const std::string_view key = aKey;
-  if (aValue && key.starts_with(kOrderPrefix)) {
+  const auto wave = key.starts_with(kStoredWavePrefix)
+                      ? ParseNumber(key.substr(kStoredWavePrefix.size()))
+                      : std::nullopt;
+  if (wave) {
+    m_fleet.OnStoredWave(*wave, *aValue);
+  } else if (key.starts_with(kOrderPrefix) && key.size() > kOrderPrefix.size()) {
     m_fleet.OnStoredOrder(InstanceId{ key.substr(kOrderPrefix.size()) }, *aValue);
+  } else {
+    LogEvent("fleet", "record-unreadable", "key={} bytes={}", Printable(aKey), aValue->size());
+    Count(m_state.m_metrics, "records_unreadable_total");
   }
 }
 
--- a/src/ownership/InstanceOrder.cpp
+++ b/src/ownership/InstanceOrder.cpp
@@ -2,6 +2,8 @@
 
 #include "process/Pack.h"
 
+#include "pistachiostand/base/Bounds.h"
+
 namespace pistachiostand::fleet {
 
 template<typename V>
@@ -17,7 +19,8 @@
 
 std::optional<InstanceOrder> DecodeInstanceOrder(std::string_view aBytes)
 {
-  return internal::Unpack<InstanceOrder>(aBytes);
+  auto order = internal::Unpack<InstanceOrder>(aBytes);
+  return order && IsName(order->m_process) && IsTime(order->m_sentMs) ? order : std::nullopt;
 }
 
 std::optional<Millis> LeastAgeMs(const InstanceOrder& aOrder, const EarlierOwner& aEarlier,
--- a/tests/manager/OddRecordTest.cpp
+++ b/tests/manager/OddRecordTest.cpp
@@ -245,6 +245,21 @@
   EXPECT_EQ(Counter(2, "records_unreadable_total"), 2);
 }
 
+// Guards against odd records of waves and orders that end the owner or stop what follows them.
+TEST_F(OddRecordManagerTest, OddFleetRecords_JobsAreDone)
+{
+  for (const auto& key : { "wave/7", "wave/99999999999999999999", "wave/", "wave/7x", "order/i1",
+                           "order/", "nothing" }) {
+    m_store.Put(kFleetTopic, key, Deep());
+  }
+  m_store.Put(kFleetTopic, "wave/8", EncodeWaveRecord({ { "i1" }, kMostMs }));
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Submit(1, OneStep()), 200);
+  EXPECT_TRUE(Completes(1));
+  EXPECT_GE(Counter(1, "records_unreadable_total"), 4);
+}
+
 // Guards against a request of a caller that ends the process or is taken for another one.
 TEST_F(OddRecordManagerTest, OddRequests_AreRefusedAndOthersServed)
 {
--- a/tests/unit/OddRecordTest.cpp
+++ b/tests/unit/OddRecordTest.cpp
@@ -213,6 +213,25 @@
   EXPECT_EQ(NextRunNumber(m_book, id), 1U);
 }
 
+// Guards against overflows in the age of an order, and against an order by nobody.
+TEST_F(OddRecordTest, DecodeInstanceOrder_ValuesOutOfRange_IsRefused)
+{
+  EXPECT_TRUE(DecodeInstanceOrder(EncodeInstanceOrder({ "a@1", 5 })));
+  EXPECT_FALSE(DecodeInstanceOrder(EncodeInstanceOrder({ "", 5 })));
+  EXPECT_FALSE(DecodeInstanceOrder(EncodeInstanceOrder({ std::string(1'000, 'a'), 5 })));
+  for (const Millis time : { Millis{ -1 }, kLeastMs, kMostMs }) {
+    EXPECT_FALSE(DecodeInstanceOrder(EncodeInstanceOrder({ "a@1", time }))) << time;
+  }
+}
+
+// Guards against overflows in the time that is left of a wave.
+TEST_F(OddRecordTest, DecodeWaveRecord_AgeOutOfRange_IsRefused)
+{
+  EXPECT_TRUE(DecodeWaveRecord(EncodeWaveRecord({ { "i1" }, 5 })));
+  EXPECT_FALSE(DecodeWaveRecord(EncodeWaveRecord({ { "i1" }, kMostMs })));
+  EXPECT_FALSE(DecodeWaveRecord(EncodeWaveRecord({ { "" }, 5 })));
+}
+
 // Guards against log lines that are broken in two, cannot be read as UTF-8 or fill the output,
 // because of a name from outside.
 TEST_F(OddRecordTest, Printable_BytesThatAreNoText_AreEscapedAndCut)
