Refuse carrier messages and orders whose values are out of range

A carrier that named an infinite share got all orders of its zone: in the test a job took 2 s longer, until that carrier was silent for 1.2 s and the orders had gone to the servers directly. A share that is no number has no place in the order of the carriers, clocks at the ends of the type overflowed in the offset and in the lease, and a call with no time limit never ended.

A hello or a pulse out of range is now a message that cannot be read: that connection ends and the others stay. Orders and results are checked one by one: an odd order is reported as not sent, an odd result as unknown, and the others of the batch are used. A result counts only on the connection that its order went to. Each is logged with the cause and counted (messages_unreadable_total).

unit/OddRecordTest.DecodeCarrierMessage_* failed before, FaultOf_* is new with the function. manager/OddRecordTest OddCarrierMessages_* failed before at the count of unreadable messages.

--- a/src/manager/CarrierMessage.cpp
+++ b/src/manager/CarrierMessage.cpp
@@ -2,6 +2,11 @@
 
 #include "process/Pack.h"
 
+#include "pistachiostand/base/Bounds.h"
+#include "pistachiostand/job/JobLimits.h"
+
+#include <algorithm>
+
 namespace pistachiostand::fleet {
 
 // Field lists and sizes of enumerations for Pack.h; found by argument-dependent lookup.
@@ -99,6 +104,68 @@
   aVisit(aBatch.m_clockMs, aBatch.m_results);
 }
 
+namespace {
+
+/// Longest time for a call to a backend server; also bounds the load that is reported.
+constexpr Millis kMaxCallMs = 3'600'000;
+/// More than any machine has.
+constexpr double kMaxCores = 1e6;
+
+bool IsReport(const ServerReport& aReport) noexcept
+{
+  const auto isRun = [](const ReportedRun& aRun) { return aRun.m_run <= kMaxRunNumber; };
+  const auto isEnd = [](const ReportedEnd& aEnd) {
+    return aEnd.m_number <= kMaxRunNumber && aEnd.m_end.m_run <= kMaxRunNumber;
+  };
+  return IsTime(aReport.m_clockMs) && std::ranges::all_of(aReport.m_running, isRun) &&
+         std::ranges::all_of(aReport.m_ended, isEnd);
+}
+
+bool IsUsable(const CarrierMessage& aMessage) noexcept
+{
+  if (const auto* hello = std::get_if<CarrierHello>(&aMessage)) {
+    // The comparison is false for what is not a number, too.
+    return IsName(hello->m_process) && hello->m_zone.size() <= kMaxNameBytes &&
+           hello->m_processorShare >= 0 && hello->m_processorShare <= kMaxCores &&
+           IsTime(hello->m_clockMs);
+  }
+  if (const auto* pulse = std::get_if<CarrierPulse>(&aMessage)) {
+    return IsTime(pulse->m_clockMs) && IsTime(pulse->m_echoMs);
+  }
+  return true;
+}
+
+} // namespace
+
+std::string_view FaultOf(const CarriedOrder& aOrder) noexcept
+{
+  if (!IsName(aOrder.m_server)) {
+    return "the server has no name";
+  }
+  if (aOrder.m_timeoutMs <= 0 || aOrder.m_timeoutMs > kMaxCallMs || aOrder.m_waitMs < 0 ||
+      aOrder.m_waitMs > kMaxCallMs) {
+    return "the time for the call is out of range";
+  }
+  if (!IsTime(aOrder.m_sendBeforeMs) || !IsTime(aOrder.m_leaseEndMs)) {
+    return "the end of the order or of the lease is out of range";
+  }
+  if (aOrder.m_percent < 0 || aOrder.m_percent > 100) {
+    return "the pace is out of range";
+  }
+  return {};
+}
+
+std::string_view FaultOf(const CarriedResult& aResult) noexcept
+{
+  if (aResult.m_clockMs && !IsTime(*aResult.m_clockMs)) {
+    return "the clock of the server is out of range";
+  }
+  if (aResult.m_report && !IsReport(*aResult.m_report)) {
+    return "the report of the server is out of range";
+  }
+  return {};
+}
+
 std::string EncodeCarrierMessage(const CarrierMessage& aMessage)
 {
   return internal::PackVariant(aMessage);
@@ -106,7 +173,8 @@
 
 std::optional<CarrierMessage> DecodeCarrierMessage(std::string_view aBytes)
 {
-  return internal::UnpackVariant<CarrierMessage>(aBytes);
+  auto message = internal::UnpackVariant<CarrierMessage>(aBytes);
+  return message && IsUsable(*message) ? message : std::nullopt;
 }
 
 } // namespace pistachiostand::fleet
--- a/src/manager/CarrierMessage.h
+++ b/src/manager/CarrierMessage.h
@@ -102,7 +102,13 @@
 
 [[nodiscard]] std::string EncodeCarrierMessage(const CarrierMessage& aMessage);
 
-/// \brief Decodes one message; nothing for anything else.
+/// \brief What of an order or of a result cannot be used; empty when there is nothing. One that
+/// cannot be used does not keep the others of its batch from being used.
+[[nodiscard]] std::string_view FaultOf(const CarriedOrder& aOrder) noexcept;
+[[nodiscard]] std::string_view FaultOf(const CarriedResult& aResult) noexcept;
+
+/// \brief Decodes one message; nothing for anything else, and for a hello or a pulse whose values
+/// are out of range.
 [[nodiscard]] std::optional<CarrierMessage> DecodeCarrierMessage(std::string_view aBytes);
 
 } // namespace pistachiostand::fleet
--- a/src/manager/CarrierPool.cpp
+++ b/src/manager/CarrierPool.cpp
@@ -70,6 +70,7 @@
   auto message = DecodeCarrierMessage(aFrame);
   carrier.m_heardMs = MonotonicMs();
   if (!message) {
+    fleet::Count(m_metrics, "messages_unreadable_total");
     Remove(aCarrier, "a message cannot be read");
   } else if (const auto* hello = std::get_if<CarrierHello>(&*message)) {
     OnHello(carrier, *hello);
@@ -82,7 +83,7 @@
       ChooseInUse();
     }
   } else if (const auto* results = std::get_if<ResultBatch>(&*message)) {
-    OnResults(*results);
+    OnResults(aCarrier, *results);
   }
 }
 
@@ -92,10 +93,21 @@
   aCarrier.m_link->Send(EncodeCarrierMessage(CarrierPulse{ MonotonicMs(), aHello.m_clockMs }));
 }
 
-void CarrierPool::OnResults(const ResultBatch& aBatch)
+void CarrierPool::OnResults(std::uint64_t aCarrier, const ResultBatch& aBatch)
 {
   for (const auto& result : aBatch.m_results) {
-    Finish(result.m_call, result);
+    const auto call = m_calls.find(result.m_call);
+    if (call == m_calls.end() || call->second.m_carrier != aCarrier) {
+      continue; // Cancelled, given up before, or of another carrier.
+    }
+    const auto fault = FaultOf(result);
+    if (fault.empty()) {
+      Finish(result.m_call, result);
+      continue;
+    }
+    LogEvent("carrier", "result-unreadable", "carrier={} cause={}", aCarrier, fault);
+    fleet::Count(m_metrics, "messages_unreadable_total");
+    Finish(result.m_call, { result.m_call, platform::CallOutcome::Unknown, {}, {}, {} });
   }
 }
 
--- a/src/manager/CarrierPool.h
+++ b/src/manager/CarrierPool.h
@@ -86,7 +86,7 @@
   FrameHandlers OnAccept(const std::shared_ptr<FrameLink>& aLink);
   void OnFrame(std::uint64_t aCarrier, std::string_view aFrame);
   void OnHello(Carrier& aCarrier, const CarrierHello& aHello);
-  void OnResults(const ResultBatch& aBatch);
+  void OnResults(std::uint64_t aCarrier, const ResultBatch& aBatch);
   void Remove(std::uint64_t aCarrier, std::string_view aCause);
   void ChooseInUse();
   void FlushSoon();
--- a/src/manager/OrderCarrier.cpp
+++ b/src/manager/OrderCarrier.cpp
@@ -149,6 +149,7 @@
   m_heardMs = MonotonicMs();
   const auto message = DecodeCarrierMessage(aFrame);
   if (!message) {
+    Count(m_metrics, "messages_unreadable_total");
     Drop("a message cannot be read");
   } else if (const auto* pulse = std::get_if<CarrierPulse>(&*message)) {
     OnPulse(*pulse);
@@ -180,6 +181,14 @@
 {
   const Millis now = MonotonicMs();
   for (const auto& order : aBatch.m_orders) {
+    const auto fault = FaultOf(order);
+    if (!fault.empty()) {
+      LogEvent("carrier", "order-unreadable", "server={} cause={}", Printable(order.m_server),
+               fault);
+      Count(m_metrics, "messages_unreadable_total");
+      Add({ order.m_call, platform::CallOutcome::NotSent, {}, {}, {} });
+      continue;
+    }
     const bool over = order.m_sendBeforeMs != 0 &&
                       (!m_clockOffsetMs || now > order.m_sendBeforeMs + *m_clockOffsetMs);
     if (over || aBatch.m_token < m_view.m_token) {
--- a/tests/manager/OddRecordTest.cpp
+++ b/tests/manager/OddRecordTest.cpp
@@ -260,6 +260,49 @@
   EXPECT_GE(Counter(1, "records_unreadable_total"), 4);
 }
 
+// Guards against an owner that ends or loses its other carriers because of one odd message.
+TEST_F(OddRecordManagerTest, OddCarrierMessages_OwnerAndItsCarriersWorkOn)
+{
+  m_mostDirectServers = 0;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Start(2);
+  ASSERT_TRUE(IsReady(2));
+  Wait(1'000); // The carrier joins.
+  ASSERT_EQ(Submit(1, OneStep(), kOtherJob), 200);
+  ASSERT_TRUE(RunUntil([this] { return Counter(1, "orders_carried_total") > 0; }));
+  CarriedResult odd;
+  odd.m_call = std::numeric_limits<std::uint64_t>::max();
+  odd.m_clockMs = std::numeric_limits<Millis>::min();
+  odd.m_report = ServerReport{ kMostMs, -1, {}, {} };
+  const std::vector<std::string> frames{
+    "",
+    Deep(),
+    "\xff",
+    EncodeCarrierMessage(CarrierHello{ "o@1", "z1", std::numeric_limits<double>::infinity(), 1 }),
+    EncodeCarrierMessage(CarrierPulse{ kMostMs, std::numeric_limits<Millis>::min() }),
+    EncodeCarrierMessage(ResultBatch{ kMostMs, { odd } })
+  };
+  std::vector<std::shared_ptr<FrameLink>> links(frames.size());
+  for (std::size_t i = 0; i < frames.size(); ++i) {
+    links[i] =
+      FrameLink::Dial(m_loop, CarrierEndpoint(At(12)), 500,
+                      { [&, i] {
+                         links[i]->Send(frames[i]);
+                         links[i]->Send(EncodeCarrierMessage(CarrierPulse{ 1, 0 }));
+                       },
+                        [](std::string_view /*aFrame*/) {}, [](std::string_view /*aCause*/) {} });
+  }
+  Wait(200);
+  const int carried = Counter(1, "orders_carried_total");
+  ASSERT_EQ(Submit(1, TwoSteps()), 200);
+  EXPECT_TRUE(Completes(1));
+  EXPECT_GT(Counter(1, "orders_carried_total"), carried);
+  EXPECT_EQ(Counter(1, "orders_without_result_total"), 0);
+  EXPECT_EQ(Counter(1, "messages_unreadable_total"), 5);
+  std::ranges::for_each(links, [](const auto& aLink) { aLink->Close(); });
+}
+
 // Guards against a request of a caller that ends the process or is taken for another one.
 TEST_F(OddRecordManagerTest, OddRequests_AreRefusedAndOthersServed)
 {
--- a/tests/unit/OddRecordTest.cpp
+++ b/tests/unit/OddRecordTest.cpp
@@ -232,6 +232,65 @@
   EXPECT_FALSE(DecodeWaveRecord(EncodeWaveRecord({ { "" }, 5 })));
 }
 
+// Guards against an order of the carriers that does not exist, because one has no number as its
+// share, and against overflows in the clock of the other side.
+TEST_F(OddRecordTest, DecodeCarrierMessage_HelloOrPulseOutOfRange_IsRefused)
+{
+  const auto isRead = [](const CarrierMessage& aMessage) {
+    return DecodeCarrierMessage(EncodeCarrierMessage(aMessage)).has_value();
+  };
+  EXPECT_TRUE(isRead(CarrierHello{ "a@1", "z1", 0.5, 1 }));
+  EXPECT_FALSE(isRead(CarrierHello{ "", "z1", 0.5, 1 }));
+  EXPECT_FALSE(isRead(CarrierHello{ std::string(1'000, 'a'), "z1", 0.5, 1 }));
+  EXPECT_FALSE(isRead(CarrierHello{ "a@1", std::string(1'000, 'z'), 0.5, 1 }));
+  for (const double share : { std::numeric_limits<double>::quiet_NaN(),
+                              std::numeric_limits<double>::infinity(), -1.0, 1e300 }) {
+    EXPECT_FALSE(isRead(CarrierHello{ "a@1", "z1", share, 1 })) << share;
+  }
+  EXPECT_TRUE(isRead(CarrierPulse{ 1, 0 }));
+  for (const Millis clock : { Millis{ -1 }, kLeastMs, kMostMs }) {
+    EXPECT_FALSE(isRead(CarrierHello{ "a@1", "z1", 0.5, clock })) << clock;
+    EXPECT_FALSE(isRead(CarrierPulse{ clock, 0 })) << clock;
+    EXPECT_FALSE(isRead(CarrierPulse{ 1, clock })) << clock;
+  }
+}
+
+// Guards against one order or result that keeps the others of its batch from their servers, against
+// calls that never end, and against overflows in the clocks of servers.
+TEST_F(OddRecordTest, FaultOf_OrderOrResultOutOfRange_IsNamed)
+{
+  CarriedOrder good;
+  good.m_server = "s1";
+  good.m_timeoutMs = 200;
+  EXPECT_EQ(FaultOf(good), "");
+  const auto isOdd = [&good](const auto& aChange) {
+    CarriedOrder order = good;
+    aChange(order);
+    return !FaultOf(order).empty();
+  };
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_server.clear(); }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_server.assign(1'000, 's'); }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_timeoutMs = 0; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_timeoutMs = kMostMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_waitMs = kMostMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_sendBeforeMs = kLeastMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_leaseEndMs = kMostMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_percent = 101; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_percent = -1; }));
+  CarriedResult result;
+  EXPECT_EQ(FaultOf(result), "");
+  result.m_clockMs = kLeastMs;
+  EXPECT_NE(FaultOf(result), "");
+  result.m_clockMs.reset();
+  result.m_report = ServerReport{ kMostMs, 1, {}, {} };
+  EXPECT_NE(FaultOf(result), "");
+  const auto most = std::numeric_limits<std::uint64_t>::max();
+  result.m_report = ServerReport{ 5, 1, { { { kId, 0, 0, 0 }, most, "", 0, 0 } }, {} };
+  EXPECT_NE(FaultOf(result), "");
+  result.m_report = ServerReport{ 5, 1, {}, { { most, { { kId, 0, 0, 0 }, 1, {}, "" } } } };
+  EXPECT_NE(FaultOf(result), "");
+}
+
 // Guards against log lines that are broken in two, cannot be read as UTF-8 or fill the output,
 // because of a name from outside.
 TEST_F(OddRecordTest, Printable_BytesThatAreNoText_AreEscapedAndCut)
