Bound the deadline of callers

A deadline header near 2^63 overflowed when it was added to the clock, so the request was over before it began (503), and 1e3 or 5x counted as 1 ms and 5 ms. A longer wait than 10 min now counts as 10 min, and text that is not a number as a whole counts as no deadline, 3 s.

manager/OddRecordTest DeadlineOutOfRange_RequestIsServed failed before (503 for three of the eight deadlines).

--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kJobIdDigits = 16;
 /// Time that a caller waits when it does not say.
 constexpr Millis kDefaultDeadlineMs = 3'000;
+/// A longer wait of a caller counts as this one.
+constexpr Millis kMaxDeadlineMs = 600'000;
 /// The answer leaves this long before the caller stops waiting.
 constexpr Millis kAnswerMarginMs = 150;
 /// A store that refuses is tried this long; then the caller may come back.
@@ -56,7 +58,8 @@
   const auto text = FindHeader(aRequest.m_headers, platform::kCallerDeadlineHeader);
   Millis value = kDefaultDeadlineMs;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  return error == std::errc{} && value > 0 ? value : kDefaultDeadlineMs;
+  const bool isRead = error == std::errc{} && end == text.data() + text.size() && value > 0;
+  return isRead ? std::min(value, kMaxDeadlineMs) : kDefaultDeadlineMs;
 }
 
 HttpResponse JsonResponse(std::uint16_t aStatus, std::string aBody)
--- a/tests/manager/OddRecordTest.cpp
+++ b/tests/manager/OddRecordTest.cpp
@@ -323,5 +323,19 @@
   EXPECT_TRUE(Completes(1));
 }
 
+// Guards against a request that is over before it began: its deadline overflowed.
+TEST_F(OddRecordManagerTest, DeadlineOutOfRange_RequestIsServed)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  int number = 16;
+  for (const auto& deadline :
+       { "9223372036854775807", "99999999999999999999999", "-5", "0", "nan", "1e3", "5x", "" }) {
+    auto request = Request(1, "POST", fmt::format("/lookups/{:016x}", ++number), OneStep());
+    request.m_headers.insert_or_assign(std::string{ platform::kCallerDeadlineHeader }, deadline);
+    EXPECT_EQ(Call(std::move(request)).m_status, 200) << deadline;
+  }
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
