Escape names from outside in metrics and log lines

A queue name with a quote, a line break or bytes that are not UTF-8 made the page of metrics unreadable as a whole, and a long one filled it. The same names broke a log line in two or left bytes in it that no reader of UTF-8 takes.

Label values are escaped as the text format of Prometheus wants it and cut at 100 bytes. LogEvent escapes control characters and bytes that are not UTF-8 and cuts a line at 1,000 bytes, in one place for all events.

unit/OddRecordTest.FormatMetrics_NameWithQuotesAndBreaks_IsEscaped and FormatMetrics_LongName_IsCut failed before.

--- a/src/manager/EventLog.h
+++ b/src/manager/EventLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/base/Bounds.h"
 #include "pistachiostand/base/Types.h"
 
 #include <spdlog/spdlog.h>
@@ -15,6 +16,8 @@
 /// Each part has a limit of lines a second, so that a burst of runs neither fills the output nor
 /// keeps the lines of other parts out; lines beyond the limit are counted and the count is logged.
 /// Standard output does not block: a reader that stops reading loses lines and stops nothing.
+/// Names from outside neither break a line nor fill the output: control characters and bytes that
+/// are not UTF-8 are escaped, and long lines are cut.
 
 namespace pistachiostand::fleet {
 
@@ -23,6 +26,8 @@
 
 namespace internal {
 
+inline constexpr std::size_t kMaxLineBytes = 1'000;
+
 /// \brief Takes one line from what a part may log in this second.
 [[nodiscard]] bool TakeLogLine(std::string_view aPart);
 
@@ -38,7 +43,9 @@
               Args&&... aArgs)
 {
   if (spdlog::should_log(spdlog::level::info) && internal::TakeLogLine(aPart)) {
-    spdlog::info("{}: {} {}", aPart, aEvent, fmt::format(aFormat, std::forward<Args>(aArgs)...));
+    spdlog::info(
+      "{}: {} {}", aPart, aEvent,
+      Printable(fmt::format(aFormat, std::forward<Args>(aArgs)...), internal::kMaxLineBytes));
   }
 }
 
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -559,7 +559,7 @@
            std::pair{ "server", backlog.m_forServer } }) {
       if (m_state.m_metrics.m_gauges.size() < kMaxCounters) {
         m_state.m_metrics.m_gauges.insert_or_assign(
-          fmt::format("subtasks_waiting{{queue=\"{}\",for=\"{}\"}}", queue, what), count);
+          fmt::format("subtasks_waiting{{queue=\"{}\",for=\"{}\"}}", Label(queue), what), count);
       }
     }
   }
--- a/src/manager/Metrics.cpp
+++ b/src/manager/Metrics.cpp
@@ -1,11 +1,38 @@
 #include "Metrics.h"
 
+#include "pistachiostand/base/Bounds.h"
+
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include <iterator>
 
 namespace pistachiostand::fleet {
 
+std::string Label(std::string_view aName)
+{
+  constexpr std::size_t kMaxBytes = 100;
+  std::string label;
+  while (!aName.empty()) {
+    const std::size_t size = CharacterSize(aName);
+    const std::string_view part = aName.substr(0, std::max<std::size_t>(size, 1));
+    if (label.size() + part.size() > kMaxBytes) {
+      return label + "...";
+    }
+    if (size == 0) {
+      label += '?';
+    } else if (part == "\n") {
+      label += "\\n";
+    } else {
+      label += part == "\"" || part == "\\" ? "\\" : "";
+      label += part;
+    }
+    aName.remove_prefix(part.size());
+  }
+  return label;
+}
+
 void Count(Metrics& aMetrics, std::string_view aName, std::uint64_t aCount)
 {
   const auto found = aMetrics.m_counters.find(aName);
@@ -20,8 +47,8 @@
                  std::string_view aCause)
 {
   const auto name = [&](std::string_view aLabel) {
-    return fmt::format("answers_total{{queue=\"{}\",status=\"{}\",cause=\"{}\"}}", aLabel, aStatus,
-                       aCause);
+    return fmt::format("answers_total{{queue=\"{}\",status=\"{}\",cause=\"{}\"}}", Label(aLabel),
+                       aStatus, Label(aCause));
   };
   const std::string own = name(aQueue);
   const bool full =
@@ -53,17 +80,17 @@
     fmt::format_to(out, "pistachiostand_{} {}\n", name, value);
   }
   for (const auto& [key, histogram] : aMetrics.m_histograms) {
+    const std::string queue = Label(key.second);
     std::uint64_t total = 0;
     for (std::size_t i = 0; i < kBucketBoundsMs.size(); ++i) {
       total += histogram.m_buckets.at(i);
       fmt::format_to(out, "pistachiostand_{}_bucket{{queue=\"{}\",le=\"{}\"}} {}\n", key.first,
-                     key.second, kBucketBoundsMs.at(i), total);
+                     queue, kBucketBoundsMs.at(i), total);
     }
     total += histogram.m_buckets.back();
     fmt::format_to(out, "pistachiostand_{}_bucket{{queue=\"{}\",le=\"+Inf\"}} {}\n", key.first,
-                   key.second, total);
-    fmt::format_to(out, "pistachiostand_{}_count{{queue=\"{}\"}} {}\n", key.first, key.second,
-                   total);
+                   queue, total);
+    fmt::format_to(out, "pistachiostand_{}_count{{queue=\"{}\"}} {}\n", key.first, queue, total);
   }
   return text;
 }
--- a/src/manager/Metrics.h
+++ b/src/manager/Metrics.h
@@ -26,6 +26,10 @@
 /// \brief Counters with labels beyond which further queues are counted together.
 inline constexpr std::size_t kMaxCounters = 512;
 
+/// \brief A name from outside as the value of a label: escaped as Prometheus wants it, bytes that
+/// are not UTF-8 as `?`, and cut when it is long.
+[[nodiscard]] std::string Label(std::string_view aName);
+
 void Count(Metrics& aMetrics, std::string_view aName, std::uint64_t aCount = 1);
 
 /// \brief Counts an answer to a caller by queue, status and cause. Causes are few and fixed.
--- a/tests/unit/OddRecordTest.cpp
+++ b/tests/unit/OddRecordTest.cpp
@@ -302,5 +302,26 @@
   EXPECT_LE(Printable(std::string(1'000'000, '\xff')).size(), kMaxNameBytes + 3);
 }
 
+// Guards against a page of metrics that cannot be read because of one name in it.
+TEST_F(OddRecordTest, FormatMetrics_NameWithQuotesAndBreaks_IsEscaped)
+{
+  Metrics metrics;
+  CountAnswer(metrics, "a\"b\\c\nd\xff", 200, "stored");
+  Observe(metrics, "accept_ms", "a\"b\\c\nd\xff", 5);
+  const auto page = FormatMetrics(metrics);
+  EXPECT_NE(page.find(R"(answers_total{queue="a\"b\\c\nd?",status="200",cause="stored"} 1)"),
+            std::string::npos)
+    << page;
+  EXPECT_NE(page.find(R"(accept_ms_count{queue="a\"b\\c\nd?"} 1)"), std::string::npos) << page;
+}
+
+// Guards against one long name that fills each page of metrics.
+TEST_F(OddRecordTest, FormatMetrics_LongName_IsCut)
+{
+  Metrics metrics;
+  CountAnswer(metrics, std::string(100'000, 'q'), 200, "stored");
+  EXPECT_LT(FormatMetrics(metrics).size(), 1'000U);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
