--- a/include/pistachiostand/job/JobCodec.h
+++ b/include/pistachiostand/job/JobCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/base/Reason.h"
 #include "pistachiostand/job/JobBook.h"
 
 #include <optional>
@@ -15,6 +16,9 @@
 namespace pistachiostand::fleet {
 
 [[nodiscard]] std::string EncodeSubmission(const JobSpec& aSpec);
+
+/// \brief Reads a submission; nothing when it cannot be read or exceeds the limits of JobLimits.h.
+[[nodiscard]] std::optional<JobSpec> DecodeSubmission(std::string_view aBytes, Reason& aReason);
 [[nodiscard]] std::optional<JobSpec> DecodeSubmission(std::string_view aBytes);
 
 /// \brief Durable part of a job: phase, ended subtasks, runs that may exist and where.
@@ -24,7 +28,10 @@
 ///
 /// A finished job that the book does not know is added without its specification. Runs come back as
 /// Restored: whether they exist is for their backend servers to say.
-/// \return false when the bytes are malformed or belong to an active job that is not in the book.
+/// \return false, with the book unchanged, when the bytes are malformed, do not fit the job, or
+/// belong to an active job that is not in the book.
+bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs,
+                   Reason& aReason);
 bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs);
 
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -5,6 +5,7 @@
 
 #include "platform/Topics.h"
 
+#include "pistachiostand/base/Bounds.h"
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/job/Backlog.h"
 #include "pistachiostand/job/JobCodec.h"
@@ -54,6 +55,15 @@
 /// A hand-over waits for a record of ownership that is on its way, a few milliseconds.
 constexpr Millis kHandOverRetryMs = 500;
 
+/// \brief The number that the whole text is; nothing for any other text.
+std::optional<std::uint64_t> ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  const bool isWhole = error == std::errc{} && end == aText.data() + aText.size();
+  return isWhole ? std::optional{ number } : std::nullopt;
+}
+
 } // namespace
 
 FleetOwner::FleetOwner(OwnerState aState)
@@ -171,9 +181,16 @@
     ScheduleSoon();
     return;
   }
-  auto spec = DecodeSubmission(*aValue);
+  Reason reason;
+  auto spec = DecodeSubmission(*aValue, reason);
+  // Under another key it would take the place of the job whose id it names.
+  if (spec && key != std::string{ kSubmissionPrefix } + spec->m_id) {
+    reason.m_cause = "the key is of another job";
+    spec.reset();
+  }
   if (!spec) {
-    LogEvent("job", "unreadable", "key={} bytes={}", aKey, aValue->size());
+    LogEvent("job", "unreadable", "key={} bytes={} cause={}", Printable(aKey), aValue->size(),
+             reason.m_cause);
     Count(m_state.m_metrics, "records_unreadable_total");
     return;
   }
@@ -222,15 +239,20 @@
 
 void FleetOwner::OnFleetRecord(const std::string& aKey, const std::optional<std::string>& aValue)
 {
-  std::uint64_t number = 0;
-  if (aValue && aKey.starts_with(kStoredWavePrefix) &&
-      std::from_chars(aKey.data() + kStoredWavePrefix.size(), aKey.data() + aKey.size(), number)
-          .ec == std::errc{}) {
-    m_fleet.OnStoredWave(number, *aValue);
+  if (!aValue) {
+    return;
   }
   const std::string_view key = aKey;
-  if (aValue && key.starts_with(kOrderPrefix)) {
+  const auto wave = key.starts_with(kStoredWavePrefix)
+                      ? ParseNumber(key.substr(kStoredWavePrefix.size()))
+                      : std::nullopt;
+  if (wave) {
+    m_fleet.OnStoredWave(*wave, *aValue);
+  } else if (key.starts_with(kOrderPrefix) && key.size() > kOrderPrefix.size()) {
     m_fleet.OnStoredOrder(InstanceId{ key.substr(kOrderPrefix.size()) }, *aValue);
+  } else {
+    LogEvent("fleet", "record-unreadable", "key={} bytes={}", Printable(aKey), aValue->size());
+    Count(m_state.m_metrics, "records_unreadable_total");
   }
 }
 
@@ -252,8 +274,13 @@
     return;
   }
   for (const auto& item : aPage->m_items) {
-    if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs())) {
-      LogEvent("job", "progress-unreadable", "id={} bytes={}", item.m_key, item.m_value.size());
+    Reason reason;
+    if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs(), reason)) {
+      LogEvent("job", "progress-unreadable", "id={} bytes={} cause={}", Printable(item.m_key),
+               item.m_value.size(), reason.m_cause);
+      Count(m_state.m_metrics, "records_unreadable_total");
+      // What has run cannot be told, and nothing may run twice.
+      FailJob(m_state.m_book, item.m_key);
     }
   }
   if (aPage->m_more && !aPage->m_items.empty()) {
@@ -532,7 +559,7 @@
            std::pair{ "server", backlog.m_forServer } }) {
       if (m_state.m_metrics.m_gauges.size() < kMaxCounters) {
         m_state.m_metrics.m_gauges.insert_or_assign(
-          fmt::format("subtasks_waiting{{queue=\"{}\",for=\"{}\"}}", queue, what), count);
+          fmt::format("subtasks_waiting{{queue=\"{}\",for=\"{}\"}}", Label(queue), what), count);
       }
     }
   }
--- /dev/null
+++ b/tests/unit/OddRecordTest.cpp
@@ -0,0 +1,327 @@
+#include "JobFixture.h"
+
+#include "src/manager/CarrierMessage.h"
+#include "src/manager/Metrics.h"
+#include "src/process/Pack.h"
+
+#include "pistachiostand/base/Bounds.h"
+#include "pistachiostand/fleet/WaveRecord.h"
+#include "pistachiostand/job/JobCodec.h"
+#include "pistachiostand/ownership/InstanceOrder.h"
+#include "pistachiostand/ownership/Leadership.h"
+
+#include <functional>
+#include <limits>
+
+namespace pistachiostand::fleet {
+namespace {
+
+constexpr Millis kMostMs = std::numeric_limits<Millis>::max();
+constexpr Millis kLeastMs = std::numeric_limits<Millis>::min();
+
+/// \brief Records that another writer has put among those of the product.
+class OddRecordTest : public JobFixture
+{
+protected:
+  static constexpr const char* kId = "00000000000000aa";
+
+  /// \brief Bytes that are no record of any kind.
+  static std::vector<std::string> NoRecords()
+  {
+    constexpr std::size_t kLevels = 100'000;
+    return { "",
+             "{}",
+             std::string(1, '\0'),
+             "\xff\xfe\xfd",
+             std::string(kLevels, '\x91'),                                 // Nested arrays.
+             std::string(kLevels, '['),                                    // Nested JSON.
+             std::string("\xdd\xff\xff\xff\xff", 5),                       // An array of 2^32-1.
+             std::string("\xdf\xff\xff\xff\xff", 5),                       // A map of 2^32-1.
+             std::string("\xc6\xff\xff\xff\xff", 5),                       // Bytes, 2^32-1 of them.
+             std::string("\xc9\xff\xff\xff\xff\x01", 6),                   // An extension.
+             std::string("\xd4\x01\x00", 3),                               // A short extension.
+             std::string("\x99", 1) + std::string(kLevels, '\xc0'),        // Trailing bytes.
+             std::string("\xdc\xff\xff", 3) + std::string(65'535, '\x91'), // Broken inside.
+             std::string(std::size_t{ 1 } << 20U, 'x') };
+  }
+
+  /// \brief A job as the book knows it, for the encoding of its progress.
+  Job KnownJob(std::uint32_t aCount = 2)
+  {
+    Add(kId, { Step(aCount) });
+    return m_book.m_jobs.at(kId);
+  }
+
+  Subtask& FirstOf(Job& aJob) { return aJob.m_occurrences.at(0).m_steps.at(0).at(0); }
+
+  /// \brief True when the progress of a changed job is refused and leaves no run in the book.
+  bool IsRefused(const std::function<void(Job&)>& aChange)
+  {
+    m_book = {};
+    Job job = KnownJob();
+    FirstOf(job).m_lastRun = 2;
+    FirstOf(job).m_runs.resize(1);
+    FirstOf(job).m_runs.front().m_number = 2;
+    FirstOf(job).m_runs.front().m_server = "s1";
+    aChange(job);
+    return !ApplyProgress(m_book, kId, EncodeProgress(job), kNow) && m_book.m_byServer.empty() &&
+           m_book.m_jobs.at(kId).m_occurrences.size() == 1;
+  }
+
+  /// \brief True when the submission of a changed job is refused.
+  static bool IsSubmissionRefused(const std::function<void(JobSpec&)>& aChange)
+  {
+    JobSpec spec = Spec(kId, { Step(2), Step(1) });
+    aChange(spec);
+    return !DecodeSubmission(EncodeSubmission(spec));
+  }
+};
+
+// Guards against bytes of another format that end or fill the process which reads them.
+TEST_F(OddRecordTest, Decode_BytesOfNoRecord_AreRefused)
+{
+  Add(kId, { Step(2) });
+  for (const auto& bytes : NoRecords()) {
+    const std::string shown = bytes.substr(0, 8) + ", " + std::to_string(bytes.size()) + " bytes";
+    EXPECT_FALSE(DecodeSubmission(bytes)) << shown;
+    EXPECT_FALSE(ApplyProgress(m_book, kId, bytes, kNow)) << shown;
+    EXPECT_FALSE(DecodeOwnershipRecord(bytes)) << shown;
+    EXPECT_FALSE(DecodeInstanceOrder(bytes)) << shown;
+    EXPECT_FALSE(DecodeWaveRecord(bytes)) << shown;
+    EXPECT_FALSE(DecodeCarrierMessage(bytes)) << shown;
+  }
+}
+
+// Guards against a small record that takes all memory of each owner which reads it, and against
+// arithmetic that overflows with its times and needs.
+TEST_F(OddRecordTest, DecodeSubmission_BeyondTheLimitsForCallers_IsRefused)
+{
+  EXPECT_FALSE(IsSubmissionRefused([](JobSpec&) {}));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_count = 0; }));
+  EXPECT_TRUE(
+    IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_count = 4'000'000'000U; }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) {
+    aSpec.m_steps[0].m_count = 10'001;
+    aSpec.m_steps[1].m_count = 10'001;
+  }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) {
+    aSpec.m_steps[0].m_count = std::numeric_limits<std::uint32_t>::max();
+    aSpec.m_steps[1].m_count = 2; // The sum does not fit in 32 bits.
+  }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps.clear(); }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps.resize(257, Step(1)); }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_payload.assign(4'001, 'x'); }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_occurrences = 4'000'000'000U; }));
+}
+
+// Guards against work that waits for ever: a step that follows itself or a later one never opens.
+TEST_F(OddRecordTest, DecodeSubmission_StepAfterItselfOrALaterOne_IsRefused)
+{
+  EXPECT_FALSE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[1].m_after = { 0 }; }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_after = { 0 }; }));
+  EXPECT_TRUE(IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[0].m_after = { 1 }; }));
+  EXPECT_TRUE(
+    IsSubmissionRefused([](JobSpec& aSpec) { aSpec.m_steps[1].m_after = { 4'000'000'000U }; }));
+}
+
+// Guards against sums of times and needs that overflow, and against needs that add room.
+TEST_F(OddRecordTest, DecodeSubmission_TimesAndNeedsOutOfRange_AreRefused)
+{
+  for (const std::int64_t value : { std::int64_t{ -1 }, kLeastMs, kMostMs }) {
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_acceptedMs = value; }));
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_firstDueMs = value; }));
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_intervalMs = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_estimateMs = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_tailTargetMs = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_need.m_cpuMillis = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_need.m_memoryMb = value; }));
+    EXPECT_TRUE(
+      IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_steps[1].m_need.m_gpus = value; }));
+  }
+}
+
+// Guards against an id that does not fit in the key of a record, whose length is one byte, and
+// against one that cannot be told from the other parts of the name of a subtask.
+TEST_F(OddRecordTest, DecodeSubmission_IdThatIsNoKey_IsRefused)
+{
+  for (const auto& id : { std::string{}, std::string(300, 'a'), std::string{ "a.0.0" },
+                          std::string{ "a\nb" }, std::string{ "\xff\xfe" } }) {
+    EXPECT_TRUE(IsSubmissionRefused([&](JobSpec& aSpec) { aSpec.m_id = id; })) << id;
+  }
+}
+
+// Guards against progress that brings parts into the book which the job does not have.
+TEST_F(OddRecordTest, ApplyProgress_PartsThatTheJobDoesNotHave_IsRefused)
+{
+  EXPECT_FALSE(IsRefused([](Job&) {}));
+  EXPECT_TRUE(IsRefused([](Job& aJob) { aJob.m_occurrences[7] = aJob.m_occurrences[0]; }));
+  EXPECT_TRUE(IsRefused([](Job& aJob) { aJob.m_opened = 4'000'000'000U; }));
+  EXPECT_TRUE(IsRefused([](Job& aJob) {
+    auto& steps = aJob.m_occurrences[0].m_steps;
+    steps.push_back(steps[0]);
+  }));
+  EXPECT_TRUE(IsRefused([](Job& aJob) {
+    auto& step = aJob.m_occurrences[0].m_steps[0];
+    step.push_back(step[0]);
+  }));
+}
+
+// Guards against a run number that wraps to one that was used before, and against runs on servers
+// that cannot exist.
+TEST_F(OddRecordTest, ApplyProgress_RunsOutOfRange_IsRefused)
+{
+  EXPECT_TRUE(IsRefused(
+    [this](Job& aJob) { FirstOf(aJob).m_lastRun = std::numeric_limits<std::uint64_t>::max(); }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_lastEndedRun = 3; }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_number = 3; }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_number = 0; }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_server.clear(); }));
+  EXPECT_TRUE(
+    IsRefused([this](Job& aJob) { FirstOf(aJob).m_runs[0].m_server.assign(1'000, 's'); }));
+  EXPECT_TRUE(IsRefused([this](Job& aJob) {
+    auto& runs = FirstOf(aJob).m_runs;
+    runs.resize(10'000, runs[0]);
+  }));
+  EXPECT_TRUE(IsRefused(
+    [this](Job& aJob) { FirstOf(aJob).m_failures = std::numeric_limits<std::uint32_t>::max(); }));
+}
+
+// Guards against a job of a name that no later record can have as its key.
+TEST_F(OddRecordTest, ApplyProgress_KeyThatIsNoJobId_IsRefused)
+{
+  Job job = KnownJob();
+  job.m_phase = JobPhase::Completed;
+  for (const auto& id : { std::string{}, std::string(255, 'a') + "b", std::string{ "a.b" } }) {
+    EXPECT_FALSE(ApplyProgress(m_book, id, EncodeProgress(job), kNow)) << id;
+    EXPECT_FALSE(m_book.m_jobs.contains(id));
+  }
+}
+
+// Guards against a run number near the largest one, listed by a server, after which the next run
+// of the subtask has a number that was used before.
+TEST_F(OddRecordTest, Book_RunNumberNearTheLargest_IsNotTaken)
+{
+  constexpr auto kMost = std::numeric_limits<std::uint64_t>::max();
+  Add(kId, { Step(1) });
+  const SubtaskId id{ kId, 0, 0, 0 };
+  EXPECT_FALSE(AdoptRun(m_book, { id, kMost, "s1" }, kNow));
+  EXPECT_FALSE(ApplyEnd(m_book, { id, kMost, EndKind::Failed, "" }, 3, kNow));
+  EXPECT_EQ(NextRunNumber(m_book, id), 1U);
+}
+
+// Guards against overflows in the age of an order, and against an order by nobody.
+TEST_F(OddRecordTest, DecodeInstanceOrder_ValuesOutOfRange_IsRefused)
+{
+  EXPECT_TRUE(DecodeInstanceOrder(EncodeInstanceOrder({ "a@1", 5 })));
+  EXPECT_FALSE(DecodeInstanceOrder(EncodeInstanceOrder({ "", 5 })));
+  EXPECT_FALSE(DecodeInstanceOrder(EncodeInstanceOrder({ std::string(1'000, 'a'), 5 })));
+  for (const Millis time : { Millis{ -1 }, kLeastMs, kMostMs }) {
+    EXPECT_FALSE(DecodeInstanceOrder(EncodeInstanceOrder({ "a@1", time }))) << time;
+  }
+}
+
+// Guards against overflows in the time that is left of a wave.
+TEST_F(OddRecordTest, DecodeWaveRecord_AgeOutOfRange_IsRefused)
+{
+  EXPECT_TRUE(DecodeWaveRecord(EncodeWaveRecord({ { "i1" }, 5 })));
+  EXPECT_FALSE(DecodeWaveRecord(EncodeWaveRecord({ { "i1" }, kMostMs })));
+  EXPECT_FALSE(DecodeWaveRecord(EncodeWaveRecord({ { "" }, 5 })));
+}
+
+// Guards against an order of the carriers that does not exist, because one has no number as its
+// share, and against overflows in the clock of the other side.
+TEST_F(OddRecordTest, DecodeCarrierMessage_HelloOrPulseOutOfRange_IsRefused)
+{
+  const auto isRead = [](const CarrierMessage& aMessage) {
+    return DecodeCarrierMessage(EncodeCarrierMessage(aMessage)).has_value();
+  };
+  EXPECT_TRUE(isRead(CarrierHello{ "a@1", "z1", 0.5, 1 }));
+  EXPECT_FALSE(isRead(CarrierHello{ "", "z1", 0.5, 1 }));
+  EXPECT_FALSE(isRead(CarrierHello{ std::string(1'000, 'a'), "z1", 0.5, 1 }));
+  EXPECT_FALSE(isRead(CarrierHello{ "a@1", std::string(1'000, 'z'), 0.5, 1 }));
+  for (const double share : { std::numeric_limits<double>::quiet_NaN(),
+                              std::numeric_limits<double>::infinity(), -1.0, 1e300 }) {
+    EXPECT_FALSE(isRead(CarrierHello{ "a@1", "z1", share, 1 })) << share;
+  }
+  EXPECT_TRUE(isRead(CarrierPulse{ 1, 0 }));
+  for (const Millis clock : { Millis{ -1 }, kLeastMs, kMostMs }) {
+    EXPECT_FALSE(isRead(CarrierHello{ "a@1", "z1", 0.5, clock })) << clock;
+    EXPECT_FALSE(isRead(CarrierPulse{ clock, 0 })) << clock;
+    EXPECT_FALSE(isRead(CarrierPulse{ 1, clock })) << clock;
+  }
+}
+
+// Guards against one order or result that keeps the others of its batch from their servers, against
+// calls that never end, and against overflows in the clocks of servers.
+TEST_F(OddRecordTest, FaultOf_OrderOrResultOutOfRange_IsNamed)
+{
+  CarriedOrder good;
+  good.m_server = "s1";
+  good.m_timeoutMs = 200;
+  EXPECT_EQ(FaultOf(good), "");
+  const auto isOdd = [&good](const auto& aChange) {
+    CarriedOrder order = good;
+    aChange(order);
+    return !FaultOf(order).empty();
+  };
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_server.clear(); }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_server.assign(1'000, 's'); }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_timeoutMs = 0; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_timeoutMs = kMostMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_waitMs = kMostMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_sendBeforeMs = kLeastMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_leaseEndMs = kMostMs; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_percent = 101; }));
+  EXPECT_TRUE(isOdd([](CarriedOrder& aOrder) { aOrder.m_percent = -1; }));
+  CarriedResult result;
+  EXPECT_EQ(FaultOf(result), "");
+  result.m_clockMs = kLeastMs;
+  EXPECT_NE(FaultOf(result), "");
+  result.m_clockMs.reset();
+  result.m_report = ServerReport{ kMostMs, 1, {}, {} };
+  EXPECT_NE(FaultOf(result), "");
+  const auto most = std::numeric_limits<std::uint64_t>::max();
+  result.m_report = ServerReport{ 5, 1, { { { kId, 0, 0, 0 }, most, "", 0, 0 } }, {} };
+  EXPECT_NE(FaultOf(result), "");
+  result.m_report = ServerReport{ 5, 1, {}, { { most, { { kId, 0, 0, 0 }, 1, {}, "" } } } };
+  EXPECT_NE(FaultOf(result), "");
+}
+
+// Guards against log lines that are broken in two, cannot be read as UTF-8 or fill the output,
+// because of a name from outside.
+TEST_F(OddRecordTest, Printable_BytesThatAreNoText_AreEscapedAndCut)
+{
+  EXPECT_EQ(Printable("a b\n\x7f\xff\xc0\x80\xed\xa0\x80\xe2\x82"),
+            "a b\\x0a\\x7f\\xff\\xc0\\x80\\xed\\xa0\\x80\\xe2\\x82");
+  EXPECT_EQ(Printable("Sa\u0303o \u20ac \U0001f600"), "Sa\u0303o \u20ac \U0001f600");
+  EXPECT_EQ(Printable("abcd\u20ac", 6), "abcd...");
+  EXPECT_LE(Printable(std::string(1'000'000, '\xff')).size(), kMaxNameBytes + 3);
+}
+
+// Guards against a page of metrics that cannot be read because of one name in it.
+TEST_F(OddRecordTest, FormatMetrics_NameWithQuotesAndBreaks_IsEscaped)
+{
+  Metrics metrics;
+  CountAnswer(metrics, "a\"b\\c\nd\xff", 200, "stored");
+  Observe(metrics, "accept_ms", "a\"b\\c\nd\xff", 5);
+  const auto page = FormatMetrics(metrics);
+  EXPECT_NE(page.find(R"(answers_total{queue="a\"b\\c\nd?",status="200",cause="stored"} 1)"),
+            std::string::npos)
+    << page;
+  EXPECT_NE(page.find(R"(accept_ms_count{queue="a\"b\\c\nd?"} 1)"), std::string::npos) << page;
+}
+
+// Guards against one long name that fills each page of metrics.
+TEST_F(OddRecordTest, FormatMetrics_LongName_IsCut)
+{
+  Metrics metrics;
+  CountAnswer(metrics, std::string(100'000, 'q'), 200, "stored");
+  EXPECT_LT(FormatMetrics(metrics).size(), 1'000U);
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
