Let a report with 500 ends leave out runs and ends

A job whose end lay behind 500 other ends of its server was run again by the next owner, although its end as done had been acknowledged: the first report showed it neither as running nor as ended, and the owner dropped the run.

A backend server lists at most its oldest 500 ends. A report with as many is now partial, also when a carrier passes it on, and what it does not list waits for the next report.

--- a/include/pistachiostand/job/Reconcile.h
+++ b/include/pistachiostand/job/Reconcile.h
@@ -37,6 +37,7 @@
   std::int64_t m_incarnation{}; ///< Unix milliseconds of the server's start; 0 when not told.
   std::vector<ReportedRun> m_running;
   std::vector<ReportedEnd> m_ended;
+  bool m_partial{}; ///< It may leave out runs that go on and ends that were not acknowledged.
 
   friend bool operator==(const ServerReport&, const ServerReport&) = default;
 };
@@ -55,11 +56,12 @@
 /// A run that is missing from a report is dropped only when it cannot start any more: it was seen
 /// running before the report was asked for, an earlier owner planned it (the server now refuses
 /// that owner's orders), or its stop was accepted. A start without an answer may still be on its
-/// way; it is returned to be stopped, because the server remembers a stop.
+/// way; it is returned to be stopped, because the server remembers a stop. What a partial report
+/// does not list waits: its end may be among those that the report leaves out.
 ///
 /// \param aAskedMs when the report was asked for, on the owner's steady clock.
 [[nodiscard]] Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer,
-                                       const std::vector<ReportedRun>& aRunning, Millis aAskedMs,
+                                       const ServerReport& aReport, Millis aAskedMs,
                                        Millis aNowMs);
 
 /// \brief Applies the change of life of a server: what was seen running there is gone. A start
--- a/src/job/Reconcile.cpp
+++ b/src/job/Reconcile.cpp
@@ -64,11 +64,11 @@
 } // namespace
 
 Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer,
-                         const std::vector<ReportedRun>& aRunning, Millis aAskedMs, Millis aNowMs)
+                         const ServerReport& aReport, Millis aAskedMs, Millis aNowMs)
 {
   Reconciliation result;
   std::set<RunRef> listed;
-  for (const auto& reported : aRunning) {
+  for (const auto& reported : aReport.m_running) {
     const RunRef ref{ reported.m_subtask, reported.m_run, aServer };
     listed.insert(ref);
     if (FindRun(aBook, ref) == nullptr && !AdoptRun(aBook, ref, aNowMs)) {
@@ -79,6 +79,9 @@
     Update(*FindRun(aBook, ref), *FindStep(aBook, ref.m_subtask),
            *FindSubtask(aBook, ref.m_subtask), reported, aNowMs);
   }
+  if (aReport.m_partial) {
+    return result;
+  }
   for (const auto& ref : RunsOn(aBook, aServer)) {
     const auto missing =
       listed.contains(ref) ? Missing::Waits : ReconcileMissing(*FindRun(aBook, ref), aAskedMs);
--- a/src/manager/CarrierMessage.cpp
+++ b/src/manager/CarrierMessage.cpp
@@ -84,7 +84,8 @@
 template<typename V>
 void Fields(ServerReport& aReport, V aVisit)
 {
-  aVisit(aReport.m_clockMs, aReport.m_incarnation, aReport.m_running, aReport.m_ended);
+  aVisit(aReport.m_clockMs, aReport.m_incarnation, aReport.m_running, aReport.m_ended,
+         aReport.m_partial);
 }
 
 template<typename V>
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -480,7 +480,7 @@
   aServer.m_contactMs = now;
   aServer.m_looked = true;
   ApplyEnds(aServer, aReport);
-  const auto result = Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now);
+  const auto result = Reconcile(m_state.m_book, id, aReport, aSentMs, now);
   LogDropped(result.m_dropped, "not reported");
   for (const auto& run : result.m_stops) {
     Stop(run, "not expected there");
--- a/tests/unit/ReconcileTest.cpp
+++ b/tests/unit/ReconcileTest.cpp
@@ -16,7 +16,9 @@
 
   std::vector<RunRef> Report(const std::vector<ReportedRun>& aRunning)
   {
-    return Reconcile(m_book, "s1", aRunning, kAsked, kAnswered).m_stops;
+    ServerReport report;
+    report.m_running = aRunning;
+    return Reconcile(m_book, "s1", report, kAsked, kAnswered).m_stops;
   }
 
   fleet::Run& Planned(RunPhase aPhase)
--- a/tests/unit/WireFuzzTest.cpp
+++ b/tests/unit/WireFuzzTest.cpp
@@ -158,7 +158,7 @@
     for (const auto& ended : report->m_ended) {
       ApplyEnd(m_book, ended.m_end, 3, kNow);
     }
-    (void)Reconcile(m_book, "s1", report->m_running, kNow + 1, kNow + 1);
+    (void)Reconcile(m_book, "s1", *report, kNow + 1, kNow + 1);
     std::vector<ServerRoom> rooms{ Room("s1", 8'000), Room("s2", 8'000) };
     Place(rooms);
     (void)RunsToStop(m_book);
