Apply the ends of a report in the order of their numbers

An end that was listed after one with a higher number was skipped as known and acknowledged, and its work was run again. The owner now sorts the ends before it applies them.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -497,7 +497,10 @@
 {
   const Millis now = MonotonicMs();
   bool news = false;
-  for (const auto& [number, end] : aReport.m_ended) {
+  auto ended = aReport.m_ended;
+  // Acknowledged by the highest number, so an end listed after a later one must not be skipped.
+  std::ranges::sort(ended, {}, &ReportedEnd::m_number);
+  for (const auto& [number, end] : ended) {
     if (number <= aServer.m_appliedEnds) {
       continue;
     }
