Read what others write with checked numbers, strings and lists

One odd route made a configuration unreadable, one odd row a report or the list of instances, one odd item a page of the store. A zero byte in an address, or a line break in the id of a server, went into the calls to it; a text that is not UTF-8 threw out of the encoders.

A value that is nested too deeply, beyond the range of double or not UTF-8 is an error of its row only.

--- a/include/pistachiostand/job/Reconcile.h
+++ b/include/pistachiostand/job/Reconcile.h
@@ -11,6 +11,10 @@
 
 namespace pistachiostand::fleet {
 
+/// Ends of one life of a server are numbered without gaps. A number that is further from the one
+/// before would acknowledge ends that were never seen.
+inline constexpr std::uint64_t kMaxEndGap = 100'000;
+
 struct ReportedRun
 {
   SubtaskId m_subtask;
@@ -61,8 +65,7 @@
 ///
 /// \param aAskedMs when the report was asked for, on the owner's steady clock.
 [[nodiscard]] Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer,
-                                       const ServerReport& aReport, Millis aAskedMs,
-                                       Millis aNowMs);
+                                       const ServerReport& aReport, Millis aAskedMs, Millis aNowMs);
 
 /// \brief Applies the change of life of a server: what was seen running there is gone. A start
 /// without an answer stays, because the new life may still receive it.
--- a/src/base/Endpoint.cpp
+++ b/src/base/Endpoint.cpp
@@ -12,7 +12,9 @@
 bool IsAddress(int aFamily, const std::string& aText)
 {
   std::array<unsigned char, sizeof(in6_addr)> address{};
-  return inet_pton(aFamily, aText.c_str(), address.data()) == 1;
+  // inet_pton reads up to the first zero byte, and so would all who use the text.
+  return aText.find('\0') == std::string::npos &&
+         inet_pton(aFamily, aText.c_str(), address.data()) == 1;
 }
 
 } // namespace
--- a/src/job/Reconcile.cpp
+++ b/src/job/Reconcile.cpp
@@ -63,8 +63,8 @@
 
 } // namespace
 
-Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer,
-                         const ServerReport& aReport, Millis aAskedMs, Millis aNowMs)
+Reconciliation Reconcile(JobBook& aBook, const ServerId& aServer, const ServerReport& aReport,
+                         Millis aAskedMs, Millis aNowMs)
 {
   Reconciliation result;
   std::set<RunRef> listed;
--- a/src/manager/CallerFront.cpp
+++ b/src/manager/CallerFront.cpp
@@ -21,7 +21,6 @@
 
 namespace {
 
-constexpr std::size_t kJobIdDigits = 16;
 /// Time that a caller waits when it does not say.
 constexpr Millis kDefaultDeadlineMs = 3'000;
 /// The answer leaves this long before the caller stops waiting.
@@ -37,14 +36,6 @@
 constexpr Millis kAcceptedMs = 10'000;
 constexpr Millis kForgetEveryMs = 1'000;
 
-bool IsJobId(std::string_view aText)
-{
-  return aText.size() == kJobIdDigits && std::ranges::all_of(aText, [](char aDigit) {
-           return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f') ||
-                  (aDigit >= 'A' && aDigit <= 'F');
-         });
-}
-
 std::string_view WithoutPort(std::string_view aHost)
 {
   return aHost.substr(0, aHost.find(':'));
@@ -131,7 +122,7 @@
   const std::string id = aRequest.m_path.substr(queue->m_pathPrefix.size());
   if (id.empty() && aRequest.m_method == "GET") {
     AskPending(*queue, std::move(respond));
-  } else if (!IsJobId(id)) {
+  } else if (!platform::IsJobId(id)) {
     respond(Refusal(400, "a job id has 16 hexadecimal digits"));
   } else if (aRequest.m_method == "POST") {
     Submit(aRequest, *queue, id, std::move(respond));
--- /dev/null
+++ b/tests/unit/OddEntryDecodeTest.cpp
@@ -0,0 +1,393 @@
+#include "platform/Wire.h"
+
+#include "pistachiostand/base/Endpoint.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace pistachiostand::fleet {
+namespace {
+
+std::string Nested(std::size_t aLevels)
+{
+  return std::string(aLevels, '[') + std::string(aLevels, ']');
+}
+
+/// \brief Values that do not fit a field for a whole number that is not negative.
+std::vector<std::string> OddNumbers()
+{
+  return { "-1",    "0.5",   "1e300", "1e999", "-1e999", "18446744073709551615",
+           "1e400", "\"7\"", "true",  "[]",    "{}",     Nested(100'000) };
+}
+
+std::string Entry(const std::string& aAddress, const std::string& aCpu = "8000",
+                  const std::string& aMore = {})
+{
+  return fmt::format(R"({{"upstream":"u","address":{},"zone":"z","state":"ready","labels":["a"],)"
+                     R"("capacity":{{"cpu":{},"mem-mb":100}}{}}})",
+                     aAddress, aCpu, aMore);
+}
+
+bool ReadsEntry(const std::string& aBody)
+{
+  Reason reason;
+  const auto entry = platform::DecodeServerEntry("s1", aBody, reason);
+  EXPECT_EQ(entry.has_value(), reason.m_cause.empty()) << aBody.substr(0, 200);
+  EXPECT_LE(reason.m_cause.size(), 300U);
+  return entry.has_value();
+}
+
+// Guards against a server that gets more work than it has room for, or none, or an owner that ends,
+// because a number that does not fit was taken for another one.
+TEST(OddEntryDecodeTest, ServerEntry_OddNumber_IsRefused)
+{
+  EXPECT_TRUE(ReadsEntry(Entry("\"10.0.0.1:80\"")));
+  for (const auto& odd : OddNumbers()) {
+    EXPECT_FALSE(ReadsEntry(Entry("\"10.0.0.1:80\"", odd))) << odd.substr(0, 40);
+    for (const auto* key : { "born", "clock-ms" }) {
+      EXPECT_FALSE(
+        ReadsEntry(Entry("\"10.0.0.1:80\"", "8000", fmt::format(",\"{}\":{}", key, odd))))
+        << key << odd.substr(0, 40);
+    }
+  }
+}
+
+// Guards against calls to another port or another host than the entry names.
+TEST(OddEntryDecodeTest, ServerEntry_OddAddress_IsRefused)
+{
+  for (const auto* odd :
+       { "\"10.0.0.1:0\"", "\"10.0.0.1:65536\"", "\"10.0.0.1:99999\"", "\"10.0.0.1:-1\"",
+         "\"10.0.0.1:\"", "\"10.0.0.1\"", "\"\"", "\":80\"", "\"10.0.0.1:80.5\"", "null", "80",
+         "[]", "\"10.0.0.1\\u0000:80\"", "\"10.0.0.1\\u0000x:80\"", "\"\xff:80\"" }) {
+    EXPECT_FALSE(ReadsEntry(Entry(odd))) << odd;
+  }
+  EXPECT_FALSE(ParseEndpoint(std::string_view{ "10.0.0.1\0x:80", 13 }).has_value());
+}
+
+// Guards against one entry that ends the process or costs much memory and time.
+TEST(OddEntryDecodeTest, ServerEntry_OddBytes_AreRefusedWithAShortPrintableCause)
+{
+  const std::vector<std::string> odd{ "",
+                                      "\xff\xfe\x01",
+                                      std::string(100, '\0'),
+                                      "not json",
+                                      Nested(100'000),
+                                      std::string(100'000, '['),
+                                      std::string(100'000, '{'),
+                                      "\"" + std::string(5'000'000, 'x'),
+                                      "\"" + std::string(5'000'000, 'x') + "\"",
+                                      "\"\xff" + std::string(5'000'000, '\n') + "\"",
+                                      Entry("\"" + std::string(5'000'000, 'x') + "\""),
+                                      Entry("\"10.0.0.1:80\"", "8000", ",\"labels\":[\"\xff\"]"),
+                                      Entry("\"10.0.0.1:80\"", "8000", ",\"labels\":[1]"),
+                                      "[" + std::string(3'000'000, ',') + "]",
+                                      "{}",
+                                      "null",
+                                      "[[]]" };
+  for (const auto& body : odd) {
+    Reason reason;
+    EXPECT_FALSE(platform::DecodeServerEntry("s1", body, reason).has_value()) << body.substr(0, 40);
+    EXPECT_FALSE(reason.m_cause.empty());
+    EXPECT_LE(reason.m_cause.size(), 300U) << body.substr(0, 40);
+    EXPECT_TRUE(std::ranges::all_of(reason.m_cause,
+                                    [](char aChar) { return aChar >= ' ' && aChar < '\x7f'; }))
+      << reason.m_cause.substr(0, 300);
+  }
+}
+
+// Guards against a header that another writer adds to every order, and against an owner that ends
+// when it asks for advice about a server whose id is not UTF-8.
+TEST(OddEntryDecodeTest, ServerEntry_IdThatNoHeaderHolds_IsRefused)
+{
+  Reason reason;
+  const auto body = Entry("\"10.0.0.1:80\"");
+  for (const std::string id : { "", "s1\r\nx: y", "s\xff", "s 1" }) {
+    EXPECT_FALSE(platform::DecodeServerEntry(id, body, reason).has_value()) << id;
+  }
+}
+
+// Guards against a process that ends because a text of another writer is not UTF-8.
+TEST(OddEntryDecodeTest, Orders_TextThatIsNotUtf8_DoNotThrow)
+{
+  const std::string odd = "\xff\xfe";
+  platform::StartOrder order;
+  order.m_run = { { odd, 0, 0, 0 }, 1, "s1" };
+  order.m_payload = odd;
+  order.m_checkpoint = odd;
+  order.m_ticket = odd;
+  EXPECT_NO_THROW((void)platform::EncodeStart(order));
+  EXPECT_NO_THROW((void)platform::EncodeAdviceRequest({ odd, 0, 0 }, { odd }));
+  EXPECT_NO_THROW((void)platform::EncodeMove(odd, odd));
+  EXPECT_NO_THROW((void)platform::EncodeMaintenance(odd, 1));
+}
+
+std::string Configuration(const std::string& aVersion, const std::string& aSecondRoute)
+{
+  return fmt::format(
+    R"({{"version":{},"routes":[{{"name":"a","host":"h","path-prefix":"/a/","upstream":"u"}},{},)"
+    R"({{"name":"c","host":"h","path-prefix":"/c/","upstream":"u"}}],)"
+    R"("upstreams":[{{"name":"u"}}]}})",
+    aVersion, aSecondRoute);
+}
+
+std::vector<std::string> OddRoutes()
+{
+  std::vector<std::string> routes{ "7",
+                                   "null",
+                                   "[]",
+                                   "{}",
+                                   "\"x\"",
+                                   Nested(100'000),
+                                   "1e999",
+                                   R"({"name":"b"})",
+                                   R"({"name":"","host":"h","path-prefix":"/b/","upstream":"u"})",
+                                   "{\"name\":\"b\",\"host\":\"\xff\",\"path-prefix\":\"/b/\","
+                                   "\"upstream\":\"u\"}" };
+  for (const auto& odd : OddNumbers()) {
+    routes.push_back(fmt::format(
+      R"({{"name":"b","host":"h","path-prefix":"/b/","upstream":"u","priority":{}}})", odd));
+    routes.push_back(fmt::format(
+      R"({{"name":"b","host":"h","path-prefix":"/b/","upstream":"u","target-latency-ms":{}}})",
+      odd));
+  }
+  return routes;
+}
+
+// Guards against an entry instance that serves no queue because one route cannot be read.
+TEST(OddEntryDecodeTest, Configuration_OddRoute_OthersCount)
+{
+  for (const auto& route : OddRoutes()) {
+    Reason reason;
+    const auto decoded = platform::DecodeConfiguration(Configuration("3", route), reason);
+    ASSERT_TRUE(decoded.has_value()) << route.substr(0, 100) << reason.m_cause.substr(0, 300);
+    ASSERT_EQ(decoded->m_queues.size(), 2U) << route.substr(0, 100);
+    EXPECT_EQ(decoded->m_queues.front().m_name, "a");
+    EXPECT_EQ(decoded->m_queues.back().m_name, "c");
+  }
+}
+
+// Guards against all later configurations being ignored as older than a number that wrapped.
+TEST(OddEntryDecodeTest, Configuration_OddVersion_IsRefused)
+{
+  const std::string route = R"({"name":"b","host":"h","path-prefix":"/b/","upstream":"u"})";
+  for (const auto& odd : OddNumbers()) {
+    Reason reason;
+    EXPECT_FALSE(platform::DecodeConfiguration(Configuration(odd, route), reason).has_value())
+      << odd.substr(0, 40);
+  }
+}
+
+// Guards against a wave of a length that no arithmetic holds, or with a number that wrapped.
+TEST(OddEntryDecodeTest, Wave_OddNumber_IsRefused)
+{
+  const auto reads = [](const std::string& aNumber, const std::string& aSeconds,
+                        const std::string& aMost) {
+    Reason reason;
+    return platform::DecodeWave(fmt::format(R"({{"wave":{},"machines":["i1"],"duration-s":{},)"
+                                            R"("max-count":{}}})",
+                                            aNumber, aSeconds, aMost),
+                                reason)
+      .has_value();
+  };
+  EXPECT_TRUE(reads("1", "20.5", "2"));
+  for (const auto& odd : OddNumbers()) {
+    EXPECT_FALSE(reads(odd, "20", "2")) << odd.substr(0, 40);
+    EXPECT_FALSE(reads("1", "20", odd)) << odd.substr(0, 40);
+    if (odd != "0.5") {
+      EXPECT_FALSE(reads("1", odd, "2")) << odd.substr(0, 40);
+    }
+  }
+}
+
+// Guards against a job that runs a count or a time that its caller did not ask for, and against
+// one that opens millions of occurrences at once.
+TEST(OddEntryDecodeTest, Job_OddNumber_IsRefused)
+{
+  const auto reads = [](const std::string& aCount, const std::string& aEstimate,
+                        const std::string& aRepeat) {
+    Reason reason;
+    return platform::DecodeJob(
+             fmt::format(R"({{"spec":"w","repeat-count":{},"interval-ms":1,)"
+                         R"("steps":[{{"count":{},"cpu":1,"estimated-ms":{}}}]}})",
+                         aRepeat, aCount, aEstimate),
+             reason)
+      .has_value();
+  };
+  EXPECT_TRUE(reads("1", "5", "2"));
+  EXPECT_FALSE(reads("4294967297", "5", "2"));
+  EXPECT_FALSE(reads("1", "9000000000000000000", "2"));
+  EXPECT_FALSE(reads("1", "5", "4294967295"));
+  for (const auto& odd : OddNumbers()) {
+    EXPECT_FALSE(reads(odd, "5", "2")) << odd.substr(0, 40);
+    EXPECT_FALSE(reads("1", odd, "2")) << odd.substr(0, 40);
+    EXPECT_FALSE(reads("1", "5", odd)) << odd.substr(0, 40);
+  }
+}
+
+std::string Report(const std::string& aRunning, const std::string& aFinished,
+                   const std::string& aClock = "50")
+{
+  return fmt::format(R"({{"clock-ms":{},"born":7,"running":[["a.0.0.0",1,"",40,3.5],{}],)"
+                     R"("finished":[[1,"a.0.0.1",1,"done",""],{}]}})",
+                     aClock, aRunning, aFinished);
+}
+
+std::vector<std::string> OddRunning()
+{
+  std::vector<std::string> rows{ "7",
+                                 "null",
+                                 "[]",
+                                 "{}",
+                                 "\"x\"",
+                                 Nested(100'000),
+                                 "1e999",
+                                 "[\"a.0.0.2\"]",
+                                 "[\"a.0.0\",1,\"\",40]",
+                                 "[\"a.0.0.99999999999\",1,\"\",40]",
+                                 "[\"a.0.0.-1\",1,\"\",40]",
+                                 "[\"\",1,\"\",40]",
+                                 "[\"\xff\",1,\"\",40]",
+                                 "[\"a.0.0.2\",1,\"\",1e300]" };
+  for (const auto& odd : OddNumbers()) {
+    rows.push_back(fmt::format(R"(["a.0.0.2",{},"",40])", odd));
+  }
+  return rows;
+}
+
+// Guards against a live server that counts as silent, and whose work starts elsewhere, because one
+// row of its report cannot be read.
+TEST(OddEntryDecodeTest, Report_OddRunningRow_OthersCount)
+{
+  for (const auto& row : OddRunning()) {
+    const auto report = platform::DecodeServerReport(Report(row, R"([2,"a.0.0.3",1,"done",""])"));
+    ASSERT_TRUE(report.has_value()) << row.substr(0, 100);
+    ASSERT_EQ(report->m_running.size(), 1U) << row.substr(0, 100);
+    EXPECT_EQ(report->m_running.front().m_percent, 40);
+    EXPECT_EQ(report->m_ended.size(), 2U);
+  }
+}
+
+// Guards against ends that are lost, or acknowledged unseen, because of an odd one among them.
+TEST(OddEntryDecodeTest, Report_OddEnd_OthersCount)
+{
+  std::vector<std::string> rows{ "7",
+                                 "null",
+                                 "[]",
+                                 "{}",
+                                 Nested(100'000),
+                                 "1e999",
+                                 R"([3,"a.0.0.2",1,"vanished",""])",
+                                 R"([3,"a.0.0",1,"done",""])",
+                                 R"([9007199254740991,"a.0.0.2",1,"done",""])" };
+  for (const auto& odd : OddNumbers()) {
+    rows.push_back(fmt::format(R"([{},"a.0.0.2",1,"done",""])", odd));
+    rows.push_back(fmt::format(R"([3,"a.0.0.2",{},"done",""])", odd));
+  }
+  for (const auto& row : rows) {
+    const auto report = platform::DecodeServerReport(Report(R"(["a.0.0.3",1,"",5])", row));
+    ASSERT_TRUE(report.has_value()) << row.substr(0, 100);
+    ASSERT_EQ(report->m_ended.size(), 1U) << row.substr(0, 100);
+    EXPECT_EQ(report->m_ended.front().m_number, 1U);
+    EXPECT_EQ(report->m_running.size(), 2U);
+  }
+}
+
+// Guards against undefined arithmetic on the clock of a server, and against its work being given
+// up.
+TEST(OddEntryDecodeTest, Report_OddClock_RunsCount)
+{
+  for (const auto& odd : OddNumbers()) {
+    const auto report = platform::DecodeServerReport(
+      Report(R"(["a.0.0.3",1,"",5])", R"([2,"a.0.0.2",1,"done",""])", odd));
+    ASSERT_TRUE(report.has_value()) << odd.substr(0, 40);
+    EXPECT_EQ(report->m_clockMs, 0) << odd.substr(0, 40);
+    EXPECT_EQ(report->m_running.size(), 2U);
+    EXPECT_EQ(report->m_ended.size(), 2U);
+  }
+}
+
+// Guards against undefined arithmetic on the clock in the answer to an order.
+TEST(OddEntryDecodeTest, OrderAnswer_OddClock_IsNotTold)
+{
+  for (const auto& odd : OddNumbers()) {
+    const auto answer =
+      platform::DecodeOrderAnswer(409, fmt::format(R"({{"clock-ms":{},"reason":"room"}})", odd));
+    EXPECT_FALSE(answer.m_clockMs.has_value()) << odd.substr(0, 40);
+    EXPECT_EQ(answer.m_refusal, platform::OrderRefusal::NoRoom) << odd.substr(0, 40);
+  }
+}
+
+// Guards against an owner that stops following the instances because of one of them.
+TEST(OddEntryDecodeTest, InstancePage_OddRow_OthersCount)
+{
+  std::vector<std::string> rows{ "7",
+                                 "null",
+                                 "[]",
+                                 "{}",
+                                 Nested(100'000),
+                                 "1e999",
+                                 R"({"machine":"i2"})",
+                                 R"({"machine":"","pool":"p","state":"up"})",
+                                 R"({"machine":7,"pool":"p","state":"up"})",
+                                 "{\"machine\":\"\xff\",\"pool\":\"p\",\"state\":\"up\"}" };
+  for (const auto& odd : OddNumbers()) {
+    rows.push_back(
+      fmt::format(R"({{"machine":"i2","pool":"p","state":"up","capacity":{{"cpu":{}}}}})", odd));
+  }
+  for (const auto& row : rows) {
+    const auto page = platform::DecodeInstancePage(
+      fmt::format(R"({{"machines":[{{"machine":"i1","pool":"p","state":"up"}},{},)"
+                  R"({{"machine":"i3","pool":"p","state":"up"}}],"next-token":"n"}})",
+                  row));
+    ASSERT_TRUE(page.has_value()) << row.substr(0, 100);
+    ASSERT_EQ(page->m_instances.size(), 2U) << row.substr(0, 100);
+    EXPECT_EQ(page->m_instances.back().m_id, "i3");
+    EXPECT_EQ(page->m_nextPage, "n");
+  }
+}
+
+// Guards against advice that is lost because of one ticket, or that is valid for ever.
+TEST(OddEntryDecodeTest, Advice_OddTicket_OthersCount)
+{
+  for (const auto* row : { "7", "[]", "[\"s2\"]", "[2,\"t\"]", "[\"s2\",2]", "[\"s2\",1e999]" }) {
+    const auto advice = platform::DecodeAdvice(
+      fmt::format(R"({{"good":[["s1","t1"],{},["s3","t3"]],"valid-ms":500}})", row));
+    ASSERT_TRUE(advice.has_value()) << row;
+    EXPECT_EQ(advice->m_tickets.size(), 2U) << row;
+  }
+  for (const auto& odd : OddNumbers()) {
+    EXPECT_FALSE(
+      platform::DecodeAdvice(fmt::format(R"({{"good":[],"valid-ms":{}}})", odd)).has_value())
+      << odd.substr(0, 40);
+  }
+}
+
+// Guards against a topic that is not followed any more because of one item of a page.
+TEST(OddEntryDecodeTest, KeyedPage_OddItem_OthersCount)
+{
+  std::vector<std::string> rows{ "7",
+                                 "null",
+                                 "[]",
+                                 "{}",
+                                 Nested(100'000),
+                                 "1e999",
+                                 R"({"key":"k2","value":"?","offset":4})",
+                                 R"({"key":"k2","value":7,"offset":4})" };
+  for (const auto& odd : OddNumbers()) {
+    rows.push_back(fmt::format(R"({{"key":"k2","value":"AAEC","offset":{}}})", odd));
+  }
+  for (const auto& row : rows) {
+    const auto page = platform::DecodeKeyedPage(
+      fmt::format(R"({{"items":[{{"key":"k1","value":"AAEC","offset":3}},{},)"
+                  R"({{"key":"k3","value":"AAEC","offset":5}}],"has-more":true,"end":9}})",
+                  row));
+    ASSERT_TRUE(page.has_value()) << row.substr(0, 100);
+    EXPECT_EQ(page->m_items.size(), 2U) << row.substr(0, 100);
+  }
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
