Keep runs whose report cannot be read in full

The owner dropped a run, and started its work again while it went on, when a report did not tell the life of its server or told it as null: that counted as another life. A clock that could not be read replaced the known one, also in the answer to a stop, so that the next lease ended at once. An end with the number made all later ends of the server known ones.

A report without the life of a known server counts as no answer. A clock that is not told leaves the last one in force. A number of an end more than 100,000 above the one before is not acknowledged; ends are numbered without gaps. Odd rows are logged once for each server and cause, and counted in reports_unreadable_total.

--- /dev/null
+++ b/src/manager/OddEntry.cpp
@@ -0,0 +1,37 @@
+#include "OddEntry.h"
+
+#include "EventLog.h"
+
+#include "platform/JsonReader.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace pistachiostand::fleet {
+
+namespace {
+
+/// Keys whose cause is remembered; beyond it all are forgotten and logged again.
+constexpr std::size_t kMaxRemembered = 4'096;
+
+} // namespace
+
+void NoteOddEntry(Metrics& aMetrics, std::string_view aCounter, std::string_view aPart,
+                  std::string_view aKey, std::string_view aCause)
+{
+  static std::map<std::string, std::size_t, std::less<>> causes;
+  Count(aMetrics, aCounter);
+  const auto key = platform::Printable(aKey);
+  if (causes.size() >= kMaxRemembered) {
+    causes.clear();
+  }
+  const auto hash = std::hash<std::string_view>{}(aCause);
+  const auto [known, first] = causes.try_emplace(std::string{ aCounter } + ' ' + key, hash);
+  if (first || known->second != hash) {
+    known->second = hash;
+    LogEvent(aPart, "unreadable", "key={} cause={}", key, aCause);
+  }
+}
+
+} // namespace pistachiostand::fleet
--- a/src/manager/OrderCarrier.cpp
+++ b/src/manager/OrderCarrier.cpp
@@ -3,6 +3,7 @@
 #include "BackOff.h"
 #include "CarrierPool.h"
 #include "EventLog.h"
+#include "OddEntry.h"
 
 #include "pistachiostand/base/Clock.h"
 
@@ -238,7 +239,12 @@
       break;
     case OrderKind::Look:
       m_orders.Look(server, { aOrder.m_leaseEndMs, aToken, aOrder.m_acknowledged, aOrder.m_waitMs },
-                    aOrder.m_timeoutMs, guarded([](const platform::LookResult& aResult) {
+                    aOrder.m_timeoutMs,
+                    guarded([this, id = aOrder.m_server](const platform::LookResult& aResult) {
+                      if (aResult.m_odd.m_count != 0) {
+                        NoteOddEntry(m_metrics, "reports_unreadable_total", "run", id,
+                                     aResult.m_odd.m_cause);
+                      }
                       CarriedResult result{ 0, aResult.m_outcome, aResult.m_refusal, {}, {} };
                       if (aResult.m_outcome == platform::CallOutcome::Done) {
                         result.m_report = aResult.m_report;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -1,6 +1,7 @@
 #include "RunControl.h"
 
 #include "EventLog.h"
+#include "OddEntry.h"
 
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/job/Reconcile.h"
@@ -361,7 +362,9 @@
   ServerState& server = m_state.m_servers[aSent.m_run.m_server];
   Run* run = FindRun(m_state.m_book, aSent.m_run);
   if (aResult.m_outcome == platform::CallOutcome::Done) {
-    NoteClock(server, aResult.m_answer.m_clockMs.value_or(0));
+    if (aResult.m_answer.m_clockMs) {
+      NoteClock(server, *aResult.m_answer.m_clockMs);
+    }
     if (run != nullptr) {
       run->m_stopAcceptedMs = now;
     }
@@ -434,6 +437,19 @@
   const Millis now = MonotonicMs();
   ServerState& server = m_state.m_servers[aId];
   server.m_lookCall = 0;
+  if (aResult.m_odd.m_count != 0) {
+    NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aId, aResult.m_odd.m_cause);
+  }
+  if (aResult.m_outcome == platform::CallOutcome::Done && server.m_incarnation != 0 &&
+      aResult.m_report.m_incarnation == 0) {
+    // Runs and ends of another life would be taken for those of this one.
+    NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aId,
+                 "the report does not tell the life of the server");
+    OnSilent(server);
+    server.m_nextLookMs = now + kLookRetryMs * std::min(server.m_silent, 4U);
+    m_onChange();
+    return;
+  }
   switch (aResult.m_outcome) {
     case platform::CallOutcome::Done:
       server.m_nextLookMs = now;
@@ -476,7 +492,9 @@
     aServer.m_appliedEnds = 0;
     aServer.m_storedEnds = 0;
   }
-  NoteClock(aServer, aReport.m_clockMs);
+  if (aReport.m_clockMs != 0) {
+    NoteClock(aServer, aReport.m_clockMs);
+  }
   aServer.m_contactMs = now;
   aServer.m_looked = true;
   ApplyEnds(aServer, aReport);
@@ -504,6 +522,11 @@
     if (number <= aServer.m_appliedEnds) {
       continue;
     }
+    if (aServer.m_appliedEnds != 0 && number - aServer.m_appliedEnds > kMaxEndGap) {
+      NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aServer.m_entry.m_id,
+                   "the number of an end is far beyond the last one");
+      break;
+    }
     aServer.m_appliedEnds = number;
     news = true;
     const bool applied = ApplyEnd(m_state.m_book, end, MaxFailures(end.m_subtask), now);
