Follow the list of instances past a row that cannot be read

One odd row made the whole list unreadable, and the owner planned with the last one for ever. Left out alone, its instance would count as gone for good: a wave would be shown as completed without it. The instance now stays as it was known, and a wave stays open while it may still be there. A page that names itself as the next one was read again without end; it now counts as a failed list. Odd rows are logged once and counted in instances_unreadable_total.

--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -1,6 +1,7 @@
 #include "FleetControl.h"
 
 #include "EventLog.h"
+#include "OddEntry.h"
 
 #include "platform/Topics.h"
 #include "platform/Wire.h"
@@ -125,30 +126,50 @@
   if (aPage.empty()) {
     m_listBeginMs = MonotonicMs();
     m_listing.clear();
+    m_unreadable.clear();
+    m_hasNameless = false;
   }
+  m_listPage = aPage;
   m_state.m_instances.List(aPage, m_state.Guard([this](const auto& aResult) { OnPage(aResult); }));
 }
 
 void FleetControl::OnPage(const std::optional<platform::InstancePage>& aPage)
 {
-  if (!aPage) {
+  // A page that names itself as the next one would be read for ever.
+  if (!aPage || (!aPage->m_nextPage.empty() && aPage->m_nextPage == m_listPage)) {
+    Count(m_state.m_metrics, "instance_lists_failed_total");
     m_listingNow = false;
     m_listedMs = MonotonicMs() - kListMs + kListRetryMs;
     return;
   }
+  if (aPage->m_odd.m_count != 0) {
+    NoteOddEntry(m_state.m_metrics, "instances_unreadable_total", "fleet", "machines",
+                 aPage->m_odd.m_cause);
+  }
   for (const auto& instance : aPage->m_instances) {
     m_listing.insert_or_assign(instance.m_id, instance);
   }
+  m_unreadable.insert(aPage->m_unreadable.begin(), aPage->m_unreadable.end());
+  m_hasNameless = m_hasNameless || aPage->m_hasNameless;
   if (!aPage->m_nextPage.empty()) {
     List(aPage->m_nextPage);
     return;
   }
   m_listingNow = false;
   m_listedMs = MonotonicMs();
+  // An instance whose row cannot be read stays as it was known.
+  std::ranges::copy_if(
+    m_instances, std::inserter(m_listing, m_listing.end()),
+    [this](const auto& aEntry) { return m_hasNameless || m_unreadable.contains(aEntry.first); });
   m_instances = std::exchange(m_listing, {});
   OnListed();
 }
 
+bool FleetControl::IsGone(const InstanceId& aId) const
+{
+  return !m_instances.contains(aId) && !m_hasNameless && !m_unreadable.contains(aId);
+}
+
 void FleetControl::OnListed()
 {
   std::erase_if(m_orders, [this](const auto& aEntry) {
@@ -163,11 +184,10 @@
            instance->second.m_state == InstanceState::Up &&
            (instance->second.m_server != order.m_before || instance->second.m_server.empty());
   });
-  std::erase_if(m_cordoned,
-                [this](const auto& aEntry) { return !m_instances.contains(aEntry.first); });
+  std::erase_if(m_cordoned, [this](const auto& aEntry) { return IsGone(aEntry.first); });
   for (auto& [number, wave] : m_waves) {
     std::erase_if(wave.m_request.m_instances, [this](const InstanceId& aId) {
-      return !m_instances.contains(aId); // Gone for good: nothing is left to maintain.
+      return IsGone(aId); // For good: nothing is left to maintain.
     });
   }
 }
--- a/src/manager/FleetControl.h
+++ b/src/manager/FleetControl.h
@@ -92,6 +92,8 @@
   void List(const std::string& aPage);
   void OnPage(const std::optional<platform::InstancePage>& aPage);
   void OnListed();
+  /// \brief True when the last list shows that the instance does not exist any more.
+  [[nodiscard]] bool IsGone(const InstanceId& aId) const;
   void Plan(Millis aNowMs);
   /// \brief Orders that the platform's rate allows now.
   [[nodiscard]] std::size_t OrdersLeft(Millis aNowMs);
@@ -112,6 +114,9 @@
   RunControl& m_runs;
   std::map<InstanceId, InstanceEntry> m_instances;
   std::map<InstanceId, InstanceEntry> m_listing;
+  std::set<InstanceId> m_unreadable; ///< Instances of the last list whose rows cannot be read.
+  bool m_hasNameless{};              ///< Some row of it has no id that can be read.
+  std::string m_listPage;            ///< Token of the page that was asked for last.
   Millis m_listedMs{};
   Millis m_listBeginMs{}; ///< When the first page was asked for.
   bool m_listingNow{};
