Follow topics past a record that cannot be read

A known server whose newest entry could not be read counted as gone: with all entries odd no job was started any more. Its last entry that could be read now stays in force until the entry is removed; another server at its address is noticed by its id, a dead one by its silence. Likewise a known route or pool stays as it is, and an unknown one is left out. Submissions count only with a job id that fits their key, because the id is a part of the names of runs.

A handler that throws ended the reading of its topic in that process, since the next read was never sent; the record is now logged and skipped. Keys that a partial list leaves out are not taken for removed. Each odd entry is logged once for its cause, with its key escaped, and counted.

--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -1,6 +1,7 @@
 #include "FleetOwner.h"
 
 #include "EventLog.h"
+#include "OddEntry.h"
 #include "OrderCarrier.h"
 
 #include "platform/Topics.h"
@@ -54,6 +55,13 @@
 /// A hand-over waits for a record of ownership that is on its way, a few milliseconds.
 constexpr Millis kHandOverRetryMs = 500;
 
+std::function<void(std::string_view, std::string_view)> OnOddRecord(Metrics& aMetrics)
+{
+  return [&aMetrics](std::string_view aKey, std::string_view aCause) {
+    NoteOddEntry(aMetrics, "records_unreadable_total", "store", aKey, aCause);
+  };
+}
+
 } // namespace
 
 FleetOwner::FleetOwner(OwnerState aState)
@@ -67,13 +75,15 @@
                { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                   OnServerRecord(aKey, aValue);
                 },
-                 [](Millis /*aSentMs*/) {}, [this] { OnStoreBack(); } })
-  , m_fleetRecords(
-      m_state.m_loop, m_state.m_store, { { kFleetTopic }, kFleetWaitMs, kRegistryPauseMs },
-      { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
-         OnFleetRecord(aKey, aValue);
-       },
-        [this](Millis /*aSentMs*/) { m_fleet.OnRecordsRead(); }, [this] { OnStoreBack(); } })
+                 [](Millis /*aSentMs*/) {}, [this] { OnStoreBack(); },
+                 OnOddRecord(m_state.m_metrics) })
+  , m_fleetRecords(m_state.m_loop, m_state.m_store,
+                   { { kFleetTopic }, kFleetWaitMs, kRegistryPauseMs },
+                   { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
+                      OnFleetRecord(aKey, aValue);
+                    },
+                     [this](Millis /*aSentMs*/) { m_fleet.OnRecordsRead(); },
+                     [this] { OnStoreBack(); }, OnOddRecord(m_state.m_metrics) })
   , m_scheduleTimer(m_state.m_loop)
   , m_loadTimer(m_state.m_loop)
   , m_ticker(m_state.m_loop, kTickMs, [this] { Tick(); })
@@ -86,7 +96,8 @@
         [this, number](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
           OnSubmissionRecord(number, aKey, aValue);
         },
-        [this](Millis /*aSentMs*/) { OnSubmissionsCurrent(); }, [this] { OnStoreBack(); } }));
+        [this](Millis /*aSentMs*/) { OnSubmissionsCurrent(); }, [this] { OnStoreBack(); },
+        OnOddRecord(m_state.m_metrics) }));
   }
 }
 
@@ -161,6 +172,10 @@
   }
   if (key.starts_with(kCancelPrefix)) {
     const JobId id{ key.substr(kCancelPrefix.size()) };
+    if (!platform::IsJobId(id)) {
+      NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", aKey, "not a job id");
+      return;
+    }
     m_cleaner.OnRecord(id, aPartition);
     if (!m_loaded) {
       m_cancels.insert(id);
@@ -172,9 +187,11 @@
     return;
   }
   auto spec = DecodeSubmission(*aValue);
-  if (!spec) {
-    LogEvent("job", "unreadable", "key={} bytes={}", aKey, aValue->size());
-    Count(m_state.m_metrics, "records_unreadable_total");
+  // The key is what the clean-up removes, and the id is a part of the names of all its runs.
+  if (!spec || !platform::IsJobId(spec->m_id) ||
+      key != std::string{ kSubmissionPrefix } + spec->m_id) {
+    NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", aKey,
+                 spec ? "the id does not fit the key" : "not a submission");
     return;
   }
   m_cleaner.OnRecord(spec->m_id, aPartition);
@@ -185,7 +202,7 @@
 {
   const JobId id = aSpec.m_id;
   const QueueName queue = aSpec.m_queue;
-  const Millis age = std::max<Millis>(WallMs() - aSpec.m_acceptedMs, 0);
+  const Millis age = std::max<Millis>(WallMs() - std::max<Millis>(aSpec.m_acceptedMs, 0), 0);
   const auto steps = aSpec.m_steps.size();
   if (!AddJob(m_state.m_book, std::move(aSpec), MonotonicMs(), age)) {
     if (m_state.m_book.m_jobs.at(id).m_phase != JobPhase::Active) {
@@ -214,21 +231,26 @@
   const auto entry =
     aValue ? platform::DecodeServerEntry(aKey, *aValue, reason) : std::optional<ServerEntry>{};
   if (aValue && !entry) {
-    LogEvent("fleet", "entry-unreadable", "server={} cause={}", aKey, reason.m_cause);
-    Count(m_state.m_metrics, "entries_unreadable_total");
+    // A server that was known has not left: its last entry that could be read stays in force.
+    NoteOddEntry(m_state.m_metrics, "entries_unreadable_total", "fleet", aKey, reason.m_cause);
+    return;
   }
   m_runs.OnServerEntry(aKey, entry);
 }
 
 void FleetOwner::OnFleetRecord(const std::string& aKey, const std::optional<std::string>& aValue)
 {
-  std::uint64_t number = 0;
-  if (aValue && aKey.starts_with(kStoredWavePrefix) &&
-      std::from_chars(aKey.data() + kStoredWavePrefix.size(), aKey.data() + aKey.size(), number)
-          .ec == std::errc{}) {
-    m_fleet.OnStoredWave(number, *aValue);
-  }
   const std::string_view key = aKey;
+  if (aValue && key.starts_with(kStoredWavePrefix)) {
+    std::uint64_t number = 0;
+    const auto end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data() + kStoredWavePrefix.size(), end, number);
+    if (parsed.ec == std::errc{} && parsed.ptr == end) {
+      m_fleet.OnStoredWave(number, *aValue);
+    } else {
+      NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "wave", aKey, "not a number");
+    }
+  }
   if (aValue && key.starts_with(kOrderPrefix)) {
     m_fleet.OnStoredOrder(InstanceId{ key.substr(kOrderPrefix.size()) }, *aValue);
   }
@@ -418,6 +440,10 @@
       m_state.m_client, ToString(*m_state.m_settings.m_advice), step, servers, timeout,
       m_state.Guard([this, step, sent](const std::optional<platform::Advice>& aAdvice) {
         m_asking.erase(step);
+        if (aAdvice && aAdvice->m_odd.m_count != 0) {
+          NoteOddEntry(m_state.m_metrics, "advice_unreadable_total", "job", step.m_job,
+                       aAdvice->m_odd.m_cause);
+        }
         if (aAdvice) {
           m_tickets[step] = aAdvice->m_tickets;
           m_ticketsEndMs[step] = sent + aAdvice->m_validMs;
--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -1,6 +1,7 @@
 #include "Manager.h"
 
 #include "EventLog.h"
+#include "OddEntry.h"
 
 #include "platform/Topics.h"
 #include "platform/Wire.h"
@@ -106,7 +107,11 @@
       { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
          OnConfigurationRecord(aKey, aValue);
        },
-        [](Millis /*aSentMs*/) {} })
+        [](Millis /*aSentMs*/) {},
+        {},
+        [this](std::string_view aKey, std::string_view aCause) {
+          NoteOddEntry(m_metrics, "records_unreadable_total", "store", aKey, aCause);
+        } })
   , m_elector(
       aLoop, m_store, m_process, ToString(m_settings.m_entryListen),
       [this] {
@@ -213,17 +218,23 @@
 {
   Reason reason;
   if (aKey.starts_with(platform::kWavePrefix)) {
-    OnWaveRecord(aValue);
+    OnWaveRecord(aKey, aValue);
     return;
   }
   if (aKey != platform::kConfigurationKey) {
     return;
   }
-  auto configuration =
-    aValue ? platform::DecodeConfiguration(*aValue, reason) : std::optional<Configuration>{};
+  if (!aValue) {
+    LogEvent("config", "removed", "in_force={}", m_configuration.m_revision);
+    return;
+  }
+  platform::OddRows odd;
+  auto configuration = platform::DecodeConfiguration(*aValue, reason, m_configuration, &odd);
+  if (!configuration || odd.m_count != 0) {
+    NoteOddEntry(m_metrics, "configurations_unreadable_total", "config", aKey,
+                 configuration ? odd.m_cause : reason.m_cause);
+  }
   if (!configuration) {
-    LogEvent("config", "unreadable", "cause={}", reason.m_cause);
-    Count(m_metrics, "configurations_unreadable_total");
     return;
   }
   if (configuration->m_revision <= m_configuration.m_revision) {
@@ -238,13 +249,15 @@
   }
 }
 
-void Manager::OnWaveRecord(const std::optional<std::string>& aValue)
+void Manager::OnWaveRecord(const std::string& aKey, const std::optional<std::string>& aValue)
 {
+  if (!aValue) {
+    return; // A wave that has begun goes on.
+  }
   Reason reason;
-  const auto wave =
-    aValue ? platform::DecodeWave(*aValue, reason) : std::optional<MaintenanceWave>{};
+  const auto wave = platform::DecodeWave(*aValue, reason);
   if (!wave) {
-    LogEvent("wave", "unreadable", "cause={}", reason.m_cause);
+    NoteOddEntry(m_metrics, "waves_unreadable_total", "wave", aKey, reason.m_cause);
     return;
   }
   const auto [known, first] = m_waves.try_emplace(wave->m_number, *wave, MonotonicMs());
--- a/src/manager/Manager.h
+++ b/src/manager/Manager.h
@@ -49,7 +49,7 @@
 
   bool Listen(Reason& aReason);
   void OnConfigurationRecord(const std::string& aKey, const std::optional<std::string>& aValue);
-  void OnWaveRecord(const std::optional<std::string>& aValue);
+  void OnWaveRecord(const std::string& aKey, const std::optional<std::string>& aValue);
   void BeginOwnership(FencingToken aToken, Millis aClaimedMs);
   void EndOwnership();
   void AskOwner(const std::string& aPath, HttpResponder aDone);
--- a/src/manager/TopicTail.cpp
+++ b/src/manager/TopicTail.cpp
@@ -3,6 +3,8 @@
 #include "BackOff.h"
 #include "EventLog.h"
 
+#include "platform/JsonReader.h"
+
 #include "pistachiostand/base/Clock.h"
 
 #include <algorithm>
@@ -44,6 +46,7 @@
 void TopicTail::Restart()
 {
   m_listed.clear();
+  m_listIsPartial = false;
   m_listEnd.reset();
   List({});
 }
@@ -125,8 +128,12 @@
       Apply(item.m_key, item.m_value, item.m_offset);
     }
   }
-  if (aPage->m_more && !aPage->m_items.empty()) {
-    List(aPage->m_items.back().m_key);
+  if (aPage->m_odd.m_count != 0) {
+    m_listIsPartial = true;
+    OnOdd("", aPage->m_odd.m_cause);
+  }
+  if (aPage->m_more && !aPage->m_lastKey.empty()) {
+    List(aPage->m_lastKey);
     return;
   }
   FinishList();
@@ -137,7 +144,8 @@
   // Keys that are no longer listed were removed while their records were not read.
   std::vector<std::string> gone;
   for (const auto& [key, offset] : m_offsets) {
-    if (!m_listed.contains(key)) {
+    // An item that cannot be read may be of any key.
+    if (!m_listIsPartial && !m_listed.contains(key)) {
       gone.push_back(key);
     }
   }
@@ -159,7 +167,23 @@
   } else {
     m_offsets.erase(aKey);
   }
-  m_handlers.m_onRecord(aKey, aValue, aOffset);
+  try {
+    m_handlers.m_onRecord(aKey, aValue, aOffset);
+  } catch (const std::exception& error) {
+    // Without this the next read would never be sent, and the topic not be followed any more.
+    OnOdd(aKey, platform::Printable(error.what()));
+  }
+}
+
+void TopicTail::OnOdd(std::string_view aKey, std::string_view aCause)
+{
+  if (m_handlers.m_onOdd) {
+    m_handlers.m_onOdd(aKey, aCause);
+  } else {
+    LogEvent("store", "unreadable", "topic={} partition={} key={} cause={}",
+             m_options.m_partition.m_topic, m_options.m_partition.m_number,
+             platform::Printable(aKey), aCause);
+  }
 }
 
 void TopicTail::Read()
@@ -195,6 +219,8 @@
     const Offset offset = m_next++;
     if (keyed) {
       Apply(keyed->first, keyed->second, offset);
+    } else {
+      OnOdd("", "a record without a key");
     }
   }
   if (m_next >= aResult.m_batch.m_end) {
--- a/src/manager/TopicTail.h
+++ b/src/manager/TopicTail.h
@@ -38,6 +38,8 @@
   std::function<void(Millis aSentMs)> m_onCurrent;
   /// \brief The store has answered after failed calls. May be empty.
   std::function<void()> m_onRegained{};
+  /// \brief A record cannot be read; the others are followed. May be empty.
+  std::function<void(std::string_view aKey, std::string_view aCause)> m_onOdd{};
 };
 
 class TopicTail
@@ -71,6 +73,7 @@
   void After(Millis aDelayMs, NextCall aNext);
   void RetryAfter(Millis aDelayMs, NextCall aNext);
   void OnAnswered();
+  void OnOdd(std::string_view aKey, std::string_view aCause);
   void Restart();
   /// \return the pause until the next call.
   [[nodiscard]] Millis OnFailure(std::string_view aCause);
@@ -82,6 +85,7 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>();
   std::map<std::string, Offset> m_offsets; ///< Offset of the record applied for each key.
   std::map<std::string, Offset> m_listed;  ///< Keys of the list that is being read.
+  bool m_listIsPartial{};                  ///< Some of its items cannot be read.
   std::optional<Offset> m_listEnd;         ///< End of the topic when the list was begun.
   Offset m_next{};
   Millis m_sentMs{};
--- /dev/null
+++ b/tests/manager/OddEntryTest.cpp
@@ -0,0 +1,187 @@
+#include "ManagerFixture.h"
+
+#include "tests/standins/PreparedInstances.h"
+
+#include <stdexcept>
+
+namespace pistachiostand::fleet {
+namespace {
+
+/// \brief One entry of another writer that cannot be read, among good ones, while jobs run.
+class OddEntryTest : public ManagerFixture
+{
+protected:
+  static constexpr const char* kNextJob = "00000000000000bb";
+
+  static std::string Nested(std::size_t aLevels)
+  {
+    return std::string(aLevels, '[') + std::string(aLevels, ']');
+  }
+
+  static std::vector<std::string> OddValues()
+  {
+    return { "\xff\xfe\x01 not the format",
+             Nested(100'000),
+             std::string(100'000, '['),
+             R"({"upstream":"lookup","address":"127.0.0.1:99999","zone":"z1","state":"ready",)"
+             R"("capacity":{"cpu":8000},"born":1})",
+             R"({"upstream":"lookup","address":"127.0.0.1:0","zone":"z1","state":"ready",)"
+             R"("capacity":{"cpu":8000}})",
+             R"({"upstream":"lookup","address":"127.0.0.1:80","zone":"z1","state":"ready",)"
+             R"("capacity":{"cpu":1e300},"born":18446744073709551615})",
+             R"({"upstream":"lookup","address":"127.0.0.1:80","zone":"z1","state":"ready",)"
+             R"("capacity":{"cpu":1e999}})",
+             R"({"upstream":"lookup"})",
+             "null",
+             "[]",
+             "\"\"" };
+  }
+
+  static std::string OneStep(int aCount)
+  {
+    return fmt::format(
+      R"({{"spec":"work","steps":[{{"count":{},"cpu":1000,"mem-mb":100,"estimated-ms":400}}]}})",
+      aCount);
+  }
+
+  void Submit(const std::string& aJob, int aCount)
+  {
+    ASSERT_EQ(Call(1, "POST", "/lookups/" + aJob, OneStep(aCount)).m_status, 200);
+  }
+
+  bool IsDone(const std::string& aJob, int aCount)
+  {
+    return RunUntil([&] {
+      int done = 0;
+      for (int index = 0; index < aCount; ++index) {
+        done += DoneCount(fmt::format("{}.0.0.{}", aJob, index)) == 1 ? 1 : 0;
+      }
+      return done == aCount;
+    });
+  }
+
+  [[nodiscard]] int StartCount(const std::string& aSubtask)
+  {
+    return m_first.m_starts[aSubtask] + m_second.m_starts[aSubtask];
+  }
+
+  std::uint64_t Counter(const std::string& aName)
+  {
+    ClientRequest request = Request(1, "GET", "/metrics");
+    request.m_url = "http://" + pistachiostand::ToString(At(14)) + "/metrics";
+    const auto body = Call(std::move(request)).m_body;
+    const std::string line = "pistachiostand_" + aName + " ";
+    const auto at = body.find(line);
+    return at == std::string::npos ? 0 : std::stoull(body.substr(at + line.size()));
+  }
+
+  void Wait(Millis aMs)
+  {
+    RunUntil([] { return false; }, aMs);
+  }
+};
+
+// Guards against an owner that ends or follows the list no more: entries before, between and after
+// the odd ones are used.
+TEST_F(OddEntryTest, OddServerEntries_AmongGoodOnes_JobsRunAndLaterEntriesAreFollowed)
+{
+  const auto second = m_store.Value("keyed.servers", "s2");
+  m_store.Put("keyed.servers", "s2", std::nullopt);
+  int number = 0;
+  for (const auto& odd : OddValues()) {
+    m_store.Put("keyed.servers", fmt::format("odd-{}", number++), odd);
+  }
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob, 2);
+  ASSERT_TRUE(IsDone(kJob, 2));
+  EXPECT_GE(Counter("entries_unreadable_total"), OddValues().size());
+  for (const auto& odd : OddValues()) {
+    m_store.Put("keyed.servers", fmt::format("odd-{}", number++), odd);
+  }
+  m_store.Put("keyed.servers", "s1", std::nullopt);
+  m_store.Put("keyed.servers", "s2", second);
+  Wait(300);
+  Submit(kNextJob, 2);
+  ASSERT_TRUE(IsDone(kNextJob, 2));
+  EXPECT_EQ(m_second.m_starts[std::string{ kNextJob } + ".0.0.0"], 1);
+  EXPECT_EQ(Counter("unexpected_errors_total"), 0U);
+}
+
+// Guards against a pool without servers, because their newest entries cannot be read: they have not
+// left, and their work must not be started again.
+TEST_F(OddEntryTest, KnownServers_EntriesBecomeOdd_StayInUse)
+{
+  m_first.m_runMs = 1'500;
+  m_second.m_runMs = 1'500;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Submit(kJob, 2);
+  ASSERT_TRUE(RunUntil([this] { return m_first.Running() + m_second.Running() == 2; }));
+  m_store.Put("keyed.servers", "s1", Nested(100'000));
+  m_store.Put("keyed.servers", "s2", OddValues().at(3));
+  Wait(200);
+  Submit(kNextJob, 1);
+  ASSERT_TRUE(IsDone(kNextJob, 1));
+  ASSERT_TRUE(IsDone(kJob, 2));
+  for (int index = 0; index < 2; ++index) {
+    EXPECT_EQ(StartCount(fmt::format("{}.0.0.{}", kJob, index)), 1);
+  }
+}
+
+// Guards against an owner that ends when it calls a server whose id no header can hold.
+TEST_F(OddEntryTest, ServerWithAnOddId_IsNotUsed)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Wait(200); // The stand-in lists only keys that are UTF-8.
+  m_store.Put("keyed.servers", "s\xff\r\nx", m_second.Entry("lookup"));
+  m_store.Put("keyed.servers", "", m_second.Entry("lookup"));
+  Wait(300);
+  Submit(kJob, 4);
+  ASSERT_TRUE(IsDone(kJob, 4));
+  EXPECT_GE(Counter("entries_unreadable_total"), 2U);
+}
+
+// Guards against entry instances that serve no queue because of one odd route, or that ignore all
+// later configurations after one with a version that wrapped.
+TEST_F(OddEntryTest, OddConfigurations_OthersAreFollowed)
+{
+  m_store.Put("keyed.op", "config", std::string{ R"({"version":-1,"routes":[],"upstreams":[]})" });
+  Start(1);
+  Wait(300);
+  auto configuration = nlohmann::json::parse(Configuration(2, "/lookups/"));
+  configuration["routes"].push_back({ { "name", "odd" }, { "priority", -1 } });
+  m_store.Put("keyed.op", "config", configuration.dump());
+  ASSERT_TRUE(IsReady(1));
+  m_store.Put("keyed.op", "config", Nested(100'000));
+  m_store.Put("keyed.op", "wave/1",
+              std::string{ R"({"wave":1,"machines":["i"],)"
+                           R"("duration-s":1e300,"max-count":-1})" });
+  m_store.Put("keyed.op", "config", Configuration(3, "/later/"));
+  ASSERT_TRUE(RunUntil([&] { return Call(1, "GET", "/later/").m_status == 200; }));
+}
+
+// Guards against an owner that steps down again and again because of submissions of another writer.
+TEST_F(OddEntryTest, OddSubmissions_AmongGoodOnes_JobsRun)
+{
+  for (const auto& log : SubmissionLogs()) {
+    m_store.Put(log, "j:00000000000000cc", std::string{ "\xff\xfe\x01" });
+    m_store.Put(log, "j:00000000000000cd", Nested(100'000));
+    m_store.Put(log, "", std::string{ "x" });
+  }
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  Wait(200); // The stand-in lists only keys that are UTF-8.
+  for (const auto& log : SubmissionLogs()) {
+    m_store.Put(log, "j:\xff\xfe", std::string{ "x" });
+    m_store.Put(log, "c:\xff\xfe", std::string{ "1" });
+  }
+  Wait(300);
+  Submit(kJob, 2);
+  ASSERT_TRUE(IsDone(kJob, 2));
+  EXPECT_GE(Counter("records_unreadable_total"), SubmissionLogs().size());
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
