Test lists and topics with a part that cannot be read

The second wave of OddInstanceTest was never completed, a page that names itself as the next one was asked for a third time, a handler that threw left no next read, and a key whose item could not be read was removed.

--- /dev/null
+++ b/tests/unit/OddInstanceTest.cpp
@@ -0,0 +1,101 @@
+#include "OwnerFixture.h"
+
+#include "src/manager/FleetControl.h"
+
+namespace pistachiostand::fleet {
+namespace {
+
+/// \brief Lists of instances with one part that cannot be read.
+class OddInstanceTest : public OwnerFixture
+{
+protected:
+  OddInstanceTest()
+    : m_committer(m_state, [](const CommitBatch& /*aBatch*/) {})
+    , m_runs(m_state, m_committer, [] {})
+    , m_fleet(m_state, m_runs)
+  {
+    m_fleet.OnRecordsRead();
+  }
+
+  static std::string Row(const std::string& aId)
+  {
+    return R"({"machine":")" + aId + R"(","pool":"p","state":"moving"})";
+  }
+
+  /// \brief Lets the owner list the instances, and answers with these rows.
+  void List(const std::string& aRows)
+  {
+    m_nowMs += 1'000;
+    m_fleet.Tick(m_nowMs);
+    const auto lists = m_client.Find("/machines");
+    ASSERT_EQ(lists.size(), ++m_lists);
+    m_client.Answer(lists.back(), 200, R"({"machines":[)" + aRows + "]}");
+    m_fleet.Tick(m_nowMs);
+  }
+
+  /// \brief True when the wave was shown as completed.
+  bool IsCompleted(std::uint64_t aWave)
+  {
+    const auto record =
+      platform::EncodeKeyed("wave/" + std::to_string(aWave), platform::EncodeWaveStatus(true));
+    return std::ranges::any_of(m_client.Find("topic=keyed.status"), [&](std::size_t aIndex) {
+      return m_client.m_sent[aIndex].m_request.m_body.find(record) != std::string::npos;
+    });
+  }
+
+  /// \brief Answers all writes of states, so that the next one is sent.
+  void AnswerStatus()
+  {
+    for (const auto index : m_client.Find("topic=keyed.status")) {
+      m_client.Answer(index, 200, R"({"offset":0,"end":1})");
+    }
+    m_fleet.Tick(m_nowMs);
+  }
+
+  Committer m_committer;
+  RunControl m_runs;
+  FleetControl m_fleet;
+  Millis m_nowMs = MonotonicMs();
+  std::size_t m_lists{};
+};
+
+// Guards against an owner that plans with an old list for ever because of one row, and against a
+// wave shown as completed while the instance of that row is still to be maintained.
+TEST_F(OddInstanceTest, OneRowUnreadable_ListIsFollowed_ItsInstanceIsNotGone)
+{
+  m_fleet.OnWave({ 1, { "i1" }, 60'000, 1 }, m_nowMs);
+  m_fleet.OnWave({ 2, { "i3" }, 60'000, 1 }, m_nowMs);
+  List(Row("i1") + "," + Row("i2") + "," + Row("i3"));
+  List(R"({"machine":"i1","pool":7},)" + Row("i2"));
+  AnswerStatus();
+  EXPECT_TRUE(IsCompleted(2));
+  EXPECT_FALSE(IsCompleted(1));
+  EXPECT_EQ(m_metrics.m_counters["instances_unreadable_total"], 1U);
+  List(Row("i2"));
+  AnswerStatus();
+  EXPECT_TRUE(IsCompleted(1));
+}
+
+// Guards against a wave shown as completed because the id of its instance cannot be read.
+TEST_F(OddInstanceTest, RowWithoutId_NoInstanceIsGone)
+{
+  m_fleet.OnWave({ 1, { "i1" }, 60'000, 1 }, m_nowMs);
+  List(Row("i1") + "," + Row("i2"));
+  List("7," + Row("i2"));
+  AnswerStatus();
+  EXPECT_FALSE(IsCompleted(1));
+}
+
+// Guards against a list that is read without end.
+TEST_F(OddInstanceTest, PageThatNamesItselfAsTheNext_IsNotReadAgainAtOnce)
+{
+  m_fleet.Tick(m_nowMs + 1'000);
+  const std::string page = R"({"machines":[],"next-token":"n"})";
+  m_client.Answer(m_client.Find("/machines").back(), 200, page);
+  ASSERT_EQ(m_client.Find("/machines").size(), 2U);
+  m_client.Answer(m_client.Find("/machines").back(), 200, page);
+  EXPECT_EQ(m_client.Find("/machines").size(), 2U);
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/tests/unit/OddTopicTest.cpp
@@ -0,0 +1,89 @@
+#include "HeldClient.h"
+
+#include "src/manager/TopicTail.h"
+
+#include <asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace pistachiostand::fleet {
+namespace {
+
+/// \brief A followed topic with a record that cannot be read or handled.
+class OddTopicTest : public ::testing::Test
+{
+protected:
+  OddTopicTest()
+    : m_store(m_client, "store.example")
+    , m_tail(m_loop, m_store, { { "keyed.op" }, 100, 0 },
+             { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
+                if (aKey == "bad") {
+                  throw std::runtime_error("bad");
+                }
+                m_values[aKey] = aValue;
+              },
+               [](Millis /*aSentMs*/) {} })
+  {
+    m_tail.Start();
+  }
+
+  void AnswerList(const std::string& aItems)
+  {
+    m_client.Answer(m_client.Find("/log-newest").back(), 200,
+                    R"({"end":9,"items":[)" + aItems + "]}");
+  }
+
+  /// \brief Answers the last read with these records, the first one at offset 9.
+  void AnswerRead(const std::vector<std::string>& aRecords)
+  {
+    const std::string end(1, static_cast<char>(9 + aRecords.size()));
+    m_client.Answer(m_client.Find("/log-read").back(), 200,
+                    std::string(7, '\0') + end + std::string(7, '\0') + "\x09" +
+                      platform::EncodeRecords(aRecords));
+  }
+
+  asio::io_context m_loop{ 1 };
+  HeldClient m_client;
+  platform::Store m_store;
+  std::map<std::string, std::optional<std::string>> m_values;
+  TopicTail m_tail;
+};
+
+// Guards against a topic that is not followed any more, because a handler threw.
+TEST_F(OddTopicTest, HandlerThrows_LaterRecordsAreRead)
+{
+  EXPECT_NO_THROW(AnswerList(R"({"key":"bad","value":"AAEC","offset":1},)"
+                             R"({"key":"good","value":"AAEC","offset":2})"));
+  EXPECT_TRUE(m_values.contains("good"));
+  ASSERT_EQ(m_client.Find("/log-read").size(), 1U);
+  EXPECT_NO_THROW(AnswerRead({ platform::EncodeKeyed("bad", "x"), "",
+                               "\x50"
+                               "short",
+                               platform::EncodeKeyed("later", "x") }));
+  EXPECT_TRUE(m_values.contains("later"));
+  ASSERT_EQ(m_client.Find("/log-read").size(), 2U);
+  EXPECT_NE(m_client.m_sent[m_client.Find("/log-read").back()].m_request.m_url.find("from=13"),
+            std::string::npos);
+}
+
+// Guards against servers that count as gone, because a list of the store held them in an item that
+// cannot be read.
+TEST_F(OddTopicTest, ItemOfASecondList_Unreadable_KeysAreNotRemoved)
+{
+  AnswerList(R"({"key":"a","value":"AAEC","offset":1},{"key":"b","value":"AAEC","offset":2})");
+  m_client.Answer(m_client.Find("/log-read").back(), 410, "");
+  ASSERT_EQ(m_client.Find("/log-newest").size(), 2U);
+  AnswerList(R"({"key":"a","value":"?","offset":1},{"key":"b","value":"AAED","offset":3})");
+  EXPECT_TRUE(m_values["a"].has_value());
+  EXPECT_EQ(m_values["b"], std::optional<std::string>(std::string("\0\1\3", 3)));
+  m_client.Answer(m_client.Find("/log-read").back(), 410, "");
+  AnswerList(R"({"key":"b","value":"AAED","offset":3})");
+  EXPECT_FALSE(m_values["a"].has_value());
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
