Do not take over a run number that is far too large

A server that listed a run with the number of a known subtask gave its later runs numbers above what a report may hold, and made their ends known ones: the subtask never ended. Such a row is now odd, and the report partial. OddReportTest.RunWithANumberTooLarge_LaterRunsCount failed before.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -49,6 +49,9 @@
 constexpr unsigned kSilentCalls = 2;
 constexpr Millis kAvoidMs = 3'000;
 constexpr Millis kAvoidFullMs = 200;
+/// Runs are stored before they start, so the book knows the last number of each subtask. One that
+/// is much larger would leave later runs with numbers that no report can express.
+constexpr std::uint64_t kMaxRunGap = 1'000;
 
 } // namespace
 
@@ -497,8 +500,9 @@
   }
   aServer.m_contactMs = now;
   aServer.m_looked = true;
-  ApplyEnds(aServer, aReport);
-  const auto result = Reconcile(m_state.m_book, id, aReport, aSentMs, now);
+  const auto report = WithoutOddRuns(id, aReport);
+  ApplyEnds(aServer, report);
+  const auto result = Reconcile(m_state.m_book, id, report, aSentMs, now);
   LogDropped(result.m_dropped, "not reported");
   for (const auto& run : result.m_stops) {
     Stop(run, "not expected there");
@@ -511,6 +515,26 @@
   Pace(aServer);
 }
 
+ServerReport RunControl::WithoutOddRuns(const ServerId& aId, ServerReport aReport)
+{
+  const auto isOdd = [this](const SubtaskId& aSubtask, std::uint64_t aRun) {
+    const Subtask* subtask = FindSubtask(m_state.m_book, aSubtask);
+    return subtask != nullptr && aRun > subtask->m_lastRun + kMaxRunGap;
+  };
+  const auto odd =
+    std::erase_if(aReport.m_running,
+                  [&isOdd](const ReportedRun& aRun) { return isOdd(aRun.m_subtask, aRun.m_run); }) +
+    std::erase_if(aReport.m_ended, [&isOdd](const ReportedEnd& aEnd) {
+      return isOdd(aEnd.m_end.m_subtask, aEnd.m_end.m_run);
+    });
+  if (odd != 0) {
+    aReport.m_partial = true;
+    NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aId,
+                 "the number of a run is far beyond the last one");
+  }
+  return aReport;
+}
+
 void RunControl::ApplyEnds(ServerState& aServer, const ServerReport& aReport)
 {
   const Millis now = MonotonicMs();
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -71,6 +71,8 @@
   void CancelLook(ServerState& aServer);
   void OnLooked(const ServerId& aId, Millis aSentMs, const platform::LookResult& aResult);
   void ApplyReport(ServerState& aServer, const ServerReport& aReport, Millis aSentMs);
+  /// \brief The report without runs whose numbers are far too large.
+  [[nodiscard]] ServerReport WithoutOddRuns(const ServerId& aId, ServerReport aReport);
   void ApplyEnds(ServerState& aServer, const ServerReport& aReport);
   void Pace(const ServerState& aServer);
   void OnSilent(ServerState& aServer);
--- a/tests/unit/OddReportTest.cpp
+++ b/tests/unit/OddReportTest.cpp
@@ -93,6 +93,17 @@
   EXPECT_TRUE(FindSubtask(m_state.m_book, m_subtask)->m_done);
 }
 
+// Guards against a subtask whose later runs have numbers that no report can express, and whose ends
+// count as known, because a server has listed a run with a number too large.
+TEST_F(OddReportTest, RunWithANumberTooLarge_LaterRunsCount)
+{
+  Look(R"({"clock-ms":50010,"born":5,"running":[["a.0.0.0",9007199254740991,"",40]],)"
+       R"("finished":[[1,"a.0.0.0",9007199254740991,"stopped",""]]})");
+  EXPECT_TRUE(HasRun());
+  EXPECT_EQ(FindSubtask(m_state.m_book, m_subtask)->m_lastRun, 1U);
+  EXPECT_EQ(FindSubtask(m_state.m_book, m_subtask)->m_lastEndedRun, 0U);
+}
+
 // Guards against an odd row that nobody hears of.
 TEST_F(OddReportTest, OddRows_AreCounted)
 {
