Count unreadable records of waves, orders and progress

They were logged with each reading and counted nowhere. A page of progress with an item that cannot be read is asked for again as before: without the runs of that item, their work would be started again beside them.

--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -81,7 +81,8 @@
 {
   const auto record = DecodeWaveRecord(aBytes);
   if (!record) {
-    LogEvent("wave", "unreadable", "wave={} bytes={}", aNumber, aBytes.size());
+    NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "wave", std::to_string(aNumber),
+                 fmt::format("not a record of a wave, {} bytes", aBytes.size()));
     return;
   }
   Wave& wave = m_waves[aNumber];
@@ -98,7 +99,8 @@
   }
   const auto order = DecodeInstanceOrder(aBytes);
   if (!order) {
-    LogEvent("fleet", "order-unreadable", "instance={} bytes={}", aInstance, aBytes.size());
+    NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "fleet", aInstance,
+                 fmt::format("not a record of an order, {} bytes", aBytes.size()));
   }
   m_orderedByOthers.insert_or_assign(aInstance, order);
 }
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -264,7 +264,12 @@
 
 void FleetOwner::OnProgressPage(const std::optional<platform::KeyedPage>& aPage)
 {
-  if (!aPage) {
+  if (aPage && aPage->m_odd.m_count != 0) {
+    NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", kProgressTopic,
+                 aPage->m_odd.m_cause);
+  }
+  // Without the runs of an item, their work would be started again beside them.
+  if (!aPage || aPage->m_odd.m_count != 0) {
     m_loadTimer.expires_after(std::chrono::milliseconds{ kLoadRetryMs });
     m_loadTimer.async_wait(m_state.Guard([this](const std::error_code& aError) {
       if (!aError) {
@@ -275,7 +280,8 @@
   }
   for (const auto& item : aPage->m_items) {
     if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs())) {
-      LogEvent("job", "progress-unreadable", "id={} bytes={}", item.m_key, item.m_value.size());
+      NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", item.m_key,
+                   fmt::format("not a progress record, {} bytes", item.m_value.size()));
     }
   }
   if (aPage->m_more && !aPage->m_items.empty()) {
