--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -1,6 +1,7 @@
 #include "FleetOwner.h"
 
 #include "EventLog.h"
+#include "OddEntry.h"
 #include "OrderCarrier.h"
 
 #include "platform/Topics.h"
@@ -64,6 +65,13 @@
   return isWhole ? std::optional{ number } : std::nullopt;
 }
 
+std::function<void(std::string_view, std::string_view)> OnOddRecord(Metrics& aMetrics)
+{
+  return [&aMetrics](std::string_view aKey, std::string_view aCause) {
+    NoteOddEntry(aMetrics, "records_unreadable_total", "store", aKey, aCause);
+  };
+}
+
 } // namespace
 
 FleetOwner::FleetOwner(OwnerState aState)
@@ -77,13 +85,15 @@
                { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                   OnServerRecord(aKey, aValue);
                 },
-                 [](Millis /*aSentMs*/) {}, [this] { OnStoreBack(); } })
-  , m_fleetRecords(
-      m_state.m_loop, m_state.m_store, { { kFleetTopic }, kFleetWaitMs, kRegistryPauseMs },
-      { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
-         OnFleetRecord(aKey, aValue);
-       },
-        [this](Millis /*aSentMs*/) { m_fleet.OnRecordsRead(); }, [this] { OnStoreBack(); } })
+                 [](Millis /*aSentMs*/) {}, [this] { OnStoreBack(); },
+                 OnOddRecord(m_state.m_metrics) })
+  , m_fleetRecords(m_state.m_loop, m_state.m_store,
+                   { { kFleetTopic }, kFleetWaitMs, kRegistryPauseMs },
+                   { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
+                      OnFleetRecord(aKey, aValue);
+                    },
+                     [this](Millis /*aSentMs*/) { m_fleet.OnRecordsRead(); },
+                     [this] { OnStoreBack(); }, OnOddRecord(m_state.m_metrics) })
   , m_scheduleTimer(m_state.m_loop)
   , m_loadTimer(m_state.m_loop)
   , m_ticker(m_state.m_loop, kTickMs, [this] { Tick(); })
@@ -96,7 +106,8 @@
         [this, number](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
           OnSubmissionRecord(number, aKey, aValue);
         },
-        [this](Millis /*aSentMs*/) { OnSubmissionsCurrent(); }, [this] { OnStoreBack(); } }));
+        [this](Millis /*aSentMs*/) { OnSubmissionsCurrent(); }, [this] { OnStoreBack(); },
+        OnOddRecord(m_state.m_metrics) }));
   }
 }
 
@@ -171,6 +182,10 @@
   }
   if (key.starts_with(kCancelPrefix)) {
     const JobId id{ key.substr(kCancelPrefix.size()) };
+    if (!platform::IsJobId(id)) {
+      NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", aKey, "not a job id");
+      return;
+    }
     m_cleaner.OnRecord(id, aPartition);
     if (!m_loaded) {
       m_cancels.insert(id);
@@ -183,15 +198,14 @@
   }
   Reason reason;
   auto spec = DecodeSubmission(*aValue, reason);
-  // Under another key it would take the place of the job whose id it names.
+  // The key is what the clean-up removes, and under another one the job would take the place of the
+  // one whose id it names.
   if (spec && key != std::string{ kSubmissionPrefix } + spec->m_id) {
     reason.m_cause = "the key is of another job";
     spec.reset();
   }
   if (!spec) {
-    LogEvent("job", "unreadable", "key={} bytes={} cause={}", Printable(aKey), aValue->size(),
-             reason.m_cause);
-    Count(m_state.m_metrics, "records_unreadable_total");
+    NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", aKey, reason.m_cause);
     return;
   }
   m_cleaner.OnRecord(spec->m_id, aPartition);
@@ -202,7 +216,7 @@
 {
   const JobId id = aSpec.m_id;
   const QueueName queue = aSpec.m_queue;
-  const Millis age = std::max<Millis>(WallMs() - aSpec.m_acceptedMs, 0);
+  const Millis age = std::max<Millis>(WallMs() - std::max<Millis>(aSpec.m_acceptedMs, 0), 0);
   const auto steps = aSpec.m_steps.size();
   if (!AddJob(m_state.m_book, std::move(aSpec), MonotonicMs(), age)) {
     if (m_state.m_book.m_jobs.at(id).m_phase != JobPhase::Active) {
@@ -231,8 +245,9 @@
   const auto entry =
     aValue ? platform::DecodeServerEntry(aKey, *aValue, reason) : std::optional<ServerEntry>{};
   if (aValue && !entry) {
-    LogEvent("fleet", "entry-unreadable", "server={} cause={}", aKey, reason.m_cause);
-    Count(m_state.m_metrics, "entries_unreadable_total");
+    // A server that was known has not left: its last entry that could be read stays in force.
+    NoteOddEntry(m_state.m_metrics, "entries_unreadable_total", "fleet", aKey, reason.m_cause);
+    return;
   }
   m_runs.OnServerEntry(aKey, entry);
 }
@@ -251,8 +266,8 @@
   } else if (key.starts_with(kOrderPrefix) && key.size() > kOrderPrefix.size()) {
     m_fleet.OnStoredOrder(InstanceId{ key.substr(kOrderPrefix.size()) }, *aValue);
   } else {
-    LogEvent("fleet", "record-unreadable", "key={} bytes={}", Printable(aKey), aValue->size());
-    Count(m_state.m_metrics, "records_unreadable_total");
+    NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "fleet", aKey,
+                 "no key of a wave or an order");
   }
 }
 
@@ -264,7 +279,12 @@
 
 void FleetOwner::OnProgressPage(const std::optional<platform::KeyedPage>& aPage)
 {
-  if (!aPage) {
+  if (aPage && aPage->m_odd.m_count != 0) {
+    NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", kProgressTopic,
+                 aPage->m_odd.m_cause);
+  }
+  // Without the runs of an item, their work would be started again beside them.
+  if (!aPage || aPage->m_odd.m_count != 0) {
     m_loadTimer.expires_after(std::chrono::milliseconds{ kLoadRetryMs });
     m_loadTimer.async_wait(m_state.Guard([this](const std::error_code& aError) {
       if (!aError) {
@@ -276,9 +296,8 @@
   for (const auto& item : aPage->m_items) {
     Reason reason;
     if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs(), reason)) {
-      LogEvent("job", "progress-unreadable", "id={} bytes={} cause={}", Printable(item.m_key),
-               item.m_value.size(), reason.m_cause);
-      Count(m_state.m_metrics, "records_unreadable_total");
+      NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", item.m_key,
+                   fmt::format("{}, {} bytes", reason.m_cause, item.m_value.size()));
       // What has run cannot be told, and nothing may run twice.
       FailJob(m_state.m_book, item.m_key);
     }
@@ -445,6 +464,10 @@
       m_state.m_client, ToString(*m_state.m_settings.m_advice), step, servers, timeout,
       m_state.Guard([this, step, sent](const std::optional<platform::Advice>& aAdvice) {
         m_asking.erase(step);
+        if (aAdvice && aAdvice->m_odd.m_count != 0) {
+          NoteOddEntry(m_state.m_metrics, "advice_unreadable_total", "job", step.m_job,
+                       aAdvice->m_odd.m_cause);
+        }
         if (aAdvice) {
           m_tickets[step] = aAdvice->m_tickets;
           m_ticketsEndMs[step] = sent + aAdvice->m_validMs;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -1,6 +1,7 @@
 #include "RunControl.h"
 
 #include "EventLog.h"
+#include "OddEntry.h"
 
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/job/Reconcile.h"
@@ -51,6 +52,9 @@
 constexpr unsigned kSilentCalls = 2;
 constexpr Millis kAvoidMs = 3'000;
 constexpr Millis kAvoidFullMs = 200;
+/// Runs are stored before they start, so the book knows the last number of each subtask. One that
+/// is much larger would leave later runs with numbers that no report can express.
+constexpr std::uint64_t kMaxRunGap = 1'000;
 
 } // namespace
 
@@ -474,6 +478,19 @@
   const Millis now = MonotonicMs();
   ServerState& server = m_state.m_servers[aId];
   server.m_lookCall = 0;
+  if (aResult.m_odd.m_count != 0) {
+    NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aId, aResult.m_odd.m_cause);
+  }
+  if (aResult.m_outcome == platform::CallOutcome::Done && server.m_incarnation != 0 &&
+      aResult.m_report.m_incarnation == 0) {
+    // Runs and ends of another life would be taken for those of this one.
+    NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aId,
+                 "the report does not tell the life of the server");
+    OnSilent(server);
+    server.m_nextLookMs = now + kLookRetryMs * std::min(server.m_silent, 4U);
+    m_onChange();
+    return;
+  }
   switch (aResult.m_outcome) {
     case platform::CallOutcome::Done:
       server.m_nextLookMs = now;
@@ -520,13 +537,17 @@
     aServer.m_incarnation = aReport.m_incarnation;
     aServer.m_appliedEnds = 0;
     aServer.m_storedEnds = 0;
+    aServer.m_clock.reset(); // Perhaps of another life.
+  }
+  if (aReport.m_clockMs != 0) {
+    aServer.m_clock = ClockSample{ aReport.m_clockMs, now };
   }
-  aServer.m_clock = ClockSample{ aReport.m_clockMs, now };
   aServer.m_contactMs = now;
   const bool isFirst = !std::exchange(aServer.m_looked, true);
   aServer.m_listsEnds = !aReport.m_ended.empty();
-  ApplyEnds(aServer, aReport);
-  const auto result = Reconcile(m_state.m_book, id, aReport.m_running, aSentMs, now);
+  const auto report = WithoutOddRuns(id, aReport);
+  ApplyEnds(aServer, report);
+  const auto result = Reconcile(m_state.m_book, id, report, aSentMs, now);
   LogDropped(result.m_dropped, "not reported");
   for (const auto& run : result.m_stops) {
     Stop(run, "not expected there");
@@ -539,14 +560,42 @@
   Pace(aServer);
 }
 
+ServerReport RunControl::WithoutOddRuns(const ServerId& aId, ServerReport aReport)
+{
+  const auto isOdd = [this](const SubtaskId& aSubtask, std::uint64_t aRun) {
+    const Subtask* subtask = FindSubtask(m_state.m_book, aSubtask);
+    return subtask != nullptr && aRun > subtask->m_lastRun + kMaxRunGap;
+  };
+  const auto odd =
+    std::erase_if(aReport.m_running,
+                  [&isOdd](const ReportedRun& aRun) { return isOdd(aRun.m_subtask, aRun.m_run); }) +
+    std::erase_if(aReport.m_ended, [&isOdd](const ReportedEnd& aEnd) {
+      return isOdd(aEnd.m_end.m_subtask, aEnd.m_end.m_run);
+    });
+  if (odd != 0) {
+    aReport.m_partial = true;
+    NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aId,
+                 "the number of a run is far beyond the last one");
+  }
+  return aReport;
+}
+
 void RunControl::ApplyEnds(ServerState& aServer, const ServerReport& aReport)
 {
   const Millis now = MonotonicMs();
   bool news = false;
-  for (const auto& [number, end] : aReport.m_ended) {
+  auto ended = aReport.m_ended;
+  // Acknowledged by the highest number, so an end listed after a later one must not be skipped.
+  std::ranges::sort(ended, {}, &ReportedEnd::m_number);
+  for (const auto& [number, end] : ended) {
     if (number <= aServer.m_appliedEnds) {
       continue;
     }
+    if (aServer.m_appliedEnds != 0 && number - aServer.m_appliedEnds > kMaxEndGap) {
+      NoteOddEntry(m_state.m_metrics, "reports_unreadable_total", "run", aServer.m_entry.m_id,
+                   "the number of an end is far beyond the last one");
+      break;
+    }
     aServer.m_appliedEnds = number;
     news = true;
     const bool applied = ApplyEnd(m_state.m_book, end, MaxFailures(end.m_subtask), now);
