Keep a job known whose submission becomes unreadable after it has run

A later owner denied the job: its submission under the same key could no longer be read, and its progress, which could, was refused because the job was not known. Its caller could submit it under the same id once more, and it ran again from the begin (in the test the second submission was queued anew).

A record of progress says that the job may have run, so the job is now added without its specification and ends as failed, as a known one whose progress cannot be read does. The record of a job without a specification does not bring it back to life when the pages are read again.

manager/OddRecordTest SubmissionOfAJobAtWorkUnreadable_JobIsKnownAsFailed failed before: not failed within 10 s, and queued after the second submission.

--- a/include/pistachiostand/job/JobCodec.h
+++ b/include/pistachiostand/job/JobCodec.h
@@ -34,4 +34,11 @@
                    Reason& aReason);
 bool ApplyProgress(JobBook& aBook, const JobId& aId, std::string_view aBytes, Millis aNowMs);
 
+/// \brief Ends the job of a record that ApplyProgress has refused as failed.
+///
+/// The record says that the job may have run, and what has run cannot be told. A job that the book
+/// does not know, because its submission cannot be read either, is added without its specification:
+/// it must not be denied, or its caller would submit it once more.
+void FailUnreadable(JobBook& aBook, const JobId& aId, Millis aNowMs);
+
 } // namespace pistachiostand::fleet
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -271,14 +271,15 @@
   const auto progress = internal::Unpack<StoredProgress>(aBytes);
   const auto found = aBook.m_jobs.find(aId);
   const bool known = found != aBook.m_jobs.end();
+  const bool isSpecified = known && !found->second.m_spec.m_steps.empty();
   std::string_view fault;
   if (!IsJobKey(aId)) {
     fault = "the key is no job id";
   } else if (!progress || progress->m_queue.size() > kMaxTextBytes) {
     fault = "it is no progress of a job";
-  } else if (!known && progress->m_phase == JobPhase::Active) {
+  } else if (!isSpecified && progress->m_phase == JobPhase::Active) {
     fault = "the job has no submission that can be read";
-  } else if (known && !found->second.m_spec.m_steps.empty()) {
+  } else if (isSpecified) {
     fault = FaultOf(*progress, found->second.m_spec);
   }
   if (!fault.empty()) {
@@ -324,4 +325,17 @@
   return ApplyProgress(aBook, aId, aBytes, aNowMs, ignored);
 }
 
+void FailUnreadable(JobBook& aBook, const JobId& aId, Millis aNowMs)
+{
+  if (!IsJobKey(aId)) {
+    return;
+  }
+  const auto [entry, added] = aBook.m_jobs.try_emplace(aId);
+  if (added) {
+    entry->second.m_spec.m_id = aId;
+    entry->second.m_acceptedMs = aNowMs;
+  }
+  FailJob(aBook, aId);
+}
+
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -279,8 +279,7 @@
       LogEvent("job", "progress-unreadable", "id={} bytes={} cause={}", Printable(item.m_key),
                item.m_value.size(), reason.m_cause);
       Count(m_state.m_metrics, "records_unreadable_total");
-      // What has run cannot be told, and nothing may run twice.
-      FailJob(m_state.m_book, item.m_key);
+      FailUnreadable(m_state.m_book, item.m_key, MonotonicMs());
     }
   }
   if (aPage->m_more && !aPage->m_items.empty()) {
--- a/tests/manager/OddRecordTest.cpp
+++ b/tests/manager/OddRecordTest.cpp
@@ -245,6 +245,30 @@
   EXPECT_EQ(Counter(2, "records_unreadable_total"), 2);
 }
 
+// Guards against a job that is denied after it has run, so that its caller submits it once more:
+// its submission can no longer be read.
+TEST_F(OddRecordManagerTest, SubmissionOfAJobAtWorkUnreadable_JobIsKnownAsFailed)
+{
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_EQ(Submit(1, TwoSteps()), 200);
+  const std::string first = std::string{ kJob } + ".0.0.0";
+  ASSERT_TRUE(RunUntil([&] { return m_first.m_starts[first] + m_second.m_starts[first] > 0; }));
+  m_entries.erase(1);
+  for (const auto& log : SubmissionLogs()) {
+    m_store.Put(log, std::string{ kSubmissionPrefix } + kJob, "\xff");
+  }
+  Start(2);
+  ASSERT_TRUE(IsReady(2));
+  EXPECT_TRUE(RunUntil([this] { return StateAt(2) == "failed"; }));
+  ASSERT_EQ(Submit(2, TwoSteps()), 200);
+  Wait(1'000);
+  EXPECT_EQ(StateAt(2), "failed");
+  for (const auto& subtask : AllSubtasks()) {
+    EXPECT_LE(m_first.m_starts[subtask] + m_second.m_starts[subtask], 1) << subtask;
+  }
+}
+
 // Guards against odd records of waves and orders that end the owner or stop what follows them.
 TEST_F(OddRecordManagerTest, OddFleetRecords_JobsAreDone)
 {
--- a/tests/unit/OddRecordTest.cpp
+++ b/tests/unit/OddRecordTest.cpp
@@ -201,6 +201,24 @@
   }
 }
 
+// Guards against a job without steps that comes back to life when its progress is read twice,
+// because a later page had failed.
+TEST_F(OddRecordTest, FailUnreadable_ProgressReadAgain_JobStaysFailed)
+{
+  const auto record = EncodeProgress(KnownJob());
+  m_book = {};
+  for (int pass = 0; pass < 2; ++pass) {
+    EXPECT_FALSE(ApplyProgress(m_book, kId, record, kNow));
+    FailUnreadable(m_book, kId, kNow);
+    EXPECT_EQ(m_book.m_jobs.at(kId).m_phase, JobPhase::Failed);
+  }
+  EXPECT_TRUE(m_book.m_active.empty());
+  EXPECT_TRUE(m_book.m_changed.contains(kId));
+  EXPECT_FALSE(AddJob(m_book, Spec(kId, { Step(2) }), kNow, 0));
+  FailUnreadable(m_book, "odd key", kNow);
+  EXPECT_FALSE(m_book.m_jobs.contains("odd key"));
+}
+
 // Guards against a run number near the largest one, listed by a server, after which the next run
 // of the subtask has a number that was used before.
 TEST_F(OddRecordTest, Book_RunNumberNearTheLargest_IsNotTaken)
