--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -298,8 +298,7 @@
     if (!ApplyProgress(m_state.m_book, item.m_key, item.m_value, MonotonicMs(), reason)) {
       NoteOddEntry(m_state.m_metrics, "records_unreadable_total", "job", item.m_key,
                    fmt::format("{}, {} bytes", reason.m_cause, item.m_value.size()));
-      // What has run cannot be told, and nothing may run twice.
-      FailJob(m_state.m_book, item.m_key);
+      FailUnreadable(m_state.m_book, item.m_key, MonotonicMs());
     }
   }
   if (aPage->m_more && !aPage->m_items.empty()) {
