--- a/src/manager/Manager.cpp
+++ b/src/manager/Manager.cpp
@@ -341,6 +341,7 @@
   call.m_method = "POST";
   call.m_url = "http://" + view.m_address + std::string{ kRelayPath };
   call.m_body = aRecord;
+  call.m_sendOnce = true;
   call.m_timeoutMs = aTimeoutMs;
   call.m_connectTimeoutMs = kAskOwnerConnectMs;
   m_client->Send(std::move(call), [done = std::move(aDone)](const ClientResponse& aResponse) {
--- /dev/null
+++ b/tests/unit/SendOnceTest.cpp
@@ -0,0 +1,41 @@
+#include "HeldClient.h"
+
+#include "platform/Orders.h"
+#include "platform/Store.h"
+
+#include <gtest/gtest.h>
+
+#include <utility>
+
+namespace pistachiostand::fleet {
+namespace {
+
+class SendOnceTest : public ::testing::Test
+{
+protected:
+  [[nodiscard]] bool IsSentOnce() const { return m_client.m_sent.at(0).m_request.m_sendOnce; }
+
+  HeldClient m_client;
+};
+
+// Guards against a caller who is told that a job was refused while it runs: the client had repeated
+// the append by itself on a new connection, and the copy was refused.
+TEST_F(SendOnceTest, Append_WithoutSequenceNumber_IsNotRepeated)
+{
+  platform::Store store{ m_client, "store.example" };
+  platform::AppendRequest request;
+  request.m_records = { "record" };
+  store.Append(std::move(request), [](const platform::AppendResult&) {});
+  EXPECT_TRUE(IsSentOnce());
+}
+
+// Guards against an instance that is ordered away while the owner takes the order for not done.
+TEST_F(SendOnceTest, InstanceOrder_IsNotRepeated)
+{
+  platform::InstanceOrders orders{ m_client, "instances.example", "entry-1" };
+  orders.Move("m1", "lookup", { 1, 0 }, [](const platform::InstanceResult&) {});
+  EXPECT_TRUE(IsSentOnce());
+}
+
+} // namespace
+} // namespace pistachiostand::fleet
