--- a/tests/manager/OddEntryTest.cpp
+++ b/tests/manager/OddEntryTest.cpp
@@ -18,19 +18,23 @@
     return std::string(aLevels, '[') + std::string(aLevels, ']');
   }
 
+  /// \brief Entry of a server with the text after `"capacity":`.
+  static std::string EntryAt(const std::string& aAddress, const std::string& aRest)
+  {
+    return fmt::format(
+      R"({{"upstream":"lookup","address":"{}","zone":"z1","state":"ready","capacity":{}}})",
+      aAddress, aRest);
+  }
+
   static std::vector<std::string> OddValues()
   {
     return { "\xff\xfe\x01 not the format",
              Nested(100'000),
              std::string(100'000, '['),
-             R"({"upstream":"lookup","address":"127.0.0.1:99999","zone":"z1","state":"ready",)"
-             R"("capacity":{"cpu":8000},"born":1})",
-             R"({"upstream":"lookup","address":"127.0.0.1:0","zone":"z1","state":"ready",)"
-             R"("capacity":{"cpu":8000}})",
-             R"({"upstream":"lookup","address":"127.0.0.1:80","zone":"z1","state":"ready",)"
-             R"("capacity":{"cpu":1e300},"born":18446744073709551615})",
-             R"({"upstream":"lookup","address":"127.0.0.1:80","zone":"z1","state":"ready",)"
-             R"("capacity":{"cpu":1e999}})",
+             EntryAt("127.0.0.1:99999", R"({"cpu":8000},"born":1)"),
+             EntryAt("127.0.0.1:0", R"({"cpu":8000})"),
+             EntryAt("127.0.0.1:80", R"({"cpu":1e300},"born":18446744073709551615)"),
+             EntryAt("127.0.0.1:80", R"({"cpu":1e999})"),
              R"({"upstream":"lookup"})",
              "null",
              "[]",
