Keep an order that was cancelled in its turn from leaving

A look that is cancelled because its server has started again stayed in the batch for its carrier and left all the same, with the acknowledgement of the former life. The test failed with two orders in the batch in place of one, and passes.

--- a/src/manager/CarrierPool.cpp
+++ b/src/manager/CarrierPool.cpp
@@ -186,6 +186,19 @@
   return m_lastCall;
 }
 
+void CarrierPool::Cancel(std::uint64_t aCall)
+{
+  const auto call = m_calls.find(aCall);
+  if (call == m_calls.end()) {
+    return;
+  }
+  if (const auto carrier = m_carriers.find(call->second.m_carrier); carrier != m_carriers.end()) {
+    std::erase_if(carrier->second.m_batch.m_orders,
+                  [aCall](const CarriedOrder& aOrder) { return aOrder.m_call == aCall; });
+  }
+  m_calls.erase(call);
+}
+
 bool CarrierPool::HasLostOtherZones(const ZoneName& aZone) const
 {
   const auto isOther = [&aZone](const ZoneName& aOne) { return aOne != aZone; };
--- a/src/manager/CarrierPool.h
+++ b/src/manager/CarrierPool.h
@@ -46,7 +46,8 @@
   std::uint64_t Send(const ZoneName& aZone, CarriedOrder aOrder, Done aDone);
 
   /// \brief Forgets a call; the order may still be carried out.
-  void Cancel(std::uint64_t aCall) { m_calls.erase(aCall); }
+  /// \brief Forgets a call. One that has not left yet does not leave.
+  void Cancel(std::uint64_t aCall);
 
   /// \brief Cores of the largest carrier in use; 0 without any.
   [[nodiscard]] double LargestShare() const
--- a/tests/manager/CarrierTest.cpp
+++ b/tests/manager/CarrierTest.cpp
@@ -202,6 +202,18 @@
   EXPECT_EQ(m_batches.front().m_token, 7U);
 }
 
+// Guards against a look that leaves although it was cancelled: it was meant for the former life of
+// its server, and so is its acknowledgement.
+TEST_F(CarrierPoolTest, Cancel_InTheTurnOfTheOrder_OrderDoesNotLeave)
+{
+  Join();
+  m_pool->Cancel(Send());
+  const auto kept = Send();
+  ASSERT_TRUE(RunUntil([this] { return !m_batches.empty(); }));
+  ASSERT_EQ(m_batches.front().m_orders.size(), 1U);
+  EXPECT_EQ(m_batches.front().m_orders.front().m_call, kept);
+}
+
 // Guards against an order without a carrier that waits for one; the owner sends it itself.
 TEST_F(CarrierPoolTest, Send_NoCarrier_IsNotTaken)
 {
