Reckon the longest lease from the arrival of starts that are on their way

A start that was sent by the clock of a former life may arrive up to 0.7 s after the new life was noticed, and its lease is cut to the longest from then on; it was reckoned from the notice. Found in review. The test failed by those 0.7 s and passes.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -150,11 +150,11 @@
 
 void RunControl::ReckonLongestLease(ServerState& aServer)
 {
-  // Leases by the clock of the former life end far ahead, so the server has cut them to its
-  // longest.
-  aServer.m_leaseEndMs =
-    std::max(aServer.m_leaseEndMs,
-             LatestLeaseEndMs(MonotonicMs(), m_state.m_settings.m_bounds.m_maxLeaseMs));
+  // Leases by the clock of the former life end far ahead, so the server cuts them to its longest,
+  // from their arrival on.
+  const Millis arrival = MonotonicMs() + kStartTimeoutMs;
+  aServer.m_leaseEndMs = std::max(
+    aServer.m_leaseEndMs, LatestLeaseEndMs(arrival, m_state.m_settings.m_bounds.m_maxLeaseMs));
 }
 
 void RunControl::OnServerEntry(const ServerId& aId, const std::optional<ServerEntry>& aEntry)
@@ -327,7 +327,8 @@
       }
       return;
     case CallOutcome::Unknown:
-      if (run != nullptr && run->m_phase == RunPhase::Sent) {
+      if (run != nullptr &&
+          (run->m_phase == RunPhase::Sent || run->m_phase == RunPhase::Stopping)) {
         run->m_unansweredMs = now;
       }
       OnSilent(server);
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -194,5 +194,17 @@
   EXPECT_LE(end, MonotonicMs() + 1'000);
 }
 
+// Guards against a lease that outlasts the reckoning by the time that a start sent before the
+// server started again was on its way.
+TEST_F(RunControlTest, StartOnItsWayToALaterLife_LeaseIsReckonedFromItsArrival)
+{
+  constexpr Millis kStartTimeoutMs = 700;
+  Register(5, 50'000);
+  StartRun();
+  Register(9, 100);
+  const Millis latest = LatestLeaseEndMs(MonotonicMs() + kStartTimeoutMs, kLongestLeaseMs);
+  EXPECT_GE(m_state.m_servers["s1"].m_leaseEndMs, latest - 50);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
