--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -385,6 +385,7 @@
   if (run != nullptr) {
     run->m_phase = RunPhase::Stopping;
     run->m_stopSentMs = now;
+    run->m_stopAcceptedMs = 0;
   }
   Count(m_state.m_metrics, "stops_total");
   LogEvent("run", "stop", "task={} run={} server={} reason={}", ToString(aRun.m_subtask),
@@ -403,7 +404,9 @@
     if (aResult.m_answer.m_clockMs) {
       OnClock(server, *aResult.m_answer.m_clockMs, aSent.m_sentMs);
     }
-    if (Run* run = FindRun(m_state.m_book, aSent.m_run); run != nullptr) {
+    // An earlier one may have been accepted by a former life of the server.
+    Run* run = FindRun(m_state.m_book, aSent.m_run);
+    if (run != nullptr && aSent.m_sentMs >= run->m_stopSentMs) {
       run->m_stopAcceptedMs = now;
     }
     return;
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -206,5 +206,37 @@
   EXPECT_GE(m_state.m_servers["s1"].m_leaseEndMs, latest - 50);
 }
 
+// Guards against a run that counts as stopped because the former life of its server had accepted an
+// earlier stop.
+TEST_F(RunControlTest, StopSentAgain_AnswerToTheFirst_DoesNotCount)
+{
+  StartRun();
+  const RunRef ref{ m_subtask, 1, "s1" };
+  m_runs.Stop(ref, "test");
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
+  m_runs.Stop(ref, "test");
+  const auto stops = m_client.Find("/run-stop");
+  ASSERT_EQ(stops.size(), 2U);
+  m_client.Answer(stops.front(), 200, R"({"clock-ms":50010})");
+  EXPECT_EQ(FindRun(m_state.m_book, ref)->m_stopAcceptedMs, 0);
+  m_client.Answer(stops.back(), 200, R"({"clock-ms":50010})");
+  EXPECT_NE(FindRun(m_state.m_book, ref)->m_stopAcceptedMs, 0);
+}
+
+// Guards against a start that can still be carried out and is forgotten when its server starts
+// again, because its stop was ordered before the start was given up.
+TEST_F(RunControlTest, StartWithoutAnswer_StoppedMeanwhile_CountsAsUnanswered)
+{
+  StartRun();
+  const RunRef ref{ m_subtask, 1, "s1" };
+  m_runs.Stop(ref, "test");
+  const auto starts = m_client.Find("/run-start");
+  ASSERT_EQ(starts.size(), 1U);
+  ClientResponse lost;
+  lost.m_failure = TransferFailure::Timeout;
+  m_client.m_sent[starts.front()].m_callback(lost);
+  EXPECT_NE(FindRun(m_state.m_book, ref)->m_unansweredMs, 0);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
