Let an owner of the ends model not know yet that a start has no answer

The owner counted a server as silent as soon as an answer was lost, which hid that the guard of acknowledgements needs a bound on how fast a server starts again.

--- a/model/ends.pml
+++ b/model/ends.pml
@@ -18,7 +18,8 @@
  * - A late look carries no acknowledgement. One that does can acknowledge an end of a later life
  *   unseen; this is a known gap (docs/incidents/2026-12-05-run-again-after-done.md).
  * - A server takes longer to start again (a tick) than an owner takes to follow a list of ends with
- *   its acknowledgement.
+ *   its acknowledgement. Without this the property is lost: a start to the later life has no answer
+ *   yet, its run ends, and the number of the former life acknowledges that end.
  * - Calls on their way when server 0 goes down, or when an owner notices its later life, have been
  *   carried out or are lost.
  * - The registration of a later life reaches the owner in the tick in which it starts, before an
@@ -341,6 +342,7 @@
                 phase = RUNNING;
                 if :: contact[s] == SILENT -> contact[s] = ANSWERED :: else fi
              :: contact[s] = SILENT
+             :: skip /* Not known yet. */
              fi
            :: else -> DropStart(n)
            fi
