Stand-in of the store: do not answer a waiting read whose timer has fired already

A read was answered by a new record in the turn in which its timer ended, and the queued handler then used the removed entry. The handler now checks that its read still waits. Only the stand-in is concerned.

--- a/tests/standins/PreparedStore.h
+++ b/tests/standins/PreparedStore.h
@@ -102,6 +102,7 @@
     Offset m_from{};
     HttpResponder m_respond;
     std::unique_ptr<asio::steady_timer> m_timer;
+    std::shared_ptr<int> m_alive = std::make_shared<int>();
   };
 
   /// \brief Name of the log of a partition; partition 0 goes by the name of its topic.
@@ -275,8 +276,10 @@
       m_waiting.insert(m_waiting.end(), Waiting{ name, from, std::move(aRespond),
                                                  std::make_unique<asio::steady_timer>(m_loop) });
     entry->m_timer->expires_after(std::chrono::milliseconds{ wait });
-    entry->m_timer->async_wait([this, entry](const std::error_code& aError) {
-      if (!aError) {
+    const std::weak_ptr<int> alive = entry->m_alive;
+    entry->m_timer->async_wait([this, entry, alive](const std::error_code& aError) {
+      // A handler that is queued already is not cancelled by Wake().
+      if (!aError && !alive.expired()) {
         const Waiting waiting = std::move(*entry);
         m_waiting.erase(entry);
         waiting.m_respond(Records(waiting.m_topic, waiting.m_from));
