--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -10,6 +10,7 @@
 
 constexpr int kServers = 16;
 constexpr int kJobs = 8;
+constexpr Millis kBurstGapMs = 15;
 /// Bound `finish_s` of the site, and the time that the service needs for one call on each job.
 constexpr Millis kFinishMs = 14'000;
 constexpr Millis kCallMs = AdviceService::kDecisionMs + kServers * AdviceService::kPerWorkerMs;
@@ -39,7 +40,7 @@
       return kNotRun;
     }
     // Without the burst each job has the time that its call and its work take.
-    aDeployment.Run(aDeployment.Trouble() ? 0 : kCallMs + 1'000);
+    aDeployment.Run(aDeployment.Trouble() ? kBurstGapMs : kCallMs + 1'000);
   }
   aDeployment.Log().Line("end of the traffic");
   aDeployment.Run(kFinishMs + kJobs * kCallMs);
