--- a/review/standin/Deployment.h
+++ b/review/standin/Deployment.h
@@ -46,7 +46,7 @@
 {
 public:
   explicit Record(const std::string& aPath)
-    : m_file(aPath)
+    : m_file(aPath, std::ios::app)
     , m_beginMs(MonotonicMs())
   {
   }
