Store the progress of a job in parts that fit into a record

Cause: the progress of a job was one record, which grows with its subtasks. At 297,000 bytes it exceeds the store's 262,144; the owner took the refusal for a passing one, repeated the append and stored nothing else.

Change: parts of 32 subtasks, one record each; only changed parts are stored, and an append stays below the limit on one call. Part 0 holds the phase and is stored no later than the others. A submission that exceeds a record gets 413 at once, because it took others in its append with it.

--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -2,6 +2,7 @@
 
 #include "pistachiostand/fleet/Inventory.h"
 #include "pistachiostand/job/JobSpec.h"
+#include "pistachiostand/job/ProgressPart.h"
 
 #include <compare>
 #include <cstdint>
@@ -168,7 +169,7 @@
   std::map<ServerId, Resources> m_used;               ///< Counted need of the runs on the server.
   std::map<ServerId, ServerLoad> m_load;              ///< These runs by kind.
   std::set<JobId> m_toCheck;                          ///< Jobs that may have runs to stop.
-  std::set<JobId> m_changed;                   ///< Jobs whose durable state has yet to be stored.
+  std::set<ProgressPart> m_changed;            ///< Parts whose durable state has yet to be stored.
   std::set<JobId> m_cancelledBeforeSubmission; ///< Jobs cancelled before they were added.
 };
 
@@ -231,6 +232,15 @@
 /// \return the removed runs.
 std::vector<RunRef> DropServerRuns(JobTable& aJobTable, const ServerId& aServer, Millis aNowMs);
 
+/// \brief Schedules the removal of all records of a job that is about to be forgotten.
+void RemoveRecords(JobTable& aJobTable, const Job& aJob);
+
+/// \brief Completes the gangs of which only some members were restored as done.
+///
+/// The members of a wide gang are stored in several records. All of them end as done together, but
+/// the previous owner may have stored only some of these records.
+void CompleteRestoredGangs(JobTable& aJobTable);
+
 /// \brief Runs to stop: those of ended jobs, and copies of subtasks that are done.
 ///
 /// Checks only the jobs in m_toCheck, and removes those without such runs from it.
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -87,20 +87,67 @@
   return stored;
 }
 
-StoredOccurrence Store(std::uint32_t aNumber, const Occurrence& aOccurrence)
+/// \brief Numbers of the subtasks in a part, counted over all occurrences of their job.
+struct PartRange
+{
+  std::uint64_t m_first{};
+  std::uint64_t m_end{};
+};
+
+/// \param aFirst number of the first subtask of the occurrence.
+StoredOccurrence Store(std::uint32_t aNumber, const Occurrence& aOccurrence, std::uint64_t aFirst,
+                       const PartRange& aPart)
 {
   StoredOccurrence stored{ aNumber, {} };
   for (const auto& step : aOccurrence.m_steps) {
     auto& subtasks = stored.m_steps.emplace_back();
-    for (std::uint32_t i = 0; i < step.size(); ++i) {
-      if (step[i].m_lastRun != 0) {
-        subtasks.push_back(Store(i, step[i]));
+    const std::uint64_t first = std::max(aPart.m_first, aFirst);
+    const std::uint64_t end = std::min(aPart.m_end, aFirst + step.size());
+    for (std::uint64_t number = first; number < end; ++number) {
+      const auto index = static_cast<std::uint32_t>(number - aFirst);
+      if (step[index].m_lastRun != 0) {
+        subtasks.push_back(Store(index, step[index]));
       }
     }
+    aFirst += step.size();
+  }
+  return stored;
+}
+
+std::vector<StoredOccurrence> StoreOccurrences(const Job& aJob, std::uint32_t aPart)
+{
+  const std::uint64_t first = std::uint64_t{ aPart } * kSubtasksPerPart;
+  const PartRange part{ first, first + kSubtasksPerPart };
+  const std::uint64_t size = std::max<std::uint64_t>(SubtaskCount(aJob.m_spec), 1);
+  std::vector<StoredOccurrence> stored;
+  const auto end =
+    aJob.m_occurrences.upper_bound(static_cast<std::uint32_t>((part.m_end - 1) / size));
+  for (auto entry = aJob.m_occurrences.lower_bound(static_cast<std::uint32_t>(first / size));
+       entry != end; ++entry) {
+    stored.push_back(Store(entry->first, entry->second, entry->first * size, part));
   }
   return stored;
 }
 
+bool HasRuns(const std::vector<StoredOccurrence>& aOccurrences)
+{
+  return std::ranges::any_of(aOccurrences, [](const StoredOccurrence& aOccurrence) {
+    return std::ranges::any_of(aOccurrence.m_steps, [](const auto& aStep) {
+      return std::ranges::any_of(
+        aStep, [](const StoredSubtask& aSubtask) { return !aSubtask.m_runs.empty(); });
+    });
+  });
+}
+
+void RemoveCheckpoints(std::vector<StoredOccurrence>& aOccurrences)
+{
+  for (auto& occurrence : aOccurrences) {
+    for (auto& step : occurrence.m_steps) {
+      std::ranges::for_each(step, [](StoredSubtask& aSubtask) { aSubtask.m_checkpoint.clear(); });
+    }
+  }
+}
+
 Reason UnreadableRecord(std::string_view aCause)
 {
   return { ReasonKind::BadValue, std::string{ aCause }, "the record is not used", {} };
@@ -249,70 +296,53 @@
   return DecodeSubmission(aBytes, ignored);
 }
 
-std::string EncodeProgress(const Job& aJob)
+std::string EncodeProgress(const Job& aJob, std::uint32_t aPart, std::size_t aMaxBytes)
 {
-  StoredProgress progress{
-    aJob.m_spec.m_queue, aJob.m_phase, aJob.m_begun, aJob.m_dueOccurrences, {}
-  };
+  StoredProgress progress{ aJob.m_spec.m_queue, aJob.m_phase, aJob.m_begun, aJob.m_dueOccurrences,
+                           StoreOccurrences(aJob, aPart) };
   // A later owner must still stop the runs of an ended job, so they are stored until they end.
-  const bool keep = aJob.m_phase == JobPhase::Active ||
-                    std::ranges::any_of(aJob.m_occurrences, [](const auto& aEntry) {
-                      return std::ranges::any_of(aEntry.second.m_steps, [](const auto& aStep) {
-                        return std::ranges::any_of(
-                          aStep, [](const Subtask& aSubtask) { return !aSubtask.m_runs.empty(); });
-                      });
-                    });
-  if (keep) {
-    for (const auto& [number, occurrence] : aJob.m_occurrences) {
-      progress.m_occurrences.push_back(Store(number, occurrence));
-    }
+  if (aJob.m_phase != JobPhase::Active && !HasRuns(progress.m_occurrences)) {
+    progress.m_occurrences.clear();
+  }
+  std::string record = internal::Pack(progress);
+  if (record.size() > aMaxBytes) {
+    RemoveCheckpoints(progress.m_occurrences);
+    record = internal::Pack(progress);
   }
-  return internal::Pack(progress);
+  return record;
 }
 
-bool ApplyProgress(JobTable& aJobTable, const JobId& aId, std::string_view aBytes, Millis aNowMs,
-                   Reason& aReason)
+namespace {
+
+void ApplyPhase(JobTable& aJobTable, const JobId& aId, const StoredProgress& aProgress,
+                Millis aNowMs)
 {
-  const auto progress = internal::Unpack<StoredProgress>(aBytes);
-  const auto found = aJobTable.m_jobs.find(aId);
-  const bool known = found != aJobTable.m_jobs.end();
-  const bool isSpecified = known && !found->second.m_spec.m_steps.empty();
-  std::string_view fault;
-  if (!IsValidJobId(aId)) {
-    fault = "the key is no valid job id";
-  } else if (!progress || progress->m_queue.size() > kMaxTextBytes) {
-    fault = "the record holds no progress of a job";
-  } else if (!isSpecified && progress->m_phase == JobPhase::Active) {
-    fault = "the job has no submission that can be read";
-  } else if (isSpecified) {
-    fault = ValidationErrorOf(*progress, found->second.m_spec);
-  }
-  if (!fault.empty()) {
-    aReason = UnreadableRecord(fault);
-    return false;
-  }
-  Job& job = aJobTable.m_jobs[aId];
-  if (!known) {
+  const auto [entry, added] = aJobTable.m_jobs.try_emplace(aId);
+  Job& job = entry->second;
+  if (added) {
     job.m_spec.m_id = aId;
-    job.m_spec.m_queue = progress->m_queue;
+    job.m_spec.m_queue = aProgress.m_queue;
   }
-  job.m_phase = progress->m_phase;
+  job.m_phase = aProgress.m_phase;
   if (job.m_phase != JobPhase::Active) {
     aJobTable.m_active.erase(aId);
   }
-  job.m_phaseStored = progress->m_phase != JobPhase::Active;
+  job.m_phaseStored = aProgress.m_phase != JobPhase::Active;
   job.m_finishedMs = aNowMs;
-  job.m_begun = progress->m_begun;
-  job.m_dueOccurrences = progress->m_dueOccurrences;
-  if (job.m_spec.m_steps.empty()) {
-    return true; // Without a specification; servers that list its subtasks get orders to stop them.
-  }
-  for (const auto& stored : progress->m_occurrences) {
+  job.m_begun = aProgress.m_begun;
+  job.m_dueOccurrences = aProgress.m_dueOccurrences;
+}
+
+void RestoreOccurrences(JobTable& aJobTable, const JobId& aId, const StoredProgress& aProgress,
+                        Millis aNowMs)
+{
+  Job& job = aJobTable.m_jobs.at(aId);
+  Subtask idle;
+  idle.m_idleSinceMs = aNowMs;
+  for (const auto& stored : aProgress.m_occurrences) {
     auto& occurrence = job.m_occurrences[stored.m_number];
     occurrence.m_steps.resize(std::max(occurrence.m_steps.size(), job.m_spec.m_steps.size()));
     for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
-      Subtask idle;
-      idle.m_idleSinceMs = aNowMs;
       occurrence.m_steps[step].resize(job.m_spec.m_steps[step].m_count, idle);
       if (step < stored.m_steps.size()) {
         for (const auto& subtask : stored.m_steps[step]) {
@@ -321,26 +351,64 @@
       }
     }
   }
+}
+
+} // namespace
+
+bool ApplyProgress(JobTable& aJobTable, std::string_view aKey, std::string_view aBytes,
+                   Millis aNowMs, Reason& aReason)
+{
+  const auto part = ParseProgressKey(aKey);
+  if (!part) {
+    aReason = UnreadableRecord("the key is no valid job id");
+    return false;
+  }
+  const auto progress = internal::Unpack<StoredProgress>(aBytes);
+  const auto found = aJobTable.m_jobs.find(part->m_job);
+  const bool isSpecified = found != aJobTable.m_jobs.end() && !found->second.m_spec.m_steps.empty();
+  std::string_view fault;
+  if (!progress || progress->m_queue.size() > kMaxTextBytes) {
+    fault = "the record holds no progress of a job";
+  } else if (!isSpecified && part->m_number == 0 && progress->m_phase == JobPhase::Active) {
+    fault = "the job has no submission that can be read";
+  } else if (isSpecified) {
+    fault = ValidationErrorOf(*progress, found->second.m_spec);
+  }
+  if (!fault.empty()) {
+    aReason = UnreadableRecord(fault);
+    return false;
+  }
+  if (part->m_number == 0) {
+    ApplyPhase(aJobTable, part->m_job, *progress, aNowMs);
+  }
+  if (isSpecified) {
+    RestoreOccurrences(aJobTable, part->m_job, *progress, aNowMs);
+  } else if (part->m_number != 0) {
+    aJobTable.m_changed.insert(*part); // Its job has been forgotten or has ended.
+  }
+  // Without a specification, servers that list subtasks of the job get orders to stop them.
   return true;
 }
 
-bool ApplyProgress(JobTable& aJobTable, const JobId& aId, std::string_view aBytes, Millis aNowMs)
+bool ApplyProgress(JobTable& aJobTable, std::string_view aKey, std::string_view aBytes,
+                   Millis aNowMs)
 {
   Reason ignored;
-  return ApplyProgress(aJobTable, aId, aBytes, aNowMs, ignored);
+  return ApplyProgress(aJobTable, aKey, aBytes, aNowMs, ignored);
 }
 
-void FailUnreadableJob(JobTable& aJobTable, const JobId& aId, Millis aNowMs)
+void FailUnreadableJob(JobTable& aJobTable, std::string_view aKey, Millis aNowMs)
 {
-  if (!IsValidJobId(aId)) {
+  const auto part = ParseProgressKey(aKey);
+  if (!part) {
     return;
   }
-  const auto [entry, added] = aJobTable.m_jobs.try_emplace(aId);
+  const auto [entry, added] = aJobTable.m_jobs.try_emplace(part->m_job);
   if (added) {
-    entry->second.m_spec.m_id = aId;
+    entry->second.m_spec.m_id = part->m_job;
     entry->second.m_acceptedMs = aNowMs;
   }
-  FailJob(aJobTable, aId);
+  FailJob(aJobTable, part->m_job);
 }
 
 } // namespace pistachiostand::fleet
--- a/src/job/JobTable.cpp
+++ b/src/job/JobTable.cpp
@@ -27,12 +27,42 @@
   });
 }
 
+/// \brief Schedules the state of a job, without that of its later subtasks, for storage.
+void MarkJobChanged(JobTable& aJobTable, const JobId& aId)
+{
+  aJobTable.m_changed.insert({ aId, 0 });
+}
+
+void MarkChanged(JobTable& aJobTable, const Job& aJob, const SubtaskId& aId)
+{
+  aJobTable.m_changed.insert(
+    { aId.m_job, PartNumberOf(aJob.m_spec, aId.m_occurrence, aId.m_step, aId.m_index) });
+  // Without a record of the job itself, a later owner would not know of it if its submission could
+  // not be read any more.
+  if (!aJob.m_begun) {
+    MarkJobChanged(aJobTable, aId.m_job);
+  }
+}
+
+/// \brief Schedules the subtasks that the end of one run applies to for storage.
+void MarkAffectedChanged(JobTable& aJobTable, const Job& aJob, const SubtaskId& aId)
+{
+  const StepSpec& step = aJob.m_spec.m_steps.at(aId.m_step);
+  const std::uint32_t first = step.m_gang ? 0 : aId.m_index;
+  const std::uint32_t last = step.m_gang ? step.m_count - 1 : aId.m_index;
+  const auto end = PartNumberOf(aJob.m_spec, aId.m_occurrence, aId.m_step, last) + 1;
+  for (auto number = PartNumberOf(aJob.m_spec, aId.m_occurrence, aId.m_step, first); number < end;
+       ++number) {
+    aJobTable.m_changed.insert({ aId.m_job, number });
+  }
+}
+
 void FinishJob(JobTable& aJobTable, Job& aJob, JobPhase aPhase)
 {
   aJob.m_phase = aPhase;
   aJobTable.m_active.erase(aJob.m_spec.m_id);
   aJobTable.m_toCheck.insert(aJob.m_spec.m_id);
-  aJobTable.m_changed.insert(aJob.m_spec.m_id);
+  MarkJobChanged(aJobTable, aJob.m_spec.m_id);
 }
 
 /// \brief Completes a job whose last occurrence is done.
@@ -81,7 +111,7 @@
     aSubtask.m_idleSinceMs = aNowMs;
     aSubtask.m_readySinceMs = 0;
   }
-  aJobTable.m_changed.insert(aRef.m_subtask.m_job);
+  MarkChanged(aJobTable, aJobTable.m_jobs.at(aRef.m_subtask.m_job), aRef.m_subtask);
 }
 
 /// \brief Subtasks that the end of one run applies to: the whole gang, or the subtask alone.
@@ -118,6 +148,7 @@
   if (aJob.m_spec.m_steps.at(aId.m_step).m_longRunning) {
     return;
   }
+  MarkAffectedChanged(aJobTable, aJob, aId);
   for (Subtask* member : AffectedSubtasks(aJob, aId)) {
     member->m_done = true;
     member->m_ranMs = aRanMs;
@@ -139,6 +170,7 @@
 
 void ApplyFailure(JobTable& aJobTable, Job& aJob, const SubtaskId& aId, std::uint32_t aMaxFailures)
 {
+  MarkAffectedChanged(aJobTable, aJob, aId);
   std::uint32_t maxFailures = 0;
   for (Subtask* member : AffectedSubtasks(aJob, aId)) {
     maxFailures = std::max(maxFailures, ++member->m_failures);
@@ -256,7 +288,7 @@
            aWallMs >= job.m_spec.m_firstDueMs + job.m_dueOccurrences * job.m_spec.m_intervalMs) {
       job.m_occurrences.emplace(job.m_dueOccurrences, MakeOccurrence(job.m_spec, aNowMs));
       ++job.m_dueOccurrences;
-      aJobTable.m_changed.insert(id);
+      MarkJobChanged(aJobTable, id);
     }
   }
 }
@@ -357,7 +389,7 @@
   subtask->m_lastRun = aNumber;
   subtask->m_runs.push_back(std::move(run));
   AllocateRun(aJobTable, aId, aServer);
-  aJobTable.m_changed.insert(aId.m_job);
+  MarkChanged(aJobTable, aJobTable.m_jobs.at(aId.m_job), aId);
   return aNumber;
 }
 
@@ -416,15 +448,15 @@
   }
   subtask->m_lastRun = std::max(subtask->m_lastRun, aEnd.m_run);
   subtask->m_lastEndedRun = std::max(subtask->m_lastEndedRun, aEnd.m_run);
-  aJobTable.m_changed.insert(aEnd.m_subtask.m_job);
-  aJobTable.m_jobs.at(aEnd.m_subtask.m_job).m_begun = true;
+  Job& job = aJobTable.m_jobs.at(aEnd.m_subtask.m_job);
+  MarkChanged(aJobTable, job, aEnd.m_subtask);
+  job.m_begun = true;
   if (subtask->m_done) {
     return true;
   }
   if (!aEnd.m_checkpoint.empty()) {
     subtask->m_checkpoint = aEnd.m_checkpoint;
   }
-  Job& job = aJobTable.m_jobs.at(aEnd.m_subtask.m_job);
   if (aEnd.m_kind == EndKind::Done) {
     ApplyDone(aJobTable, job, aEnd.m_subtask, ran);
   } else if (aEnd.m_kind == EndKind::Failed) {
@@ -440,6 +472,30 @@
   return runs;
 }
 
+void RemoveRecords(JobTable& aJobTable, const Job& aJob)
+{
+  for (std::uint32_t number = 0; number < PartCount(aJob.m_spec); ++number) {
+    aJobTable.m_changed.insert({ aJob.m_spec.m_id, number });
+  }
+}
+
+void CompleteRestoredGangs(JobTable& aJobTable)
+{
+  const std::set<JobId> active = aJobTable.m_active; // Completed jobs are removed from it.
+  for (const auto& id : active) {
+    Job& job = aJobTable.m_jobs.at(id);
+    for (auto& [number, occurrence] : job.m_occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+        const auto done = std::ranges::count(occurrence.m_steps[step], true, &Subtask::m_done);
+        if (job.m_spec.m_steps[step].m_gang && done != 0 &&
+            static_cast<std::size_t>(done) != occurrence.m_steps[step].size()) {
+          ApplyDone(aJobTable, job, { id, number, step, 0 }, 0);
+        }
+      }
+    }
+  }
+}
+
 std::vector<RunRef> RunsToStop(JobTable& aJobTable)
 {
   std::vector<RunRef> stops;
--- a/src/manager/Committer.cpp
+++ b/src/manager/Committer.cpp
@@ -19,8 +19,12 @@
 constexpr Millis kRetryMs = 100;
 constexpr Millis kMaxRetryMs = 400;
 constexpr Millis kAppendTimeoutMs = 1'000;
-/// With 1 kB for each job, an append stays far below the store's limit of 2 MiB.
-constexpr std::size_t kMaxJobsPerAppend = 500;
+/// Limits the time that one append takes to encode.
+constexpr std::size_t kMaxRecordsPerAppend = 500;
+/// The store adds a length of this size to each record.
+constexpr std::size_t kRecordLengthBytes = 4;
+/// Length of a key, in its record.
+constexpr std::size_t kKeyLengthBytes = 1;
 /// Longest pause between copies of an append to a store that was fast. The recovery of an
 /// unresponsive store is noticed within this time, and a slow store has at most five copies in its
 /// queue.
@@ -91,18 +95,21 @@
   Append append;
   append.m_batch = std::exchange(m_next, {});
   auto& changed = m_state.m_jobTable.m_changed;
-  while (!changed.empty() && append.m_records.size() < kMaxJobsPerAppend) {
-    const JobId id = *changed.begin();
-    changed.erase(changed.begin());
-    const auto job = m_state.m_jobTable.m_jobs.find(id);
-    if (job == m_state.m_jobTable.m_jobs.end()) {
-      append.m_records.push_back(platform::EncodeKeyed(id, std::nullopt));
-      continue;
+  std::size_t bytes = 0;
+  while (!changed.empty() && append.m_records.size() < kMaxRecordsPerAppend) {
+    const ProgressPart& part = *changed.begin();
+    std::string record = EncodeRecord(part);
+    bytes += kRecordLengthBytes + record.size();
+    if (!append.m_records.empty() && bytes > m_state.m_settings.m_storeCallBytes) {
+      break;
     }
-    append.m_records.push_back(platform::EncodeKeyed(id, EncodeProgress(job->second)));
-    if (job->second.m_phase != JobPhase::Active && !job->second.m_phaseStored) {
-      append.m_batch.m_finished.push_back(id);
+    append.m_records.push_back(std::move(record));
+    const auto job = m_state.m_jobTable.m_jobs.find(part.m_job);
+    if (part.m_number == 0 && job != m_state.m_jobTable.m_jobs.end() &&
+        job->second.m_phase != JobPhase::Active && !job->second.m_phaseStored) {
+      append.m_batch.m_finished.push_back(part.m_job);
     }
+    changed.erase(changed.begin());
   }
   if (!changed.empty()) {
     // The rest waits for the next append, and so do the runs and ends that belong to it.
@@ -120,6 +127,26 @@
   }
 }
 
+std::string Committer::EncodeRecord(const ProgressPart& aPart) const
+{
+  const std::string key = KeyOf(aPart);
+  const auto job = m_state.m_jobTable.m_jobs.find(aPart.m_job);
+  // A job without a specification has no subtasks, so its later parts are removed.
+  if (job == m_state.m_jobTable.m_jobs.end() ||
+      (aPart.m_number != 0 && job->second.m_spec.m_steps.empty())) {
+    return platform::EncodeKeyed(key, std::nullopt);
+  }
+  const std::size_t maxBytes = m_state.m_settings.m_storeRecordBytes;
+  std::string record = platform::EncodeKeyed(
+    key, EncodeProgress(job->second, aPart.m_number, maxBytes - kKeyLengthBytes - key.size()));
+  if (record.size() > maxBytes) {
+    LogEvent("owner", "record-too-large", "id={} part={} bytes={} max_bytes={}", aPart.m_job,
+             aPart.m_number, record.size(), maxBytes);
+    Count(m_state.m_metrics, "records_too_large_total");
+  }
+  return record;
+}
+
 void Committer::Send()
 {
   ++m_inFlight->m_sendCount;
@@ -192,7 +219,7 @@
       return;
     default:
       if (m_inFlight->m_failures++ == 0) {
-        LogEvent("owner", "commit-delayed", "outcome={} jobs={} after_ms={}",
+        LogEvent("owner", "commit-delayed", "outcome={} records={} after_ms={}",
                  static_cast<int>(aResult.m_outcome), m_inFlight->m_records.size(),
                  MonotonicMs() - m_inFlight->m_begunMs);
       }
--- a/src/manager/Committer.h
+++ b/src/manager/Committer.h
@@ -74,6 +74,7 @@
   };
 
   void Flush();
+  [[nodiscard]] std::string EncodeRecord(const ProgressPart& aPart) const;
   void Send();
   /// \brief Sends another copy of the append in flight, unless it gets a response before.
   void ResendAfter(Millis aDelayMs);
--- a/src/manager/EntrySettings.cpp
+++ b/src/manager/EntrySettings.cpp
@@ -11,6 +11,8 @@
 
 /// Each partition is read by separate calls, so more partitions only add calls.
 constexpr std::uint32_t kMaxStorePartitions = 8;
+constexpr double kMinSizeBytes = 1'024;
+constexpr double kMaxSizeBytes = 1'073'741'824;
 
 /// \brief Reads one table and adds a reason for every missing or invalid key.
 class TableReader
@@ -50,6 +52,17 @@
     return value.value_or(0);
   }
 
+  /// \brief A number of bytes that has room for at least a key and a short value.
+  [[nodiscard]] std::size_t Size(const char* aKey) const
+  {
+    const double size = Number(aKey);
+    if (size < kMinSizeBytes || size > kMaxSizeBytes) {
+      Fail(aKey, "set it to a number of bytes from 1024 to 1073741824");
+      return static_cast<std::size_t>(kMinSizeBytes);
+    }
+    return static_cast<std::size_t>(size);
+  }
+
   [[nodiscard]] Millis Milliseconds(const char* aKey) const
   {
     return static_cast<Millis>(std::llround(Number(aKey)));
@@ -123,6 +136,12 @@
   settings.m_storeReadsPerS = store.Number("reads_per_s");
   settings.m_storePartitions =
     std::clamp(static_cast<std::uint32_t>(store.Number("partitions")), 1U, kMaxStorePartitions);
+  if ((*file)["store"]["record_bytes"]) {
+    settings.m_storeRecordBytes = store.Size("record_bytes");
+  }
+  if ((*file)["store"]["call_bytes"]) {
+    settings.m_storeCallBytes = store.Size("call_bytes");
+  }
   const TableReader instances{ *file, "instances", aReasons };
   settings.m_instances = instances.Address("address");
   settings.m_instanceOrdersPerS = instances.Number("orders_per_s");
--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -49,7 +49,9 @@
   std::optional<Endpoint> m_advice;
   double m_storeWritesPerS{};
   double m_storeReadsPerS{};
-  std::uint32_t m_storePartitions{ 1 }; ///< Of the submission topic.
+  std::uint32_t m_storePartitions{ 1 };      ///< Of the submission topic.
+  std::size_t m_storeRecordBytes{ 262'144 }; ///< Largest record.
+  std::size_t m_storeCallBytes{ 2'097'152 }; ///< Largest total of the records of one append.
   double m_instanceOrdersPerS{};
   double m_instanceListsPerS{};
   /// With more backend servers than this, other entry instances carry the owner's orders. Up to
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -317,6 +317,7 @@
 void FleetOwner::FinishLoad()
 {
   m_loaded = true;
+  CompleteRestoredGangs(m_state.m_jobTable);
   const Millis lease = LatestLeaseEndMs(
     m_state.m_claimedMs, std::min(m_state.m_settings.m_bounds.m_maxLeaseMs, kLongestGrantMs));
   for (const auto& [id, subtasks] : m_state.m_jobTable.m_byServer) {
@@ -603,7 +604,7 @@
     const bool old = job.m_phase != JobPhase::Active && job.m_phaseStored &&
                      aNowMs - job.m_finishedMs > keep && !m_cleaner.Contains(aEntry.first);
     if (old) {
-      m_state.m_jobTable.m_changed.insert(aEntry.first);
+      RemoveRecords(m_state.m_jobTable, job);
     }
     return old;
   });
--- a/src/manager/JobApi.cpp
+++ b/src/manager/JobApi.cpp
@@ -168,12 +168,21 @@
     aRespond(ErrorResponse(400, fault));
     return;
   }
+  std::string record =
+    platform::EncodeKeyed(std::string{ kSubmissionPrefix } + aId, EncodeSubmission(*spec));
+  // The store would refuse it each time, together with the submissions of other callers in the same
+  // append.
+  if (record.size() > m_context.m_maxRecordBytes) {
+    LogEvent("http", "too-large", "id={} queue={} bytes={} max_bytes={}", aId, aQueue.m_name,
+             record.size(), m_context.m_maxRecordBytes);
+    aRespond(ErrorResponse(413, "the job exceeds the largest record of the store"));
+    return;
+  }
   const Millis now = MonotonicMs();
-  auto submission = std::make_shared<Submission>(Submission{
-    aId, aQueue.m_name,
-    platform::EncodeKeyed(std::string{ kSubmissionPrefix } + aId, EncodeSubmission(*spec)),
-    std::move(aRespond), now, now + CallerTimeoutMs(aRequest) - kResponseMarginMs, 0, false, false,
-    asio::steady_timer{ m_context.m_loop } });
+  auto submission = std::make_shared<Submission>(
+    Submission{ aId, aQueue.m_name, std::move(record), std::move(aRespond), now,
+                now + CallerTimeoutMs(aRequest) - kResponseMarginMs, 0, false, false,
+                asio::steady_timer{ m_context.m_loop } });
   Begin(submission);
 }
 
--- a/src/manager/JobApi.h
+++ b/src/manager/JobApi.h
@@ -42,6 +42,7 @@
   SubmissionWriter& m_writer;
   Metrics& m_metrics;
   const Configuration& m_configuration; ///< Revision 0: none has been read yet.
+  std::size_t m_maxRecordBytes{};       ///< Largest record that the store takes.
   /// \brief Forwards a request for a job state or a pending count to the owner of the fleet.
   std::function<void(const std::string& aPath, HttpResponder aDone)> m_askOwner;
   /// \brief Has the owner store a record of the submission topic when this instance cannot.
--- a/tests/standins/PreparedStore.h
+++ b/tests/standins/PreparedStore.h
@@ -69,9 +69,11 @@
     return value;
   }
 
-  bool m_down{};               ///< Every call gets 503.
-  std::string m_refusedTopic;  ///< Appends to this topic get 503.
-  std::string m_silentTopic;   ///< Appends to it are not stored and get no response.
+  bool m_down{};                           ///< Every call gets 503.
+  std::string m_refusedTopic;              ///< Appends to this topic get 503.
+  std::size_t m_maxRecordBytes{ 262'144 }; ///< An append with a larger record gets 400.
+  std::size_t m_maxCallBytes{ 2'097'152 }; ///< An append with more bytes of records gets 400.
+  std::string m_silentTopic;               ///< Appends to it are not stored and get no response.
   bool m_breakAppends{};       ///< Appends are not stored, and their connections are closed.
   bool m_silentReads{};        ///< Reads and lists get no response.
   int m_refusedCalls{};        ///< Number of calls that got 503.
@@ -182,8 +184,16 @@
     });
   }
 
-  static HttpResponse Append(const HttpRequest& aRequest, Topic& aTopic)
+  [[nodiscard]] HttpResponse Append(const HttpRequest& aRequest, Topic& aTopic) const
   {
+    // The body has the format of the records in a response, without the two offsets.
+    const auto batch = platform::DecodeRecords(std::string(16, '\0') + aRequest.m_body);
+    if (aRequest.m_body.size() > m_maxCallBytes ||
+        std::ranges::any_of(batch->m_records, [this](const std::string& aRecord) {
+          return aRecord.size() > m_maxRecordBytes;
+        })) {
+      return Json(400, {});
+    }
     const Offset end = aTopic.m_records.size();
     if (aRequest.m_query.contains("at") && Number(aRequest, "at") != end) {
       return Json(412, { { "end", end } });
@@ -209,8 +219,6 @@
         writer.m_sequence = sequence;
       }
     }
-    // The body has the format of the records in a response, without the two offsets.
-    const auto batch = platform::DecodeRecords(std::string(16, '\0') + aRequest.m_body);
     for (const auto& record : batch->m_records) {
       aTopic.m_records.push_back(record);
     }
--- a/tests/unit/CommitterTest.cpp
+++ b/tests/unit/CommitterTest.cpp
@@ -65,7 +65,7 @@
   /// \brief Adds an end that the server reported and schedules its record for storage.
   void AddEnd(const JobId& aJob, std::uint64_t aNumber)
   {
-    m_state.m_jobTable.m_changed.insert(aJob);
+    m_state.m_jobTable.m_changed.insert({ aJob, 0 });
     m_committer.AddEnds({ "s1", 1, aNumber });
     m_committer.FlushSoon();
   }
@@ -86,6 +86,25 @@
     });
   }
 
+  /// \brief Applies all appends that have no response yet.
+  void ApplyOpenAppends()
+  {
+    for (const auto index : Appends()) {
+      if (m_client.m_sent[index].m_callback) {
+        Respond(index, ApplyAppend(index));
+      }
+    }
+  }
+
+  /// \brief Sizes of the records in the body of an append.
+  static std::vector<std::size_t> RecordSizes(const std::string& aBody)
+  {
+    const auto batch = platform::DecodeRecords(std::string(16, '\0') + aBody);
+    std::vector<std::size_t> sizes;
+    std::ranges::transform(batch->m_records, std::back_inserter(sizes), &std::string::size);
+    return sizes;
+  }
+
   Committer m_committer;
   std::vector<CommitBatch> m_stored;
   std::vector<std::string> m_log;                   ///< Bodies that the store has appended.
@@ -134,5 +153,42 @@
   EXPECT_TRUE(IsInLog("next-job"));
 }
 
+// Guards against a wide job that stops the whole fleet: its progress was one record, which exceeded
+// the limit of the store, and the append with it was refused and repeated forever (review, case 1).
+TEST_F(CommitterTest, WideJob_AllSubtasksPlanned_RecordsAndCallsStayWithinTheLimits)
+{
+  constexpr std::uint32_t kSubtasks = 20'000;
+  constexpr std::size_t kMaxRecordBytes = 262'144;
+  constexpr std::size_t kMaxCallBytes = 2'097'152;
+  JobSpec wide;
+  wide.m_id = "wide";
+  wide.m_queue = "lookups";
+  wide.m_pool = "lookup";
+  wide.m_steps.emplace_back();
+  wide.m_steps.back().m_count = kSubtasks;
+  ASSERT_TRUE(AddJob(m_state.m_jobTable, wide, MonotonicMs(), 0));
+  for (std::uint32_t index = 0; index < kSubtasks; ++index) {
+    const SubtaskId id{ "wide", 0, 0, index };
+    FindSubtask(m_state.m_jobTable, id)->m_checkpoint = std::string(200, 'c');
+    PlanRun(m_state.m_jobTable, id, "s1", 1, MonotonicMs());
+    m_committer.AddPlanned({ id, 1, "s1" });
+  }
+  m_committer.FlushSoon();
+  const auto isStored = [this] {
+    return std::ranges::any_of(
+      m_stored, [](const CommitBatch& aBatch) { return aBatch.m_planned.size() == kSubtasks; });
+  };
+  for (int i = 0; i < 200 && !isStored(); ++i) {
+    RunFor(20);
+    ApplyOpenAppends();
+  }
+  ASSERT_TRUE(isStored());
+  for (const auto& body : m_log) {
+    const auto sizes = RecordSizes(body);
+    EXPECT_LE(std::ranges::max(sizes), kMaxRecordBytes);
+    EXPECT_LE(body.size(), kMaxCallBytes);
+  }
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/unit/JobTableTest.cpp
+++ b/tests/unit/JobTableTest.cpp
@@ -225,5 +225,88 @@
   EXPECT_EQ(m_jobTable.m_used["s1"], Resources{});
 }
 
+// Guards against an owner that loses the progress of a wide job, which is stored in several
+// records.
+TEST_F(JobTableTest, Progress_WideJob_IsRestoredFromItsPartsInAnyOrder)
+{
+  constexpr std::uint32_t kCount = 3 * kSubtasksPerPart;
+  JobSpec spec = Spec("a", { Step(1), Step(kCount) });
+  spec.m_intervalMs = 1'000;
+  spec.m_occurrences = 2;
+  ASSERT_TRUE(AddJob(m_jobTable, spec, kNow, 0));
+  OpenDueOccurrences(m_jobTable, 10'000, kNow);
+  for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+    for (std::uint32_t index = 0; index < kCount; ++index) {
+      const auto run = Run({ "a", occurrence, 1, index }, "s1");
+      if (index % 3 != 0) {
+        End(run, index % 3 == 1 ? EndKind::Done : EndKind::Stopped, "saved");
+      }
+    }
+  }
+  const Job& job = m_jobTable.m_jobs.at("a");
+  ASSERT_EQ(PartCount(spec), m_jobTable.m_changed.size());
+  JobTable later;
+  ASSERT_TRUE(AddJob(later, spec, kNow, 0));
+  for (std::uint32_t number = PartCount(spec); number-- > 0;) {
+    ASSERT_TRUE(ApplyProgress(later, KeyOf({ "a", number }), EncodeProgress(job, number), kNow));
+  }
+  for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+    for (std::uint32_t index = 0; index < kCount; ++index) {
+      const SubtaskId id{ "a", occurrence, 1, index };
+      const Subtask& before = *FindSubtask(m_jobTable, id);
+      const Subtask& after = *FindSubtask(later, id);
+      EXPECT_EQ(after.m_done, before.m_done) << index;
+      EXPECT_EQ(after.m_lastEndedRun, before.m_lastEndedRun) << index;
+      EXPECT_EQ(after.m_runs.size(), before.m_runs.size()) << index;
+      EXPECT_EQ(after.m_checkpoint, before.m_checkpoint) << index;
+    }
+  }
+  EXPECT_EQ(later.m_load.at("s1").m_runs, m_jobTable.m_load.at("s1").m_runs);
+}
+
+// Guards against a gang that never ends: its owner died after it had stored the end of the gang for
+// some members only, because the records of all of them do not fit into one append.
+TEST_F(JobTableTest, CompleteRestoredGangs_SomeMembersDone_JobIsCompleted)
+{
+  StepSpec gang = Step(2 * kSubtasksPerPart);
+  gang.m_gang = true;
+  Add("a", { gang });
+  FindSubtask(m_jobTable, kFirst)->m_done = true;
+  CompleteRestoredGangs(m_jobTable);
+  EXPECT_EQ(m_jobTable.m_jobs.at("a").m_phase, JobPhase::Completed);
+}
+
+// Guards against records that stay in the store after their job was forgotten.
+TEST_F(JobTableTest, ApplyProgress_LaterPartOfAnUnknownJob_IsScheduledForRemoval)
+{
+  Add("a", { Step(2 * kSubtasksPerPart) });
+  const std::string record = EncodeProgress(m_jobTable.m_jobs.at("a"), 1);
+  JobTable later;
+  EXPECT_TRUE(ApplyProgress(later, "a.1", record, kNow));
+  EXPECT_TRUE(later.m_jobs.empty());
+  EXPECT_TRUE(later.m_changed.contains({ "a", 1 }));
+}
+
+// Guards against a record that exceeds the limit of the store because of long checkpoints.
+TEST_F(JobTableTest, EncodeProgress_LongCheckpoints_OmittedBeyondTheLimit)
+{
+  Add("a", { Step(1) });
+  End(Run(kFirst, "s1"), EndKind::Stopped, std::string(4'000, 'c'));
+  const Job& job = m_jobTable.m_jobs.at("a");
+  EXPECT_GT(EncodeProgress(job, 0, 5'000).size(), 4'000U);
+  EXPECT_LT(EncodeProgress(job, 0, 3'000).size(), 3'000U);
+}
+
+// Guards against records that are stored under the key of another part or job.
+TEST_F(JobTableTest, ParseProgressKey_KeysOfParts_RoundTripAndOthersAreRefused)
+{
+  for (const std::uint32_t number : { 0U, 1U, 6'249U }) {
+    EXPECT_EQ(ParseProgressKey(KeyOf({ "a", number })), (ProgressPart{ "a", number }));
+  }
+  for (const auto* key : { "", ".1", "a.", "a.0", "a.01", "a.-1", "a.b", "a.1.2", "a.1 " }) {
+    EXPECT_EQ(ParseProgressKey(key), std::nullopt) << key;
+  }
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/unit/MalformedRecordTest.cpp
+++ b/tests/unit/MalformedRecordTest.cpp
@@ -214,7 +214,7 @@
     EXPECT_EQ(m_jobTable.m_jobs.at(kId).m_phase, JobPhase::Failed);
   }
   EXPECT_TRUE(m_jobTable.m_active.empty());
-  EXPECT_TRUE(m_jobTable.m_changed.contains(kId));
+  EXPECT_TRUE(m_jobTable.m_changed.contains({ kId, 0 }));
   EXPECT_FALSE(AddJob(m_jobTable, Spec(kId, { Step(2) }), kNow, 0));
   FailUnreadableJob(m_jobTable, "odd key", kNow);
   EXPECT_FALSE(m_jobTable.m_jobs.contains("odd key"));
