--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -47,9 +47,6 @@
 /// ownership.
 constexpr Millis kExpectedTimesUpdateMs = 500;
 constexpr Millis kLogMs = 1'000;
-constexpr std::size_t kMaxAdviceServers = 100;
-constexpr std::size_t kMaxAdviceCalls = 4;
-constexpr Millis kAdviceMarginMs = 1'000;
 constexpr Millis kCarriersRetryMs = 1'000;
 /// Time to read the submissions after an outage: the longest pause between the reads of a topic and
 /// one read. A partition that is unavailable for longer delays nothing else.
@@ -67,6 +64,11 @@
   return isWhole ? std::optional{ number } : std::nullopt;
 }
 
+StepId StepOf(const SubtaskId& aId)
+{
+  return { aId.m_job, aId.m_occurrence, aId.m_step };
+}
+
 std::function<void(std::string_view, std::string_view)> OnMalformedRecord(Metrics& aMetrics)
 {
   return [&aMetrics](std::string_view aKey, std::string_view aCause) {
@@ -80,6 +82,7 @@
   : m_state(std::move(aState))
   , m_committer(m_state, [this](const CommitBatch& aBatch) { OnStored(aBatch); })
   , m_runs(m_state, m_committer, [this] { ScheduleSoon(); })
+  , m_advice(m_state, [this] { ScheduleSoon(); })
   , m_fleet(m_state, m_runs)
   , m_cleaner(m_state)
   , m_registry(m_state.m_loop, m_state.m_store,
@@ -100,6 +103,9 @@
   , m_loadTimer(m_state.m_loop)
   , m_ticker(m_state.m_loop, kTickMs, [this] { Tick(); })
 {
+  m_runs.m_onTicketRefused = [this](const RunRef& aRun) {
+    m_advice.Discard(StepOf(aRun.m_subtask), aRun.m_server);
+  };
   for (std::uint32_t number = 0; number < m_state.m_settings.m_storePartitions; ++number) {
     m_submissions.push_back(std::make_unique<TopicTail>(
       m_state.m_loop, m_state.m_store,
@@ -425,67 +431,17 @@
   input.m_nowMs = aNowMs;
   input.m_remoteFactor = m_state.m_settings.m_bounds.m_remoteFactor;
   input.m_meanWork = m_state.m_meanWork;
-  std::erase_if(m_tickets,
-                [&](const auto& aEntry) { return m_ticketsEndMs[aEntry.first] < aNowMs; });
-  input.m_tickets = m_tickets;
+  input.m_tickets = m_advice.Tickets(aNowMs);
   const auto result =
     PlaceSubtasks(m_state.m_jobTable, m_state.m_configuration, availableServers, input);
   for (const auto& placement : result.m_placements) {
     m_committer.AddPlanned({ placement.m_subtask, placement.m_run, placement.m_server });
-    const auto tickets = m_tickets.find(
-      { placement.m_subtask.m_job, placement.m_subtask.m_occurrence, placement.m_subtask.m_step });
-    if (tickets != m_tickets.end()) {
+    const auto tickets = input.m_tickets.find(StepOf(placement.m_subtask));
+    if (tickets != input.m_tickets.end()) {
       m_runs.m_tickets[placement.m_subtask] = tickets->second.at(placement.m_server);
     }
   }
-  AskAdvice(result.m_stepsWithoutTickets, availableServers);
-}
-
-void FleetOwner::AskAdvice(const std::vector<StepId>& aSteps,
-                           const std::vector<ServerView>& aServers)
-{
-  if (!m_state.m_settings.m_advice) {
-    return;
-  }
-  for (const auto& step : aSteps) {
-    if (m_adviceInFlight.size() >= kMaxAdviceCalls || m_adviceInFlight.contains(step)) {
-      continue;
-    }
-    const Job& job = m_state.m_jobTable.m_jobs.at(step.m_job);
-    const PoolName& pool = PoolOf(job, m_state.m_configuration);
-    std::vector<ServerId> servers;
-    for (const auto& availableServer : aServers) {
-      if (availableServer.m_pool == pool && servers.size() < kMaxAdviceServers) {
-        servers.push_back(availableServer.m_id);
-      }
-    }
-    const QueueRule* rule = FindQueueByName(m_state.m_configuration, job.m_spec.m_queue);
-    if (servers.empty() || rule == nullptr || !rule->m_advice) {
-      continue;
-    }
-    m_adviceInFlight.insert(step);
-    const Millis sent = MonotonicMs();
-    const Millis timeout = rule->m_advice->m_decisionMs +
-                           static_cast<Millis>(servers.size()) * rule->m_advice->m_perServerMs +
-                           kAdviceMarginMs;
-    platform::AskAdvice(
-      m_state.m_client, ToString(*m_state.m_settings.m_advice), step, servers, timeout,
-      m_state.Guard([this, step, sent](const std::optional<platform::Advice>& aAdvice) {
-        m_adviceInFlight.erase(step);
-        if (aAdvice && aAdvice->m_malformedRows.m_count != 0) {
-          ReportMalformedEntry(m_state.m_metrics, "advice_unreadable_total", "job", step.m_job,
-                               aAdvice->m_malformedRows.m_cause);
-        }
-        if (aAdvice) {
-          m_tickets[step] = aAdvice->m_tickets;
-          m_ticketsEndMs[step] = sent + aAdvice->m_validMs;
-        }
-        LogEvent("job", "advice", "id={} step={} answered={} good={} after_ms={}", step.m_job,
-                 step.m_step, aAdvice.has_value(), aAdvice ? aAdvice->m_tickets.size() : 0,
-                 MonotonicMs() - sent);
-        ScheduleSoon();
-      }));
-  }
+  m_advice.Ask(result.m_stepsWithoutTickets, availableServers);
 }
 
 void FleetOwner::OnStored(const CommitBatch& aBatch)
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdviceCalls.h"
 #include "Committer.h"
 #include "FleetControl.h"
 #include "OwnerState.h"
@@ -91,7 +92,6 @@
   void LogBacklog(Millis aNowMs);
   void Place(Millis aNowMs);
   void StopRunsOnDrainingServers();
-  void AskAdvice(const std::vector<StepId>& aSteps, const std::vector<ServerView>& aServers);
   void OnStored(const CommitBatch& aBatch);
   void Tick();
   void ForgetOldJobs(Millis aNowMs);
@@ -107,6 +107,7 @@
   OwnerState m_state;
   Committer m_committer;
   RunControl m_runs;
+  AdviceCalls m_advice;
   FleetControl m_fleet;
   SubmissionCleaner m_cleaner;
   std::vector<std::unique_ptr<TopicTail>> m_submissions; ///< One for each partition.
@@ -128,9 +129,6 @@
   Millis m_expectedTimesUpdatedMs{}; ///< When the expected times of all jobs were updated.
   Millis m_tickMs{};                 ///< Time of the last tick.
   std::set<JobId> m_cancels;         ///< Cancellations that were read before the progress.
-  std::map<StepId, std::map<ServerId, Ticket>> m_tickets;
-  std::map<StepId, Millis> m_ticketsEndMs;
-  std::set<StepId> m_adviceInFlight;
 };
 
 } // namespace pistachiostand::fleet
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -373,7 +373,9 @@
         return;
       }
       Drop(ref, "refused");
-      if (aResult.m_response.m_refusal != OrderRefusal::InvalidTicket) {
+      if (aResult.m_response.m_refusal == OrderRefusal::InvalidTicket) {
+        m_onTicketRefused(ref);
+      } else {
         server.m_avoidUntilMs = now + kAvoidAfterRefusalMs;
         PollNow(server);
       }
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -51,6 +51,8 @@
   [[nodiscard]] bool IsUsable(const ServerState& aServer, Millis aNowMs) const;
 
   std::map<SubtaskId, Ticket> m_tickets; ///< Tickets of planned runs of queues with advice.
+  /// \brief Called when a server has refused the ticket of a start.
+  std::function<void(const RunRef&)> m_onTicketRefused = [](const RunRef& /*aRun*/) {};
 
 private:
   /// \brief An order in flight. The server may register at another address before it responds.
--- a/tests/manager/EntryInstanceFixture.h
+++ b/tests/manager/EntryInstanceFixture.h
@@ -84,6 +84,7 @@
     settings.m_metricsListen = At(base + 4); // The port in between is for carriers.
     settings.m_store = m_storeAddress;
     settings.m_storePartitions = 4;
+    settings.m_advice = m_advice;
     settings.m_instances = At(9); // Nothing listens there, so capacity does not change.
     settings.m_maxDirectServers = m_maxDirectServers;
     settings.m_instanceOrdersPerS = m_instanceOrdersPerS;
@@ -196,7 +197,8 @@
   std::set<int> m_paused;             ///< Instances whose loops do not run.
   std::map<int, std::string> m_zones; ///< Zones of the instances outside z1.
   std::uint32_t m_maxDirectServers = 120;
-  double m_instanceOrdersPerS = 0; ///< 0: not set.
+  double m_instanceOrdersPerS = 0;  ///< 0: not set.
+  std::optional<Endpoint> m_advice; ///< Placement service; nullopt: none.
 };
 
 } // namespace pistachiostand::fleet
