Keep the terms of the queue under which a job was accepted

Cause: the attempts were looked up in the configuration in force, and were 1 when the queue was not in it.

Change: a submission holds the terms of its queue (attempts, objective, advice), and TermsOf falls back to them. Related: with its route removed, a job of a queue with advice was started without tickets, and an objective fell to the bare critical path. Fields that were added to a stored type may be missing in earlier records (AddedFieldCount).

--- a/include/pistachiostand/fleet/Configuration.h
+++ b/include/pistachiostand/fleet/Configuration.h
@@ -29,8 +29,21 @@
   friend auto operator<=>(const AdviceCosts&, const AdviceCosts&) = default;
 };
 
+/// \brief What a queue promises its jobs. A job keeps the terms under which it was accepted for the
+/// time in which the configuration does not contain its queue.
+struct QueueTerms
+{
+  std::uint32_t m_maxFailures{ 1 }; ///< Failed runs of one subtask after which its job fails.
+  /// The time objective of a job is m_stretch times its critical path plus m_objectiveBaseMs.
+  double m_stretch{ 1.0 };
+  Millis m_objectiveBaseMs{};
+  std::optional<AdviceCosts> m_advice;
+
+  friend bool operator==(const QueueTerms&, const QueueTerms&) = default;
+};
+
 /// \brief A queue of jobs, addressed by host and path prefix.
-struct QueueRule
+struct QueueRule : QueueTerms
 {
   QueueName m_name;
   std::string m_host;
@@ -38,11 +51,6 @@
   PoolName m_pool; ///< Pool whose backend servers run the subtasks.
   /// Priority from the platform's configuration, 0 the highest; the scheduler does not compare it.
   std::uint32_t m_priority{};
-  std::uint32_t m_maxFailures{ 1 }; ///< Failed runs of one subtask after which its job fails.
-  /// The time objective of a job is m_stretch times its critical path plus m_objectiveBaseMs.
-  double m_stretch{ 1.0 };
-  Millis m_objectiveBaseMs{};
-  std::optional<AdviceCosts> m_advice;
 
   friend bool operator==(const QueueRule&, const QueueRule&) = default;
 };
--- a/include/pistachiostand/job/JobLimits.h
+++ b/include/pistachiostand/job/JobLimits.h
@@ -30,6 +30,9 @@
 /// \brief Runs that one subtask may have at a time: speculative copies, and one for each change of
 /// owner that left a start without a response.
 inline constexpr std::size_t kMaxRunsOfSubtask = 64;
+/// \brief Limit of QueueTerms::m_stretch. Multiplied by the longest critical path, 256 steps of the
+/// longest duration, it still fits into Millis.
+inline constexpr double kMaxStretch = 10'000;
 inline constexpr std::uint32_t kMaxFailures = 1'000'000'000;
 
 /// \brief True if the id is usable as a record key and as part of a subtask name.
--- a/include/pistachiostand/job/JobSpec.h
+++ b/include/pistachiostand/job/JobSpec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pistachiostand/base/Types.h"
+#include "pistachiostand/fleet/Configuration.h"
 #include "pistachiostand/fleet/Resources.h"
 
 #include <boost/container/small_vector.hpp>
@@ -53,6 +54,7 @@
   Millis m_intervalMs{};
   std::uint32_t m_occurrences{}; ///< 0: runs once and has no due times.
   std::vector<StepSpec> m_steps;
+  QueueTerms m_terms; ///< Of the queue, at acceptance.
 
   friend bool operator==(const JobSpec&, const JobSpec&) = default;
 };
--- a/include/pistachiostand/job/ProgressPart.h
+++ b/include/pistachiostand/job/ProgressPart.h
@@ -17,8 +17,8 @@
 
 namespace pistachiostand::fleet {
 
-/// \brief Subtasks in one part. With checkpoints and names of the largest permitted size and a few
-/// runs each, they stay below the 256 KiB that a record of the platform's store may have.
+/// \brief Subtasks in one part. Without long checkpoints, which a record that would be too large
+/// omits, they need far less than the 256 KiB that a record of the platform's store may have.
 inline constexpr std::uint32_t kSubtasksPerPart = 32;
 
 /// \brief One part of the progress of a job, which is stored as one record.
--- a/include/pistachiostand/job/Scheduler.h
+++ b/include/pistachiostand/job/Scheduler.h
@@ -95,6 +95,11 @@
 SchedulerResult PlaceSubtasks(JobTable& aJobTable, const Configuration& aConfiguration,
                               std::vector<ServerView>& aServers, const SchedulerInput& aInput);
 
+/// \brief Terms of the queue of a job: those in force, or those at acceptance if the configuration
+/// does not contain the queue.
+/// \param aRule the queue in force; null when the configuration does not contain it.
+[[nodiscard]] const QueueTerms& TermsOf(const Job& aJob, const QueueRule* aRule) noexcept;
+
 /// \brief Pool that runs the subtasks of a job: that of its queue, or the one it was accepted for
 /// when the queue no longer exists.
 [[nodiscard]] const PoolName& PoolOf(const Job& aJob, const Configuration& aConfiguration) noexcept;
@@ -109,7 +114,7 @@
                                              Millis aNowMs);
 
 /// \brief Deadline of the objective of an occurrence, on the owner's steady clock.
-[[nodiscard]] Millis ObjectiveEndMs(const Job& aJob, const QueueRule& aRule,
+[[nodiscard]] Millis ObjectiveEndMs(const Job& aJob, const QueueTerms& aTerms,
                                     std::uint32_t aOccurrence) noexcept;
 
 } // namespace pistachiostand::fleet
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -267,11 +267,29 @@
          aStep.m_speculative, aStep.m_longRunning, aStep.m_bestEffort);
 }
 
+template<typename V>
+void Fields(AdviceCosts& aCosts, V aVisit)
+{
+  aVisit(aCosts.m_decisionMs, aCosts.m_perServerMs, aCosts.m_validMs);
+}
+
+template<typename V>
+void Fields(QueueTerms& aTerms, V aVisit)
+{
+  aVisit(aTerms.m_maxFailures, aTerms.m_stretch, aTerms.m_objectiveBaseMs, aTerms.m_advice);
+}
+
 template<typename V>
 void Fields(JobSpec& aSpec, V aVisit)
 {
   aVisit(aSpec.m_id, aSpec.m_queue, aSpec.m_pool, aSpec.m_payload, aSpec.m_acceptedMs,
-         aSpec.m_firstDueMs, aSpec.m_intervalMs, aSpec.m_occurrences, aSpec.m_steps);
+         aSpec.m_firstDueMs, aSpec.m_intervalMs, aSpec.m_occurrences, aSpec.m_steps, aSpec.m_terms);
+}
+
+/// \brief Earlier records lack m_terms.
+static constexpr std::size_t AddedFieldCount(const JobSpec& /*aSpec*/) noexcept
+{
+  return 1;
 }
 
 std::string EncodeSubmission(const JobSpec& aSpec)
--- a/src/job/JobLimits.cpp
+++ b/src/job/JobLimits.cpp
@@ -3,6 +3,7 @@
 #include "pistachiostand/base/Bounds.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachiostand::fleet {
 
@@ -13,6 +14,15 @@
   return aNeed >= 0 && aNeed <= kMaxNeed;
 }
 
+bool IsValid(const QueueTerms& aTerms) noexcept
+{
+  const auto& advice = aTerms.m_advice;
+  return aTerms.m_maxFailures > 0 && std::isfinite(aTerms.m_stretch) && aTerms.m_stretch >= 0 &&
+         aTerms.m_stretch <= kMaxStretch && IsTime(aTerms.m_objectiveBaseMs) &&
+         (!advice || (IsTime(advice->m_decisionMs) && IsTime(advice->m_perServerMs) &&
+                      IsTime(advice->m_validMs)));
+}
+
 std::string_view ValidationErrorOf(const StepSpec& aStep, std::size_t aIndex) noexcept
 {
   if (aStep.m_count == 0 || aStep.m_count > kMaxSubtasks) {
@@ -64,6 +74,9 @@
       (aSpec.m_intervalMs > 0 && aSpec.m_occurrences > kMaxTimeMs / aSpec.m_intervalMs)) {
     return "a time is out of range";
   }
+  if (!IsValid(aSpec.m_terms)) {
+    return "the terms of the queue are out of range";
+  }
   if (aSpec.m_steps.empty() || aSpec.m_steps.size() > kMaxSteps) {
     return "the number of steps is out of range";
   }
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -42,21 +42,21 @@
 };
 
 /// \brief Slack that a job needs beyond its expected time to rarely miss its objective.
-Millis SafetyMarginMs(const Job& aJob, const QueueRule& aRule, Millis aCriticalPathMs)
+Millis SafetyMarginMs(const Job& aJob, const QueueTerms& aTerms, Millis aCriticalPathMs)
 {
-  const double stretch = std::max(aRule.m_stretch - 1.0, 0.0);
+  const double stretch = std::max(aTerms.m_stretch - 1.0, 0.0);
   return static_cast<Millis>(kSafetyShare * stretch * static_cast<double>(aCriticalPathMs)) +
          kStepDelayMs * static_cast<Millis>(aJob.m_spec.m_steps.size());
 }
 
-Urgency UrgencyByRule(const Job& aJob, const QueueRule& aRule, std::uint32_t aOccurrence,
-                      const Occurrence& aState, Millis aNowMs)
+Urgency UrgencyByTerms(const Job& aJob, const QueueTerms& aTerms, std::uint32_t aOccurrence,
+                       const Occurrence& aState, Millis aNowMs)
 {
   const Millis criticalPath = RemainingCriticalPathMs(aJob, aState, aNowMs);
   const Millis finish = aNowMs + criticalPath;
-  const Millis end = ObjectiveEndMs(aJob, aRule, aOccurrence);
+  const Millis end = ObjectiveEndMs(aJob, aTerms, aOccurrence);
   const Millis objective = end - aJob.m_acceptedMs;
-  if (finish + SafetyMarginMs(aJob, aRule, criticalPath) <= end) {
+  if (finish + SafetyMarginMs(aJob, aTerms, criticalPath) <= end) {
     return Urgency::InTime;
   }
   if (finish <= end) {
@@ -109,9 +109,7 @@
   candidate.m_rule = aRule;
   candidate.m_occurrence = aOccurrence;
   candidate.m_step = aStep;
-  const QueueRule fallback;
-  const QueueRule& rule = aRule != nullptr ? *aRule : fallback;
-  candidate.m_priority = rule.m_priority;
+  candidate.m_priority = aRule != nullptr ? aRule->m_priority : 0;
   if (aJob.m_spec.m_steps[aStep].m_longRunning) {
     candidate.m_urgency = Urgency::LongRunning;
     return candidate;
@@ -121,8 +119,9 @@
     mean == aInput.m_meanWork.end() || mean->second <= 0 ? 1.0 : aJob.m_work / mean->second;
   const double credit = std::min(kBaseCredit + (1 - kBaseCredit) * relative, kMaxCredit);
   candidate.m_creditDensity = credit / std::max(RemainingWork(aJob, aState), 1e-3);
-  candidate.m_objectiveEndMs = ObjectiveEndMs(aJob, rule, aOccurrence);
-  candidate.m_urgency = UrgencyByRule(aJob, rule, aOccurrence, aState, aInput.m_nowMs);
+  const QueueTerms& terms = TermsOf(aJob, aRule);
+  candidate.m_objectiveEndMs = ObjectiveEndMs(aJob, terms, aOccurrence);
+  candidate.m_urgency = UrgencyByTerms(aJob, terms, aOccurrence, aState, aInput.m_nowMs);
   return candidate;
 }
 
@@ -377,7 +376,7 @@
     const QueueRule* rule = candidate.m_rule;
     const PoolName& pool = rule != nullptr ? rule->m_pool : job.m_spec.m_pool;
     const std::map<ServerId, Ticket>* tickets = nullptr;
-    if (rule != nullptr && rule->m_advice) {
+    if (TermsOf(job, rule).m_advice) {
       const StepId step{ job.m_spec.m_id, candidate.m_occurrence, candidate.m_step };
       const auto found = aInput.m_tickets.find(step);
       if (found == aInput.m_tickets.end()) {
@@ -407,7 +406,12 @@
   if (std::ranges::any_of(aJob.m_spec.m_steps, &StepSpec::m_longRunning)) {
     return Urgency::LongRunning;
   }
-  return UrgencyByRule(aJob, aRule != nullptr ? *aRule : QueueRule{}, aOccurrence, aState, aNowMs);
+  return UrgencyByTerms(aJob, TermsOf(aJob, aRule), aOccurrence, aState, aNowMs);
+}
+
+const QueueTerms& TermsOf(const Job& aJob, const QueueRule* aRule) noexcept
+{
+  return aRule != nullptr ? *aRule : aJob.m_spec.m_terms;
 }
 
 const PoolName& PoolOf(const Job& aJob, const Configuration& aConfiguration) noexcept
@@ -445,12 +449,12 @@
   });
 }
 
-Millis ObjectiveEndMs(const Job& aJob, const QueueRule& aRule, std::uint32_t aOccurrence) noexcept
+Millis ObjectiveEndMs(const Job& aJob, const QueueTerms& aTerms, std::uint32_t aOccurrence) noexcept
 {
   const Millis due =
     aJob.m_acceptedMs + static_cast<Millis>(aOccurrence) * aJob.m_spec.m_intervalMs;
-  return due + static_cast<Millis>(aRule.m_stretch * static_cast<double>(aJob.m_criticalPathMs)) +
-         aRule.m_objectiveBaseMs;
+  return due + static_cast<Millis>(aTerms.m_stretch * static_cast<double>(aJob.m_criticalPathMs)) +
+         aTerms.m_objectiveBaseMs;
 }
 
 } // namespace pistachiostand::fleet
--- a/src/manager/AdviceCalls.cpp
+++ b/src/manager/AdviceCalls.cpp
@@ -107,17 +107,17 @@
   const StepId step = *std::ranges::min_element(
     aSteps, {}, [this](const StepId& aStep) { return m_steps[aStep].m_failures; });
   const Job& job = m_state.m_jobTable.m_jobs.at(step.m_job);
-  const QueueRule* rule = FindQueueByName(m_state.m_configuration, job.m_spec.m_queue);
-  if (rule == nullptr || !rule->m_advice) {
+  const auto& costs =
+    TermsOf(job, FindQueueByName(m_state.m_configuration, job.m_spec.m_queue)).m_advice;
+  if (!costs) {
     return;
   }
-  const auto servers =
-    ServersToAsk(step, PoolOf(job, m_state.m_configuration), *rule->m_advice, aServers);
+  const auto servers = ServersToAsk(step, PoolOf(job, m_state.m_configuration), *costs, aServers);
   if (servers.empty()) {
     ++m_steps[step].m_failures; // Steps of other pools come first.
     return;
   }
-  const Millis duration = AdviceDurationMs(*rule->m_advice, servers.size());
+  const Millis duration = AdviceDurationMs(*costs, servers.size());
   const Millis begin = std::max(now, m_serviceFreeMs);
   const Millis timeout = begin - now + AdviceTimeoutMs(duration, m_doublings);
   m_inFlight = true;
--- a/src/manager/JobApi.cpp
+++ b/src/manager/JobApi.cpp
@@ -160,6 +160,7 @@
   spec->m_id = aId;
   spec->m_queue = aQueue.m_name;
   spec->m_pool = aQueue.m_pool;
+  spec->m_terms = aQueue;
   spec->m_acceptedMs = WallMs();
   // The owner rejects a stored job beyond these limits.
   const auto fault = ValidationErrorOf(*spec);
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -114,10 +114,11 @@
 std::uint32_t RunControl::MaxFailures(const SubtaskId& aId) const
 {
   const auto job = m_state.m_jobTable.m_jobs.find(aId.m_job);
-  const QueueRule* rule = job == m_state.m_jobTable.m_jobs.end()
-                            ? nullptr
-                            : FindQueueByName(m_state.m_configuration, job->second.m_spec.m_queue);
-  return rule != nullptr ? rule->m_maxFailures : 1;
+  if (job == m_state.m_jobTable.m_jobs.end()) {
+    return 1; // Its ends change nothing.
+  }
+  const auto* rule = FindQueueByName(m_state.m_configuration, job->second.m_spec.m_queue);
+  return TermsOf(job->second, rule).m_maxFailures;
 }
 
 bool RunControl::IsUsable(const ServerState& aServer, Millis aNowMs) const
--- a/src/process/Pack.h
+++ b/src/process/Pack.h
@@ -25,6 +25,14 @@
   Fields(aValue, [](auto&...) {});
 };
 
+/// \brief Number of the last fields of T that records of earlier versions lack. A type with such
+/// fields provides its own overload.
+template<typename T>
+constexpr std::size_t AddedFieldCount(const T& /*aValue*/) noexcept
+{
+  return 0;
+}
+
 class Packer
 {
 public:
@@ -103,9 +111,13 @@
       aValue = static_cast<T>(value);
     } else if constexpr (HasFields<T>) {
       Fields(aValue, [&aObject](auto&... aFields) {
-        const auto items = ArrayOf(aObject, sizeof...(aFields));
+        constexpr std::size_t kCount = sizeof...(aFields);
+        const auto items = ArrayOf(aObject);
+        if (items.size > kCount || items.size + AddedFieldCount(T{}) < kCount) {
+          throw msgpack::type_error();
+        }
         std::size_t next = 0;
-        (Read(items.ptr[next++], aFields), ...);
+        (ReadIfPresent(items, next++, aFields), ...);
       });
     } else {
       aValue = aObject.as<T>();
@@ -153,6 +165,14 @@
     aValue.assign(aObject.via.bin.ptr, aObject.via.bin.size);
   }
 
+  template<typename T>
+  static void ReadIfPresent(const msgpack::object_array& aItems, std::size_t aIndex, T& aValue)
+  {
+    if (aIndex < aItems.size) {
+      Read(aItems.ptr[aIndex], aValue);
+    }
+  }
+
   [[nodiscard]] static msgpack::object_array ArrayOf(const msgpack::object& aObject)
   {
     if (aObject.type != msgpack::type::ARRAY) {
--- a/tests/standins/PreparedServer.h
+++ b/tests/standins/PreparedServer.h
@@ -114,6 +114,8 @@
   std::map<std::string, int> m_starts;
   /// \brief Number of ends `done` of each subtask.
   std::map<std::string, int> m_done;
+  /// \brief Ends this many runs as failed instead of done.
+  int m_failRuns{};
   /// \brief Carries out this many starts and loses the responses to them.
   int m_loseStartResponses{};
   /// \brief Ends the runs of this many starts at once and refuses these starts as repeated ones.
@@ -329,9 +331,15 @@
       }
     }
     for (const auto& key : over) {
-      const bool done = now >= m_runs.at(key);
-      m_done[key.first] += done ? 1 : 0;
-      End(key.first, key.second, done ? "done" : "lapsed");
+      if (now < m_runs.at(key)) {
+        End(key.first, key.second, "lapsed");
+      } else if (m_failRuns > 0) {
+        --m_failRuns;
+        End(key.first, key.second, "failed");
+      } else {
+        ++m_done[key.first];
+        End(key.first, key.second, "done");
+      }
     }
     if (lapsed) {
       NoteLapse();
--- a/tests/unit/JobTableTest.cpp
+++ b/tests/unit/JobTableTest.cpp
@@ -194,9 +194,25 @@
   spec.m_steps[1].m_image = "image";
   spec.m_steps[1].m_gang = true;
   spec.m_firstDueMs = 5;
+  spec.m_terms = { 4, 1.5, 600, AdviceCosts{ 200, 30, 3'000 } };
   EXPECT_EQ(DecodeSubmission(EncodeSubmission(spec)), spec);
 }
 
+// Guards against jobs that are lost in an upgrade, because their submissions were stored before the
+// terms of the queue were part of them.
+TEST_F(JobTableTest, Submission_StoredWithoutTerms_IsDecoded)
+{
+  constexpr char kNineFields = '\x99';
+  constexpr std::size_t kDefaultTermsBytes = 5; // Array header, 1, 1, 0 and an empty array.
+  std::string record = EncodeSubmission(Spec("a", { Step(2) }));
+  record.front() = kNineFields;
+  record.resize(record.size() - kDefaultTermsBytes);
+  const auto spec = DecodeSubmission(record);
+  ASSERT_TRUE(spec);
+  EXPECT_EQ(spec->m_steps.at(0).m_count, 2U);
+  EXPECT_EQ(spec->m_terms, QueueTerms{});
+}
+
 // Guards against running a subtask again after it is done: a run that had been dropped ended as
 // done after a later one had ended, and its end was ignored as outdated.
 TEST_F(JobTableTest, ApplyEnd_EarlierRunDoneAfterALaterOneEnded_SubtaskIsDone)
