Count a failed run of a gang once, however many members fail in it

Cause: each end as failed raised the count of all members, and two members failed in each run before they knew of each other.

Evidence: on the code before, GangTest.* fails in both tests (a second member counts again, also under a later owner).

Change: the members share the number of a run, and the last run that was counted is kept and stored with them. Records without it are read as before.

--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -65,7 +65,8 @@
 {
   std::uint64_t m_lastRun{};
   std::uint64_t m_lastEndedRun{};
-  std::uint32_t m_failures{};
+  std::uint32_t m_failures{};      ///< Failed runs; of a gang, the same for all members.
+  std::uint64_t m_lastFailedRun{}; ///< Run of a gang that was counted last; 0: none.
   bool m_done{};
   /// Run time of the run that ended as done; 0 when this owner did not observe all of it.
   Millis m_ranMs{};
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -29,6 +29,7 @@
   bool m_done{};
   std::string m_checkpoint;
   std::vector<StoredRun> m_runs;
+  std::uint64_t m_lastFailedRun{};
 };
 
 struct StoredOccurrence
@@ -56,7 +57,13 @@
 void Fields(StoredSubtask& aSubtask, V aVisit)
 {
   aVisit(aSubtask.m_index, aSubtask.m_lastRun, aSubtask.m_lastEndedRun, aSubtask.m_failures,
-         aSubtask.m_done, aSubtask.m_checkpoint, aSubtask.m_runs);
+         aSubtask.m_done, aSubtask.m_checkpoint, aSubtask.m_runs, aSubtask.m_lastFailedRun);
+}
+
+/// \brief Earlier records lack m_lastFailedRun.
+constexpr std::size_t AddedFieldCount(const StoredSubtask& /*aSubtask*/) noexcept
+{
+  return 1;
 }
 
 template<typename V>
@@ -80,7 +87,8 @@
                         aSubtask.m_failures,
                         aSubtask.m_done,
                         aSubtask.m_checkpoint,
-                        {} };
+                        {},
+                        aSubtask.m_lastFailedRun };
   for (const auto& run : aSubtask.m_runs) {
     stored.m_runs.push_back({ run.m_number, run.m_server });
   }
@@ -156,7 +164,8 @@
 std::string_view ValidationErrorOf(const StoredSubtask& aSubtask)
 {
   if (aSubtask.m_lastRun == 0 || aSubtask.m_lastRun > kMaxRunNumber ||
-      aSubtask.m_lastEndedRun > aSubtask.m_lastRun) {
+      aSubtask.m_lastEndedRun > aSubtask.m_lastRun ||
+      aSubtask.m_lastFailedRun > aSubtask.m_lastRun) {
     return "the number of the last run of a subtask is out of range";
   }
   if (aSubtask.m_failures > kMaxFailures || aSubtask.m_runs.size() > kMaxRunsOfSubtask) {
@@ -226,6 +235,7 @@
   subtask->m_lastRun = aStored.m_lastRun;
   subtask->m_lastEndedRun = aStored.m_lastEndedRun;
   subtask->m_failures = aStored.m_failures;
+  subtask->m_lastFailedRun = aStored.m_lastFailedRun;
   subtask->m_done = aStored.m_done;
   subtask->m_checkpoint = aStored.m_checkpoint;
   for (const auto& stored : aStored.m_runs) {
--- a/src/job/JobTable.cpp
+++ b/src/job/JobTable.cpp
@@ -168,15 +168,30 @@
   return seen ? std::max<Millis>(aNowMs - aRun.m_sinceMs, 1) : 0;
 }
 
-void ApplyFailure(JobTable& aJobTable, Job& aJob, const SubtaskId& aId, std::uint32_t aMaxFailures)
-{
-  MarkAffectedChanged(aJobTable, aJob, aId);
-  std::uint32_t maxFailures = 0;
-  for (Subtask* member : AffectedSubtasks(aJob, aId)) {
-    maxFailures = std::max(maxFailures, ++member->m_failures);
+/// \brief Counts a failed run. The members of a gang share their runs, so a run counts once however
+/// many members fail in it.
+/// \return the failed runs of the subtask or its gang.
+std::uint32_t CountFailedRun(const std::vector<Subtask*>& aAffected, bool aIsGang,
+                             std::uint64_t aRun)
+{
+  const auto lastCounted =
+    (*std::ranges::max_element(aAffected, {}, &Subtask::m_lastFailedRun))->m_lastFailedRun;
+  if (!aIsGang || aRun > lastCounted) {
+    for (Subtask* member : aAffected) {
+      ++member->m_failures;
+      member->m_lastFailedRun = aIsGang ? aRun : 0;
+    }
   }
-  if (!aJob.m_spec.m_steps.at(aId.m_step).m_longRunning && aJob.m_phase == JobPhase::Active &&
-      maxFailures >= aMaxFailures) {
+  return (*std::ranges::max_element(aAffected, {}, &Subtask::m_failures))->m_failures;
+}
+
+void ApplyFailure(JobTable& aJobTable, Job& aJob, const RunEnd& aEnd, std::uint32_t aMaxFailures)
+{
+  const SubtaskId& id = aEnd.m_subtask;
+  const StepSpec& step = aJob.m_spec.m_steps.at(id.m_step);
+  MarkAffectedChanged(aJobTable, aJob, id);
+  const auto failures = CountFailedRun(AffectedSubtasks(aJob, id), step.m_gang, aEnd.m_run);
+  if (!step.m_longRunning && aJob.m_phase == JobPhase::Active && failures >= aMaxFailures) {
     FinishJob(aJobTable, aJob, JobPhase::Failed);
   }
 }
@@ -460,7 +475,7 @@
   if (aEnd.m_kind == EndKind::Done) {
     ApplyDone(aJobTable, job, aEnd.m_subtask, ran);
   } else if (aEnd.m_kind == EndKind::Failed) {
-    ApplyFailure(aJobTable, job, aEnd.m_subtask, aMaxFailures);
+    ApplyFailure(aJobTable, job, aEnd, aMaxFailures);
   }
   return true;
 }
--- a/tests/unit/JobTableTest.cpp
+++ b/tests/unit/JobTableTest.cpp
@@ -292,6 +292,91 @@
   EXPECT_EQ(m_jobTable.m_jobs.at("a").m_phase, JobPhase::Completed);
 }
 
+/// \brief A step with a gang of six.
+class GangTest : public JobTableTest
+{
+protected:
+  static constexpr std::uint32_t kMembers = 6;
+
+  GangTest()
+  {
+    StepSpec gang = Step(kMembers);
+    gang.m_gang = true;
+    Add("a", { gang });
+  }
+
+  /// \brief Starts a run of all members.
+  std::vector<RunRef> RunGang()
+  {
+    const auto number = NextRunNumber(m_jobTable, kFirst);
+    std::vector<RunRef> runs;
+    for (std::uint32_t index = 0; index < kMembers; ++index) {
+      const SubtaskId id{ "a", 0, 0, index };
+      PlanRun(m_jobTable, id, "s1", number, kNow);
+      runs.push_back({ id, number, "s1" });
+      MarkRunning(m_jobTable, runs.back(), kNow);
+    }
+    return runs;
+  }
+
+  /// \brief Runs the gang once; some members end as failed before they know of each other.
+  void FailRun(std::uint32_t aFailedMembers)
+  {
+    const auto runs = RunGang();
+    for (std::uint32_t index = 0; index < kMembers; ++index) {
+      End(runs[index], index < aFailedMembers ? EndKind::Failed : EndKind::GangMemberEnded);
+    }
+  }
+
+  [[nodiscard]] JobPhase Phase() const { return m_jobTable.m_jobs.at("a").m_phase; }
+};
+
+// Guards against a job that fails before its gang has failed as often as its queue permits: each
+// member that failed in one run counted as a run (review, case 5).
+TEST_F(GangTest, ApplyEnd_SeveralMembersFailInOneRun_CountsOneFailedRun)
+{
+  FailRun(2);
+  FailRun(kMembers);
+  EXPECT_EQ(Phase(), JobPhase::Active);
+  EXPECT_EQ(FindSubtask(m_jobTable, kFirst)->m_failures, 2U);
+  FailRun(1);
+  EXPECT_EQ(Phase(), JobPhase::Failed);
+}
+
+// Guards against an owner that counts a failed run of a gang again, because its predecessor had
+// stored the end of one member only.
+TEST_F(GangTest, ApplyEnd_OtherMemberUnderALaterOwner_CountsOneFailedRun)
+{
+  const auto runs = RunGang();
+  End(runs[0], EndKind::Failed);
+  const std::string record = EncodeProgress(m_jobTable.m_jobs.at("a"));
+  const JobSpec spec = m_jobTable.m_jobs.at("a").m_spec;
+  m_jobTable = {};
+  ASSERT_TRUE(AddJob(m_jobTable, spec, kNow, 0));
+  ASSERT_TRUE(ApplyProgress(m_jobTable, "a", record, kNow));
+  EXPECT_TRUE(End(runs[1], EndKind::Failed));
+  EXPECT_EQ(FindSubtask(m_jobTable, kFirst)->m_failures, 1U);
+}
+
+// Guards against jobs that are lost in an upgrade, because their progress was stored before the
+// last failed run was part of it.
+TEST_F(JobTableTest, Progress_StoredWithoutTheLastFailedRun_IsRestored)
+{
+  Add("a", { Step(1) });
+  End(Run(kFirst, "s1"), EndKind::Failed);
+  std::string record = EncodeProgress(m_jobTable.m_jobs.at("a"));
+  constexpr char kEightFields = '\x98';
+  constexpr char kSevenFields = '\x97';
+  const auto header = record.rfind(kEightFields);
+  ASSERT_NE(header, std::string::npos);
+  record[header] = kSevenFields;
+  record.pop_back(); // The last failed run, 0.
+  JobTable later;
+  ASSERT_TRUE(AddJob(later, Spec("a", { Step(1) }), kNow, 0));
+  ASSERT_TRUE(ApplyProgress(later, "a", record, kNow));
+  EXPECT_EQ(FindSubtask(later, kFirst)->m_failures, 1U);
+}
+
 // Guards against records that stay in the store after their job was forgotten.
 TEST_F(JobTableTest, ApplyProgress_LaterPartOfAnUnknownJob_IsScheduledForRemoval)
 {
