--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -164,8 +164,7 @@
 std::string_view ValidationErrorOf(const StoredSubtask& aSubtask)
 {
   if (aSubtask.m_lastRun == 0 || aSubtask.m_lastRun > kMaxRunNumber ||
-      aSubtask.m_lastEndedRun > aSubtask.m_lastRun ||
-      aSubtask.m_lastFailedRun > kMaxRunNumber) {
+      aSubtask.m_lastEndedRun > aSubtask.m_lastRun || aSubtask.m_lastFailedRun > kMaxRunNumber) {
     return "the number of the last run of a subtask is out of range";
   }
   if (aSubtask.m_failures > kMaxFailures || aSubtask.m_runs.size() > kMaxRunsOfSubtask) {
