Rotate the servers of a call for advice with std::rotate

Callers see no change. clang 14 cannot instantiate std::ranges::rotate of this library, so the linter failed on AdviceCalls.cpp; it reports nothing there now.

--- a/src/manager/AdviceCalls.cpp
+++ b/src/manager/AdviceCalls.cpp
@@ -88,7 +88,8 @@
   if (count < servers.size()) {
     std::size_t& first = m_steps[aStep].m_firstServer;
     first %= servers.size();
-    std::ranges::rotate(servers, servers.begin() + static_cast<std::ptrdiff_t>(first));
+    std::rotate(servers.begin(), servers.begin() + static_cast<std::ptrdiff_t>(first),
+                servers.end());
     first += count;
     servers.resize(count);
   }
