--- /dev/null
+++ b/review/standin-2/driver.cc
@@ -0,0 +1,389 @@
+// Plays one case of the review against entry instances: driver CASE PROGRAM FOLDER RECORD.
+// TROUBLE=0 leaves the disruption out. Exit codes: 0 the rule held, 1 it was broken, 2 not run.
+
+#include "Deployment.h"
+
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+
+namespace review {
+
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kNotRun = 2;
+
+constexpr const char* kPrefix = "/batch/";
+constexpr const char* kJob = "5c0e7a21d94b36f8";
+
+struct Case
+{
+  Deployment& m_deployment;
+  Record& m_record;
+  bool m_trouble{};
+
+  int End(bool aHeld, const std::string& aText) const
+  {
+    m_record.Line((aHeld ? "held: " : "BROKEN: ") + aText);
+    return aHeld ? kHeld : kBroken;
+  }
+};
+
+/// \brief Occurrences of a scheduled job that have become due, and wait for room, when the owner is
+/// killed.
+int PlayOccurrences(const Case& aCase)
+{
+  Deployment& deployment = aCase.m_deployment;
+  constexpr int kOccurrences = 3;
+  constexpr int kSubtasks = 40;
+  for (int number = 1; number <= 4; ++number) {
+    MinionOptions options;
+    options.m_id = "minion-" + std::to_string(number);
+    options.m_service = "batch-svc";
+    options.m_zone = number % 2 == 0 ? "zone-a" : "zone-b";
+    options.m_kind = "a";
+    options.m_rack = "r" + std::to_string(number % 2);
+    options.m_runMs = 3'000;
+    deployment.Add(options);
+  }
+  deployment.Start(kPrefix);
+  const std::string path = std::string{ kPrefix } + kJob;
+  const Json job{ { "spec", "work" },
+                  { "repeat-count", kOccurrences },
+                  { "start-at-ms", UnixMs() + 1'000 },
+                  { "interval-ms", 500 },
+                  { "steps",
+                    { { { "count", kSubtasks },
+                        { "cpu", 1'000 },
+                        { "mem-mb", 100 },
+                        { "estimated-ms", 3'000 } } } } };
+  if (!deployment.Submit(path, job)) {
+    return kNotRun;
+  }
+  // All occurrences are due 2 s after the job was handed in. There is room for 16 subtasks, so the
+  // first ones of the first occurrence take up all of it, from 1 s to 4 s.
+  deployment.RunFor(2'600);
+  if (aCase.m_trouble) {
+    deployment.KillOwner();
+  }
+  constexpr Ms kLimitMs = 60'000;
+  std::string state;
+  const bool ended = deployment.RunUntil(
+    [&] {
+      state = deployment.State(path);
+      return state != "queued" && state != "running" && !state.empty();
+    },
+    kLimitMs);
+  const auto done = deployment.m_seen.Done();
+  const std::string counts = std::to_string(done.size()) + " of " +
+                             std::to_string(kOccurrences * kSubtasks) +
+                             " subtasks have ended done, the job is shown as '" + state + "'";
+  std::size_t running = 0;
+  for (const auto& minion : deployment.m_minions) {
+    running += minion->Runs().size();
+  }
+  if (done.size() == static_cast<std::size_t>(kOccurrences * kSubtasks)) {
+    return aCase.End(ended && state == "completed", counts);
+  }
+  if (state == "completed") {
+    return aCase.End(false, "MIXED: " + counts);
+  }
+  return aCase.End(false, "LOST: " + counts + ", " + std::to_string(running) + " run");
+}
+
+/// \brief A job for the only minion with a label, handed in while that minion is cut off.
+int PlayCutMinion(const Case& aCase)
+{
+  Deployment& deployment = aCase.m_deployment;
+  constexpr int kMinions = 6;
+  Minion* labelled = nullptr;
+  for (int number = 1; number <= kMinions; ++number) {
+    MinionOptions options;
+    options.m_id = "minion-" + std::to_string(number);
+    options.m_service = "batch-svc";
+    options.m_zone = number % 2 == 0 ? "zone-a" : "zone-b";
+    options.m_kind = number == kMinions ? "b" : "a";
+    options.m_rack = "r" + std::to_string(number % 3);
+    labelled = &deployment.Add(options);
+  }
+  deployment.Start(kPrefix);
+  if (aCase.m_trouble) {
+    labelled->Cut();
+  }
+  deployment.RunFor(500);
+  const std::string path = std::string{ kPrefix } + kJob;
+  const Json job{ { "spec", "work" },
+                  { "steps",
+                    { { { "count", 2 },
+                        { "cpu", 1'000 },
+                        { "mem-mb", 100 },
+                        { "estimated-ms", 1'000 },
+                        { "required-label", "b" } } } } };
+  if (!deployment.Submit(path, job)) {
+    return kNotRun;
+  }
+  constexpr Ms kCutMs = 4'000;
+  deployment.RunFor(kCutMs - 500);
+  if (aCase.m_trouble) {
+    labelled->Heal();
+  }
+  // `finish_s` after the end of the traffic, and 10 s more.
+  constexpr Ms kFinishMs = 24'000;
+  const bool ended =
+    deployment.RunUntil([&] { return deployment.State(path) == "completed"; }, kFinishMs);
+  const std::string counts =
+    std::to_string(deployment.m_seen.Done().size()) + " of 2 subtasks have ended done";
+  return aCase.End(ended, ended ? counts
+                                : counts + " 24 s after minion " + labelled->Id() +
+                                    " could be reached again; it has room for 4 of them and runs " +
+                                    std::to_string(labelled->Runs().size()));
+}
+
+/// \brief A gang that saves its progress is started again after one of its minions has crashed.
+int PlayGang(const Case& aCase)
+{
+  Deployment& deployment = aCase.m_deployment;
+  constexpr int kMinions = 7;
+  constexpr std::size_t kMembers = 3;
+  for (int number = 1; number <= kMinions; ++number) {
+    MinionOptions options;
+    options.m_id = "minion-" + std::to_string(number);
+    options.m_service = "batch-svc";
+    options.m_zone = number % 2 == 0 ? "zone-a" : "zone-b";
+    options.m_kind = "a";
+    options.m_rack = "r" + std::to_string(number % 3);
+    options.m_runMs = 8'000;
+    options.m_checkpointMs = 500;
+    Minion& minion = deployment.Add(options);
+    minion.m_gangSize = kMembers;
+    minion.m_gangPresent = [&deployment](std::uint64_t aRun) {
+      std::size_t present = 0;
+      for (const auto& one : deployment.m_minions) {
+        present += one->Present(aRun);
+      }
+      return present;
+    };
+    minion.m_gangEnded = [&deployment, ending = std::make_shared<bool>()](std::uint64_t aRun,
+                                                                          Minion* aMinion) {
+      const bool isDone = deployment.m_seen.Done().size() != 0;
+      for (const auto& one : deployment.m_minions) {
+        for (const auto& [task, run] : one->Runs()) {
+          if (run == aRun && !isDone && one.get() != aMinion) {
+            one->Break(task, run);
+          }
+        }
+      }
+    };
+  }
+  deployment.Start(kPrefix);
+  const std::string path = std::string{ kPrefix } + kJob;
+  const Json job{ { "spec", "work" },
+                  { "steps",
+                    { { { "count", kMembers },
+                        { "cpu", 1'000 },
+                        { "mem-mb", 100 },
+                        { "estimated-ms", 8'000 },
+                        { "gang", true },
+                        { "checkpointing", true },
+                        { "anti-affinity", 1 } } } } };
+  if (!deployment.Submit(path, job)) {
+    return kNotRun;
+  }
+  deployment.RunFor(4'900);
+  if (aCase.m_trouble) {
+    const auto found = std::ranges::find_if(deployment.m_minions,
+                                            [](const auto& aOne) { return !aOne->Runs().empty(); });
+    if (found == deployment.m_minions.end()) {
+      return kNotRun;
+    }
+    Minion& minion = **found;
+    const std::uint64_t run = minion.Runs().front().second;
+    minion.Crash();
+    minion.m_gangEnded(run, nullptr);
+    deployment.RunFor(1'000);
+    minion.Restart();
+  }
+  constexpr Ms kLimitMs = 50'000;
+  deployment.RunUntil([&] { return deployment.State(path) == "completed"; }, kLimitMs);
+  std::map<std::uint64_t, std::set<std::string>> values;
+  for (const auto& one : deployment.m_seen.m_starts) {
+    values[one.m_run].insert(one.m_checkpoint);
+  }
+  for (const auto& [run, different] : values) {
+    if (different.size() > 1) {
+      std::string list;
+      for (const auto& value : different) {
+        list += " '" + value + "'";
+      }
+      return aCase.End(false, "the members of run " + std::to_string(run) +
+                                " were started with different checkpoints:" + list);
+    }
+  }
+  return aCase.End(true, "the members of each run carried the same checkpoint");
+}
+
+/// \brief All entry instances are killed right after an upkeep was accepted. Later a job needs the
+/// minion that has joined after that upkeep.
+int PlayUpkeep(const Case& aCase)
+{
+  Deployment& deployment = aCase.m_deployment;
+  constexpr int kMinions = 6;
+  for (int number = 1; number <= kMinions; ++number) {
+    MinionOptions options;
+    options.m_id = "minion-" + std::to_string(number);
+    options.m_service = "batch-svc";
+    options.m_zone = number % 2 == 0 ? "zone-a" : "zone-b";
+    options.m_kind = number == 1 ? "b" : "a";
+    options.m_rack = "r" + std::to_string(number % 3);
+    deployment.Add(options);
+  }
+  deployment.Start(kPrefix);
+  bool killed = false;
+  deployment.m_onUpkeep = [&] {
+    if (aCase.m_trouble && !std::exchange(killed, true)) {
+      deployment.KillAll();
+    }
+  };
+  deployment.RequestWave(1, { "m-minion-1", "m-minion-2", "m-minion-3" }, 26, 3);
+  deployment.RunUntil([&] { return killed; }, aCase.m_trouble ? 20'000 : 0);
+  if (aCase.m_trouble) {
+    if (!killed) {
+      return kNotRun;
+    }
+    deployment.RunFor(1'000);
+    deployment.SpawnAll();
+  }
+  deployment.RunUntil(
+    [&] { return deployment.WaveStatus(1).find("completed") != std::string::npos; }, 26'000);
+  aCase.m_record.Line("status/wave/1 is " + deployment.WaveStatus(1));
+  deployment.RunFor(6'000);
+  const std::string path = std::string{ kPrefix } + kJob;
+  const Json job{ { "spec", "work" },
+                  { "steps",
+                    { { { "count", 2 },
+                        { "cpu", 1'000 },
+                        { "mem-mb", 100 },
+                        { "estimated-ms", 1'000 },
+                        { "required-label", "b" } } } } };
+  if (!deployment.Submit(path, job)) {
+    return kNotRun;
+  }
+  constexpr Ms kFinishMs = 24'000;
+  const bool ended =
+    deployment.RunUntil([&] { return deployment.State(path) == "completed"; }, kFinishMs);
+  const std::string counts =
+    std::to_string(deployment.m_seen.Done().size()) + " of 2 subtasks have ended done";
+  return aCase.End(ended, ended ? counts
+                                : counts + " 24 s after the job was accepted; the minion with the "
+                                           "label is up, runs nothing and has room for 4");
+}
+
+/// \brief A submission never arrives, since its channel is reset; the client cancels the job to be
+/// sure that it doesn't run.
+int PlayCancel(const Case& aCase)
+{
+  Deployment& deployment = aCase.m_deployment;
+  for (int number = 1; number <= 2; ++number) {
+    MinionOptions options;
+    options.m_id = "minion-" + std::to_string(number);
+    options.m_service = "batch-svc";
+    options.m_zone = "zone-a";
+    options.m_kind = "a";
+    options.m_rack = "r1";
+    options.m_runMs = 3'000;
+    deployment.Add(options);
+  }
+  deployment.Start(kPrefix);
+  const std::string path = std::string{ kPrefix } + kJob;
+  const Json job{
+    { "spec", "work" },
+    { "steps",
+      { { { "count", 2 }, { "cpu", 1'000 }, { "mem-mb", 100 }, { "estimated-ms", 3'000 } } } }
+  };
+  if (aCase.m_trouble) {
+    deployment.SubmitAndReset(0, path, job);
+  } else if (!deployment.Submit(path, job)) {
+    return kNotRun;
+  }
+  deployment.RunFor(300);
+  const auto cancelled = deployment.Call(1, "DELETE", path);
+  aCase.m_record.Line("DELETE " + path + " -> " + Text(cancelled));
+  // `visible_ms`, and more.
+  constexpr Ms kWaitMs = 6'000;
+  deployment.RunFor(kWaitMs);
+  bool held = true;
+  for (int round = 0; round < 3; ++round) {
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+      const auto response = deployment.Call(entry, "GET", path);
+      aCase.m_record.Line(fmt::format("GET {} at edge-{} -> {}", path, entry + 1, Text(response)));
+      held = held &&
+             (response.m_status == 410 || response.m_body.find("cancelled") != std::string::npos);
+    }
+    deployment.RunFor(5'000);
+  }
+  return aCase.End(held, held ? "the job is cancelled or not known"
+                              : "MIXED: a job that no entry instance has received is shown");
+}
+
+int Play(const std::string& aName, const Case& aCase)
+{
+  if (aName == "occurrences") {
+    return PlayOccurrences(aCase);
+  }
+  if (aName == "cut-minion") {
+    return PlayCutMinion(aCase);
+  }
+  if (aName == "upkeep") {
+    return PlayUpkeep(aCase);
+  }
+  if (aName == "cancel") {
+    return PlayCancel(aCase);
+  }
+  if (aName == "gang") {
+    return PlayGang(aCase);
+  }
+  throw CannotRun("no such case");
+}
+
+} // namespace
+
+} // namespace review
+
+int main(int aCount, char** aValues)
+{
+  using namespace review;
+  if (aCount != 5) {
+    std::cerr << "driver CASE PROGRAM FOLDER RECORD\n";
+    return kNotRun;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, EndAll);
+  std::signal(SIGINT, EndAll);
+  std::signal(SIGALRM, EndAll);
+  constexpr unsigned kLimitS = 115;
+  alarm(kLimitS);
+  Record record{ aValues[4] };
+  const char* trouble = std::getenv("TROUBLE");
+  try {
+    Deployment::Options options;
+    options.m_program = aValues[2];
+    options.m_folder = aValues[3];
+    options.m_routes = Json::array({ { { "name", "batch" },
+                                       { "host", "jobs.example" },
+                                       { "path-prefix", kPrefix },
+                                       { "upstream", "batch-svc" },
+                                       { "priority", 0 },
+                                       { "attempts", 4 },
+                                       { "stretch", 1.6 },
+                                       { "target-latency-ms", 600 } } });
+    options.m_services = Json::array({ { { "name", "batch-svc" }, { "admission-check", true } } });
+    Deployment deployment{ options, record };
+    return Play(aValues[1],
+                { deployment, record, trouble == nullptr || std::strcmp(trouble, "0") != 0 });
+  } catch (const std::exception& error) {
+    record.Line(std::string{ "not run: " } + error.what());
+    return kNotRun;
+  }
+}
