--- a/review/standin-2/Http.h
+++ b/review/standin-2/Http.h
@@ -60,6 +60,16 @@
     }
   }
 
+  /// \brief Open connections stay open and get no answers any more; new ones work.
+  void Silence()
+  {
+    for (const auto& weak : m_connections) {
+      if (const auto connection = weak.lock()) {
+        connection->m_isSilent = true;
+      }
+    }
+  }
+
   [[nodiscard]] std::uint16_t Port() const { return m_endpoint.port(); }
 
 private:
@@ -72,6 +82,7 @@
     asio::ip::tcp::socket m_socket;
     std::string m_buffer;
     std::string m_out;
+    bool m_isSilent{};
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -121,6 +132,10 @@
       request.m_body =
         aConnection->m_buffer.substr(request.m_headers.size(), whole - request.m_headers.size());
       aConnection->m_buffer.erase(0, whole);
+      if (aConnection->m_isSilent) {
+        m_silent.push_back(aConnection); // The request is lost; the connection stays open.
+        return;
+      }
       m_handler(request, [this, aConnection](int aStatus, std::string aBody) {
         Answer(aConnection, aStatus, std::move(aBody));
       });
@@ -136,6 +151,10 @@
 
   void Answer(const ConnectionPtr& aConnection, int aStatus, std::string aBody)
   {
+    if (aConnection->m_isSilent) {
+      m_silent.push_back(aConnection);
+      return;
+    }
     if (!aConnection->m_socket.is_open()) {
       return;
     }
@@ -156,6 +175,7 @@
   asio::ip::tcp::socket m_reserved; ///< Keeps the port while the listener is closed.
   std::unique_ptr<asio::ip::tcp::acceptor> m_acceptor;
   std::vector<std::weak_ptr<Connection>> m_connections;
+  std::vector<ConnectionPtr> m_silent;
 };
 
 } // namespace review
--- a/review/standin-2/driver.cc
+++ b/review/standin-2/driver.cc
@@ -327,6 +327,86 @@
                               : "MIXED: a job that no entry instance has received is shown");
 }
 
+/// \brief All open channels go silent while subtasks that last are at work.
+int PlaySilent(const Case& aCase)
+{
+  Deployment& deployment = aCase.m_deployment;
+  constexpr int kMinions = 6;
+  constexpr int kMembers = 5;
+  constexpr int kSlots = 8;
+  constexpr const char* kLasting = "5c0e7a21d94b0001";
+  for (int number = 1; number <= kMinions; ++number) {
+    MinionOptions options;
+    options.m_id = "minion-" + std::to_string(number);
+    options.m_service = "batch-svc";
+    options.m_zone = number % 2 == 0 ? "zone-a" : "zone-b";
+    options.m_kind = "a";
+    options.m_rack = "r" + std::to_string(number % 3);
+    options.m_cpu = 1'000 * kSlots;
+    deployment.Add(options).m_lasts = [](const std::string& aTask) {
+      return aTask.starts_with(kLasting);
+    };
+  }
+  deployment.Start(kPrefix);
+  const Json lasting{ { "spec", "lasts" },
+                      { "steps",
+                        { { { "count", kMembers },
+                            { "cpu", 1'000 },
+                            { "mem-mb", 100 },
+                            { "estimated-ms", 700 },
+                            { "long-running", true },
+                            { "anti-affinity", 1 },
+                            { "may-miss", 1 } } } } };
+  const Json job{ { "spec", "work" },
+                  { "steps",
+                    { { { "count", kSlots * kMinions - kMembers },
+                        { "cpu", 1'000 },
+                        { "mem-mb", 100 },
+                        { "estimated-ms", 1'000 } } } } };
+  if (!deployment.Submit(std::string{ kPrefix } + kLasting, lasting)) {
+    return kNotRun;
+  }
+  deployment.RunFor(3'000);
+  const std::string path = std::string{ kPrefix } + kJob;
+  if (!deployment.Submit(path, job) ||
+      !deployment.RunUntil([&] { return deployment.State(path) == "completed"; }, 20'000)) {
+    return kNotRun;
+  }
+  deployment.RunFor(3'000);
+  const Ms silentMs = SteadyMs();
+  if (aCase.m_trouble) {
+    aCase.m_record.Line("disruption: all open channels to minions go silent, new ones work");
+    for (const auto& minion : deployment.m_minions) {
+      minion->Silence();
+    }
+  }
+  deployment.RunFor(25'000);
+  // `LOST` holds for a subtask that lasts from 6 s after its last run, when 3 s have passed.
+  constexpr Ms kLimitMs = 9'000;
+  std::map<std::string, Ms> lastEnds;
+  int lost = 0;
+  const auto check = [&](const std::string& aTask, Ms aUntilMs) {
+    const auto found = lastEnds.find(aTask);
+    if (found != lastEnds.end() && found->second != 0 && aUntilMs - found->second > kLimitMs) {
+      aCase.m_record.Line(
+        fmt::format("{} had no run for {} ms, from {} ms after the channels went silent", aTask,
+                    aUntilMs - found->second, found->second - silentMs));
+      ++lost;
+    }
+  };
+  for (const auto& one : deployment.m_seen.m_starts) {
+    if (one.m_task.starts_with(kLasting)) {
+      check(one.m_task, one.m_startMs);
+      lastEnds[one.m_task] = one.m_endMs;
+    }
+  }
+  for (const auto& [task, endMs] : lastEnds) {
+    check(task, SteadyMs());
+  }
+  return aCase.End(lost == 0, std::to_string(lost) + " of " + std::to_string(kMembers) +
+                                " subtasks that last had no run for over 9 s");
+}
+
 int Play(const std::string& aName, const Case& aCase)
 {
   if (aName == "occurrences") {
@@ -341,6 +421,9 @@
   if (aName == "cancel") {
     return PlayCancel(aCase);
   }
+  if (aName == "silent") {
+    return PlaySilent(aCase);
+  }
   if (aName == "gang") {
     return PlayGang(aCase);
   }
