--- a/review/standin-2/Deployment.h
+++ b/review/standin-2/Deployment.h
@@ -18,6 +18,7 @@
 #include <random>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -70,6 +71,7 @@
     /// Settings besides addresses, as in the site files.
     Ms m_maxHoldMs{ 6'000 };
     int m_graceS{ 6 };
+    rlim_t m_maxFds{ 4'100 }; ///< `max-fds` of an entry instance.
   };
 
   Deployment(Options aOptions, Record& aRecord)
@@ -83,6 +85,7 @@
                    HandleMachines(aRequest, aRespond);
                  })
     , m_heartbeat(m_loop)
+    , m_memoryCheck(m_loop)
   {
     if (!m_store.IsListening()) {
       throw CannotRun("the store cannot listen");
@@ -137,6 +140,49 @@
   /// \brief Called when an upkeep was accepted, before its response is sent.
   std::function<void()> m_onUpkeep = [] {};
 
+  /// \brief From now on does what the platform does with a process: "A process that exceeds
+  /// `memory-mb` is killed", and "is restarted after a short delay".
+  void EnforceMemory()
+  {
+    constexpr std::int64_t kLimitKb = std::int64_t{ 260 } * 1'024;
+    constexpr Ms kRestartMs = 1'000;
+    constexpr Ms kCheckMs = 20;
+    for (auto& entry : m_entries) {
+      if (entry.m_pid < 0) {
+        if (SteadyMs() - entry.m_endedMs >= kRestartMs) {
+          Spawn(entry);
+          m_record.Line(entry.m_name + " is started again");
+        }
+        continue;
+      }
+      const std::int64_t use = MemoryKb(entry.m_pid);
+      if (use > kLimitKb) {
+        ++entry.m_kills;
+        m_record.Line(fmt::format("{}{} uses {} kB of memory, more than {} kB: killed",
+                                  entry.m_name, entry.m_name == OwnerName() ? ", the owner," : "",
+                                  use, kLimitKb));
+        Kill(entry, SIGKILL);
+        entry.m_endedMs = SteadyMs();
+      }
+    }
+    m_memoryCheck.expires_after(std::chrono::milliseconds{ kCheckMs });
+    m_memoryCheck.async_wait([this](const std::error_code& aError) {
+      if (!aError) {
+        EnforceMemory();
+      }
+    });
+  }
+
+  /// \brief Times that each entry instance was killed for its memory.
+  [[nodiscard]] std::vector<int> MemoryKills() const
+  {
+    std::vector<int> kills;
+    for (const auto& entry : m_entries) {
+      kills.push_back(entry.m_kills);
+    }
+    return kills;
+  }
+
   /// \brief Kills all entry instances at once.
   void KillAll()
   {
@@ -225,7 +271,9 @@
     constexpr int kTries = 5;
     for (int attempt = 0; attempt < kTries; ++attempt) {
       const auto response = Call(static_cast<std::size_t>(attempt), "POST", aPath, aJob.dump());
-      m_record.Line("POST " + aPath + " " + aJob.dump() + " -> " + Text(response));
+      constexpr std::size_t kMostBytes = 400;
+      m_record.Line("POST " + aPath + " " + aJob.dump().substr(0, kMostBytes) + " -> " +
+                    Text(response));
       if (response.m_status >= 200 && response.m_status < 300) {
         return true;
       }
@@ -323,6 +371,8 @@
     std::uint16_t m_internal{};
     std::uint16_t m_metrics{};
     std::string m_settings;
+    int m_kills{};
+    Ms m_endedMs{};
     pid_t m_pid{ -1 };
   };
 
@@ -353,6 +403,19 @@
     throw CannotRun("no free port");
   }
 
+  /// \brief Resident memory of a process.
+  static std::int64_t MemoryKb(pid_t aProcess)
+  {
+    std::ifstream file{ "/proc/" + std::to_string(aProcess) + "/status" };
+    std::string line;
+    while (std::getline(file, line)) {
+      if (line.starts_with("VmRSS:")) {
+        return std::stoll(line.substr(6));
+      }
+    }
+    return 0;
+  }
+
   void SpawnAtFreePorts(Entry& aEntry)
   {
     aEntry.m_front = FreePort();
@@ -410,6 +473,14 @@
                         m_options.m_maxHoldMs, m_options.m_graceS);
   }
 
+  /// \brief Limit of descriptors of this program.
+  static rlimit Limit()
+  {
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    return limit;
+  }
+
   /// \brief Starts the program of the deploy file, which finds its settings by a variable.
   void Spawn(Entry& aEntry)
   {
@@ -426,8 +497,13 @@
     std::string path = "PATH=/usr/bin:/bin";
     char* arguments[] = { program.data(), nullptr };
     char* environment[] = { settings.data(), path.data(), nullptr };
+    const rlimit own = Limit();
+    rlimit limit = own;
+    limit.rlim_cur = std::min<rlim_t>(m_options.m_maxFds, own.rlim_max);
+    setrlimit(RLIMIT_NOFILE, &limit);
     const int error =
       posix_spawn(&aEntry.m_pid, program.c_str(), &actions, nullptr, arguments, environment);
+    setrlimit(RLIMIT_NOFILE, &own);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
       aEntry.m_pid = -1;
@@ -554,6 +630,7 @@
   pistachiostand::fleet::standin::PreparedStore m_store;
   Server m_machines;
   asio::steady_timer m_heartbeat;
+  asio::steady_timer m_memoryCheck;
   std::map<std::string, Machine> m_machinesByName;
   std::map<std::string, std::uint64_t> m_fences; ///< Highest fence number for each machine.
   std::vector<Entry> m_entries;
--- a/review/standin-2/driver.cc
+++ b/review/standin-2/driver.cc
@@ -407,6 +407,73 @@
                                 " subtasks that last had no run for over 9 s");
 }
 
+/// \brief One large job among ordinary ones, with the memory limit of an entry instance.
+int PlayLarge(const Case& aCase)
+{
+  Deployment& deployment = aCase.m_deployment;
+  constexpr int kMinions = 28;
+  constexpr int kSubtasks = 20'000;
+  constexpr int kJobs = 12;
+  constexpr std::size_t kSpecBytes = 4'000;
+  for (int number = 1; number <= kMinions; ++number) {
+    MinionOptions options;
+    options.m_id = "minion-" + std::to_string(number);
+    options.m_service = "batch-svc";
+    options.m_zone = number % 2 == 0 ? "zone-a" : "zone-b";
+    options.m_kind = "a";
+    options.m_rack = "r" + std::to_string(number / 4);
+    options.m_cpu = 16'000;
+    options.m_cpuOfRun = 20;
+    deployment.Add(options);
+  }
+  deployment.Start(kPrefix);
+  const auto job = [](int aCount) {
+    return Json{
+      { "steps",
+        { { { "count", aCount }, { "cpu", 20 }, { "mem-mb", 16 }, { "estimated-ms", 1'000 } } } },
+      { "spec", std::string(kSpecBytes, 'x') }
+    };
+  };
+  const auto path = [](int aNumber) { return fmt::format("{}{:016x}", kPrefix, 0xa000 + aNumber); };
+  deployment.EnforceMemory();
+  std::vector<int> accepted;
+  for (int number = 0; number < kJobs; ++number) {
+    if (number == kJobs / 3 &&
+        !deployment.Submit(std::string{ kPrefix } + kJob, job(aCase.m_trouble ? kSubtasks : 20))) {
+      return kNotRun;
+    }
+    if (deployment.Submit(path(number), job(4))) {
+      accepted.push_back(number);
+    }
+    deployment.RunFor(500);
+  }
+  aCase.m_record.Line("end of the traffic");
+  constexpr Ms kFinishMs = 14'000;
+  deployment.RunFor(kFinishMs);
+  // Each job is asked for again and again, as by a client with four retries of 3 s.
+  constexpr Ms kAskMs = 15'000;
+  std::set<int> unfinished(accepted.begin(), accepted.end());
+  deployment.RunUntil(
+    [&] {
+      std::erase_if(unfinished,
+                    [&](int aNumber) { return deployment.State(path(aNumber)) == "completed"; });
+      return unfinished.empty();
+    },
+    kAskMs);
+  int kills = 0;
+  int often = 0;
+  for (const int one : deployment.MemoryKills()) {
+    kills += one;
+    often += one >= 3 ? 1 : 0;
+  }
+  return aCase.End(
+    unfinished.empty() && often < 2,
+    fmt::format("{} of {} accepted ordinary jobs are not completed 29 s after the traffic; entry "
+                "instances were killed for their memory {} times, {} of them three times or more; "
+                "{} subtasks in all have ended done",
+                unfinished.size(), accepted.size(), kills, often, deployment.m_seen.Done().size()));
+}
+
 int Play(const std::string& aName, const Case& aCase)
 {
   if (aName == "occurrences") {
@@ -424,6 +491,9 @@
   if (aName == "silent") {
     return PlaySilent(aCase);
   }
+  if (aName == "large") {
+    return PlayLarge(aCase);
+  }
   if (aName == "gang") {
     return PlayGang(aCase);
   }
