Restore occurrences that were due without a run

Cause: the records hold the number of due occurrences and the subtasks with a run. The next owner took over the number but created only the occurrences of which a record holds a run, and completed the job when the known ones were done.

Change: the next owner opens every occurrence below the stored number, and a job completes only with all its occurrences. Related: a job with ends in a later part was shown as queued, because part 0 is not stored again; such ends mark it as begun.

--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -187,6 +187,9 @@
 /// its runs.
 void FailJob(JobTable& aJobTable, const JobId& aId);
 
+/// \brief Returns an occurrence of a job; adds it, without runs, if the job does not have it.
+Occurrence& OpenOccurrence(Job& aJob, std::uint32_t aNumber, Millis aNowMs);
+
 /// \brief Adds the occurrences that have become due. `aWallMs` is the wall clock time.
 void OpenDueOccurrences(JobTable& aJobTable, Millis aWallMs, Millis aNowMs);
 
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -237,6 +237,10 @@
   subtask->m_lastFailedRun = aStored.m_lastFailedRun;
   subtask->m_done = aStored.m_done;
   subtask->m_checkpoint = aStored.m_checkpoint;
+  if (aStored.m_lastEndedRun != 0) {
+    // Part 0 is not stored again when the first run of a later part begins.
+    aJobTable.m_jobs.at(aId.m_job).m_begun = true;
+  }
   for (const auto& stored : aStored.m_runs) {
     if (FindRun(aJobTable, { aId, stored.m_number, stored.m_server }) != nullptr) {
       continue;
@@ -356,7 +360,7 @@
   }
   job.m_phaseStored = aProgress.m_phase != JobPhase::Active;
   job.m_finishedMs = aNowMs;
-  job.m_begun = aProgress.m_begun;
+  job.m_begun = job.m_begun || aProgress.m_begun;
   job.m_dueOccurrences = aProgress.m_dueOccurrences;
 }
 
@@ -364,22 +368,26 @@
                         Millis aNowMs)
 {
   Job& job = aJobTable.m_jobs.at(aId);
-  Subtask idle;
-  idle.m_idleSinceMs = aNowMs;
   for (const auto& stored : aProgress.m_occurrences) {
-    auto& occurrence = job.m_occurrences[stored.m_number];
-    occurrence.m_steps.resize(std::max(occurrence.m_steps.size(), job.m_spec.m_steps.size()));
-    for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
-      occurrence.m_steps[step].resize(job.m_spec.m_steps[step].m_count, idle);
-      if (step < stored.m_steps.size()) {
-        for (const auto& subtask : stored.m_steps[step]) {
-          Restore(aJobTable, { aId, stored.m_number, step, subtask.m_index }, subtask, aNowMs);
-        }
+    OpenOccurrence(job, stored.m_number, aNowMs);
+    for (std::uint32_t step = 0; step < stored.m_steps.size(); ++step) {
+      for (const auto& subtask : stored.m_steps[step]) {
+        Restore(aJobTable, { aId, stored.m_number, step, subtask.m_index }, subtask, aNowMs);
       }
     }
   }
 }
 
+/// \brief Adds the occurrences that were due, including those of which no record holds a run.
+void RestoreDueOccurrences(Job& aJob, Millis aNowMs)
+{
+  if (aJob.m_phase == JobPhase::Active) {
+    for (std::uint32_t number = 0; number < aJob.m_dueOccurrences; ++number) {
+      OpenOccurrence(aJob, number, aNowMs);
+    }
+  }
+}
+
 } // namespace
 
 bool ApplyProgress(JobTable& aJobTable, std::string_view aKey, std::string_view aBytes,
@@ -409,6 +417,7 @@
     ApplyPhase(aJobTable, part->m_job, *progress, aNowMs);
   }
   if (isSpecified) {
+    RestoreDueOccurrences(found->second, aNowMs);
     RestoreOccurrences(aJobTable, part->m_job, *progress, aNowMs);
   } else if (part->m_number != 0) {
     aJobTable.m_changed.insert(*part); // Its job has been forgotten or has ended.
--- a/src/job/JobTable.cpp
+++ b/src/job/JobTable.cpp
@@ -70,6 +70,7 @@
 {
   const auto total = std::max<std::uint32_t>(aJob.m_spec.m_occurrences, 1);
   if (aJob.m_phase == JobPhase::Active && aJob.m_dueOccurrences == total &&
+      aJob.m_occurrences.size() == total &&
       std::ranges::all_of(aJob.m_occurrences,
                           [](const auto& aEntry) { return IsOccurrenceDone(aEntry.second); })) {
     FinishJob(aJobTable, aJob, JobPhase::Completed);
@@ -267,7 +268,7 @@
   UpdateJobTotals(job);
   job.m_acceptedMs = aNowMs - aAgeMs;
   if (job.m_spec.m_occurrences == 0) {
-    job.m_occurrences.emplace(0, MakeOccurrence(job.m_spec, aNowMs));
+    OpenOccurrence(job, 0, aNowMs);
     job.m_dueOccurrences = 1;
   }
   if (aJobTable.m_cancelledBeforeSubmission.erase(id) != 0) {
@@ -295,13 +296,21 @@
   }
 }
 
+Occurrence& OpenOccurrence(Job& aJob, std::uint32_t aNumber, Millis aNowMs)
+{
+  const auto found = aJob.m_occurrences.find(aNumber);
+  return found != aJob.m_occurrences.end()
+           ? found->second
+           : aJob.m_occurrences.emplace(aNumber, MakeOccurrence(aJob.m_spec, aNowMs)).first->second;
+}
+
 void OpenDueOccurrences(JobTable& aJobTable, Millis aWallMs, Millis aNowMs)
 {
   for (const auto& id : aJobTable.m_active) {
     Job& job = aJobTable.m_jobs.at(id);
     while (job.m_phase == JobPhase::Active && job.m_dueOccurrences < job.m_spec.m_occurrences &&
            aWallMs >= job.m_spec.m_firstDueMs + job.m_dueOccurrences * job.m_spec.m_intervalMs) {
-      job.m_occurrences.emplace(job.m_dueOccurrences, MakeOccurrence(job.m_spec, aNowMs));
+      OpenOccurrence(job, job.m_dueOccurrences, aNowMs);
       ++job.m_dueOccurrences;
       MarkJobChanged(aJobTable, id);
     }
--- a/tests/unit/JobTableTest.cpp
+++ b/tests/unit/JobTableTest.cpp
@@ -280,6 +280,105 @@
   EXPECT_EQ(later.m_load.at("s1").m_runs, m_jobTable.m_load.at("s1").m_runs);
 }
 
+/// \brief A scheduled job with more subtasks in an occurrence than fit into one record.
+class RestoredOccurrencesTest : public JobTableTest
+{
+protected:
+  static constexpr std::uint32_t kOccurrences = 3;
+  static constexpr std::uint32_t kCount = 40;
+
+  RestoredOccurrencesTest()
+  {
+    m_spec = Spec("a", { Step(kCount) });
+    m_spec.m_occurrences = kOccurrences;
+    m_spec.m_intervalMs = 500;
+  }
+
+  void SetUp() override
+  {
+    ASSERT_TRUE(AddJob(m_jobTable, m_spec, kNow, 0));
+    OpenDueOccurrences(m_jobTable, (kOccurrences - 1) * m_spec.m_intervalMs, kNow);
+    ASSERT_EQ(m_jobTable.m_jobs.at("a").m_dueOccurrences, kOccurrences);
+  }
+
+  /// \brief Ends all subtasks of an occurrence as done.
+  void Finish(std::uint32_t aOccurrence)
+  {
+    for (std::uint32_t index = 0; index < kCount; ++index) {
+      const SubtaskId id{ "a", aOccurrence, 0, index };
+      if (!FindSubtask(m_jobTable, id)->m_done) {
+        End(Run(id, "s1"), EndKind::Done);
+      }
+    }
+  }
+
+  /// \brief Replaces the job table by that of a later owner, which reads the changed records.
+  void ChangeOwner()
+  {
+    const Job job = m_jobTable.m_jobs.at("a");
+    const auto changed = m_jobTable.m_changed;
+    m_jobTable = {};
+    ASSERT_TRUE(AddJob(m_jobTable, m_spec, kNow, 0));
+    for (const auto& part : changed) {
+      ASSERT_TRUE(ApplyProgress(m_jobTable, KeyOf(part), EncodeProgress(job, part.m_number), kNow));
+    }
+  }
+
+  JobSpec m_spec;
+};
+
+// Guards against subtasks that never run: occurrences that were due without a run in any record
+// were unknown to the next owner, and the job was completed without them (review, case 6).
+TEST_F(RestoredOccurrencesTest, ChangeOfOwner_OccurrencesDueWithoutARun_RunBeforeTheJobCompletes)
+{
+  End(Run({ "a", 0, 0, 0 }, "s1"), EndKind::Done);
+  ChangeOwner();
+  Finish(0);
+  EXPECT_EQ(m_jobTable.m_jobs.at("a").m_phase, JobPhase::Active);
+  ASSERT_EQ(m_jobTable.m_jobs.at("a").m_occurrences.size(), kOccurrences);
+  Finish(1);
+  Finish(2);
+  EXPECT_EQ(m_jobTable.m_jobs.at("a").m_phase, JobPhase::Completed);
+}
+
+// Guards against a job that is shown as running for good: its first occurrence was done before the
+// change of the owner, so that no end was left to complete it (review, case 6).
+TEST_F(RestoredOccurrencesTest, ChangeOfOwner_KnownOccurrencesDone_TheOthersRun)
+{
+  Finish(0);
+  ChangeOwner();
+  ASSERT_EQ(m_jobTable.m_jobs.at("a").m_occurrences.size(), kOccurrences);
+  Finish(1);
+  Finish(2);
+  EXPECT_EQ(m_jobTable.m_jobs.at("a").m_phase, JobPhase::Completed);
+}
+
+// Guards against a job that is completed without one of its occurrences, whatever the cause.
+TEST_F(RestoredOccurrencesTest, CompleteIfDone_OccurrenceUnknown_JobStaysActive)
+{
+  m_jobTable.m_jobs.at("a").m_occurrences.erase(1);
+  Finish(0);
+  Finish(2);
+  EXPECT_EQ(m_jobTable.m_jobs.at("a").m_phase, JobPhase::Active);
+}
+
+// Guards against a job that has run and is shown as queued by a later owner: part 0, which stores
+// that it has begun, is not stored again when a run of a later part begins.
+TEST_F(RestoredOccurrencesTest, ChangeOfOwner_RunEndedInALaterPart_JobIsRunning)
+{
+  const SubtaskId late{ "a", 0, 0, kCount - 1 };
+  const auto run = Run(late, "s1");
+  m_jobTable.m_jobs.at("a").m_begun = false;
+  const std::string first = EncodeProgress(m_jobTable.m_jobs.at("a"), 0);
+  End(run, EndKind::Stopped);
+  const std::string second = EncodeProgress(m_jobTable.m_jobs.at("a"), 1);
+  m_jobTable = {};
+  ASSERT_TRUE(AddJob(m_jobTable, m_spec, kNow, 0));
+  ASSERT_TRUE(ApplyProgress(m_jobTable, KeyOf({ "a", 0 }), first, kNow));
+  ASSERT_TRUE(ApplyProgress(m_jobTable, KeyOf({ "a", 1 }), second, kNow));
+  EXPECT_EQ(StateOf(m_jobTable.m_jobs.at("a")), PublicJobState::Running);
+}
+
 // Guards against a gang that never ends: its owner died after it had stored the end of the gang for
 // some members only, because the records of all of them do not fit into one append.
 TEST_F(JobTableTest, CompleteRestoredGangs_SomeMembersDone_JobIsCompleted)
