Do not reuse idle connections to a peer after a failed transfer

Cause: a call that timed out closed only its own connection, and the next one was given another silent connection. Each cost a timeout and a pause, no lease was renewed meanwhile, and all leases lapsed after 3.2 s.

Change: HttpClient shuts the idle connections to a peer down when a transfer to it fails. All calls share it: to servers, instances, the advice service, the store and other entry instances. It replaces the remedy of Store, which counted whole seconds and so reused connections opened in the second before the failed call.

--- a/include/pistachiostand/connection/HttpClient.h
+++ b/include/pistachiostand/connection/HttpClient.h
@@ -44,9 +44,6 @@
   /// Latest time to send, on the monotonic clock; 0: no limit. After it the request fails as
   /// NotSent, however long the process was paused or waited for a connection.
   Millis m_sendBeforeMs{};
-  /// Reuses only connections opened since this time, to the second, on the monotonic clock; 0: any.
-  /// A connection opened before a network fault may stay unresponsive forever while new ones work.
-  Millis m_reuseSinceMs{};
 };
 
 struct ClientResponse
@@ -59,6 +56,10 @@
 
 using ClientCallback = std::function<void(ClientResponse)>;
 
+/// \brief Client with persistent connections.
+///
+/// A network fault may leave a connection open and unresponsive forever while new ones work. When a
+/// transfer fails, the idle connections to its peer are therefore not used again.
 class HttpClient
 {
 public:
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -27,10 +27,14 @@
 /// oldest idle one.
 constexpr long kMaxCachedConnections = 2'000;
 
+class CurlClient;
+
 struct Transfer
 {
   std::uint64_t m_id{};
+  CurlClient* m_client{};
   ClientRequest m_request;
+  std::string m_peer; ///< Host and port.
   ClientResponse m_response;
   ClientCallback m_callback;
   CURL* m_easy{};
@@ -84,6 +88,15 @@
   return aSize * aCount;
 }
 
+/// \brief Host and port of a URL.
+std::string PeerOf(std::string_view aUrl)
+{
+  constexpr std::string_view kSchemeEnd = "://";
+  const auto scheme = aUrl.find(kSchemeEnd);
+  aUrl.remove_prefix(scheme == std::string_view::npos ? 0 : scheme + kSchemeEnd.size());
+  return std::string{ aUrl.substr(0, aUrl.find_first_of("/?")) };
+}
+
 /// \brief Called when the connection is ready, right before the request is written.
 int OnBeforeRequest(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
                     int /*aLocalPort*/)
@@ -159,7 +172,9 @@
   {
     auto transfer = std::make_unique<Transfer>();
     transfer->m_id = ++m_lastId;
+    transfer->m_client = this;
     transfer->m_request = std::move(aRequest);
+    transfer->m_peer = PeerOf(transfer->m_request.m_url);
     transfer->m_callback = std::move(aCallback);
     transfer->m_easy = AcquireHandle();
     Configure(*transfer);
@@ -245,13 +260,6 @@
       curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
       curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
     }
-    if (request.m_reuseSinceMs != 0) {
-      constexpr Millis kMsPerS = 1'000;
-      const Millis age = MonotonicMs() - request.m_reuseSinceMs;
-      // 0 would allow any age.
-      curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
-                       static_cast<long>(std::max<Millis>(age / kMsPerS, 1)));
-    }
     SetHeaders(aTransfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
@@ -259,7 +267,7 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &aTransfer);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   }
@@ -345,11 +353,16 @@
 
   /// \brief Releases the previous socket with the same descriptor. libcurl does not report that it
   /// closed a socket that never connected; a new socket mistaken for it would receive no events.
-  static curl_socket_t OnOpenSocket(void* aSelf, curlsocktype /*aPurpose*/, curl_sockaddr* aAddress)
+  static curl_socket_t OnOpenSocket(void* aTransfer, curlsocktype /*aPurpose*/,
+                                    curl_sockaddr* aAddress)
   {
     const curl_socket_t opened =
       ::socket(aAddress->family, aAddress->socktype | SOCK_CLOEXEC, aAddress->protocol);
-    static_cast<CurlClient*>(aSelf)->ReleaseSocket(opened);
+    const auto& transfer = *static_cast<Transfer*>(aTransfer);
+    transfer.m_client->ReleaseSocket(opened);
+    if (opened != CURL_SOCKET_BAD) {
+      transfer.m_client->m_peers.insert_or_assign(opened, transfer.m_peer);
+    }
     return opened;
   }
 
@@ -361,6 +374,7 @@
 
   void ReleaseSocket(curl_socket_t aSocket)
   {
+    m_peers.erase(aSocket);
     const auto found = m_sockets.find(aSocket);
     if (found != m_sockets.end()) {
       found->second->m_descriptor.release();
@@ -368,6 +382,17 @@
     }
   }
 
+  /// \brief Shuts the idle connections to a peer down, so that libcurl opens new ones.
+  void ShutDownIdleConnections(std::string_view aPeer)
+  {
+    for (const auto& [socket, peer] : m_peers) {
+      const auto watched = m_sockets.find(socket);
+      if (peer == aPeer && watched != m_sockets.end() && watched->second->m_pollFlags == 0) {
+        ::shutdown(socket, SHUT_RDWR);
+      }
+    }
+  }
+
   void WatchSocket(curl_socket_t aSocket, int aPollFlags)
   {
     auto& socket = m_sockets[aSocket];
@@ -442,6 +467,11 @@
     transfer->m_response.m_status = static_cast<std::uint16_t>(status);
     transfer->m_response.m_failure = FailureOf(aCode, aEasy);
     curl_multi_remove_handle(m_multi, aEasy);
+    // A request whose send deadline had passed says nothing about the peer.
+    const bool isAbandoned = aCode == CURLE_ABORTED_BY_CALLBACK && !transfer->m_sendStarted;
+    if (transfer->m_response.m_failure && !isAbandoned) {
+      ShutDownIdleConnections(transfer->m_peer);
+    }
     RecycleHandle(*transfer);
     m_pendingResponses.emplace(transfer->m_id, PendingResponse{ std::move(transfer->m_callback),
                                                                 std::move(transfer->m_response) });
@@ -471,6 +501,7 @@
   std::map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
   std::map<std::uint64_t, PendingResponse> m_pendingResponses;
   std::map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
+  std::map<curl_socket_t, std::string> m_peers; ///< Peer of each open socket.
 };
 
 } // namespace
--- a/tests/manager/ConnectionFaultTest.cpp
+++ b/tests/manager/ConnectionFaultTest.cpp
@@ -102,6 +102,96 @@
   EXPECT_EQ(outcomes.back(), platform::ReadOutcome::Ok);
 }
 
+// Guards against connections that are used again because they were opened less than a second before
+// the one that failed: the limit on their age had whole seconds.
+TEST_F(ConnectionFaultTest, NewConnectionsSilent_ReadAfterAFailedOne_IsAnswered)
+{
+  constexpr int kConnections = 6;
+  platform::Store store{ *m_client, pistachiostand::ToString(At(8)) };
+  std::vector<platform::ReadOutcome> outcomes;
+  const auto read = [&] {
+    store.Read({ "keyed.op" }, 0, 0,
+               [&](const auto& aResult) { outcomes.push_back(aResult.m_outcome); });
+  };
+  for (int i = 0; i < kConnections; ++i) {
+    read();
+  }
+  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == kConnections; }));
+  m_relay.Silence();
+  outcomes.clear();
+  read();
+  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == 1; }));
+  read();
+  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(outcomes, (std::vector{ platform::ReadOutcome::Failed, platform::ReadOutcome::Ok }));
+}
+
+/// \brief Backend servers that are reached through a relay.
+class ServerConnectionTest : public EntryInstanceFixture
+{
+protected:
+  static constexpr Millis kLastingRunMs = 60'000;
+  static constexpr int kLastingSubtasks = 2; ///< One on each server.
+
+  ServerConnectionTest()
+    : m_toFirst(m_loop, At(5), At(1))
+    , m_toSecond(m_loop, At(6), At(2))
+  {
+    m_store.Put("keyed.servers", "s1", Behind(At(5), m_first.Entry("lookup")));
+    m_store.Put("keyed.servers", "s2", Behind(At(6), m_second.Entry("lookup")));
+  }
+
+  static std::string Behind(const Endpoint& aRelay, const std::string& aEntry)
+  {
+    auto entry = nlohmann::json::parse(aEntry);
+    entry["address"] = pistachiostand::ToString(aRelay);
+    return entry.dump();
+  }
+
+  /// \brief Starts subtasks that last, then ends a job that needs several connections to each
+  /// server.
+  void OpenConnections()
+  {
+    m_first.m_runMs = kLastingRunMs;
+    m_second.m_runMs = kLastingRunMs;
+    ASSERT_EQ(Call(1, "POST", "/lookups/00000000000000bb",
+                   R"({"spec":"work","steps":[{"count":2,"cpu":1000,"mem-mb":100,)"
+                   R"("long-running":true,"anti-affinity":1}]})")
+                .m_status,
+              200);
+    ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1 && m_second.Running() == 1; }));
+    m_first.m_runMs = 200;
+    m_second.m_runMs = 200;
+    ASSERT_EQ(Call(1, "POST", std::string{ "/lookups/" } + kJob,
+                   R"({"spec":"work","steps":[{"count":14,"cpu":1000,"mem-mb":100,)"
+                   R"("estimated-ms":200}]})")
+                .m_status,
+              200);
+    ASSERT_TRUE(Completes(1));
+  }
+
+  standin::SilentRelay m_toFirst;
+  standin::SilentRelay m_toSecond;
+};
+
+// Guards against leases that lapse and servers that get no work for many seconds, because the calls
+// to them go through one unresponsive connection after the other (review, case 8).
+TEST_F(ServerConnectionTest, OpenConnectionsSilent_LastingSubtasks_KeepTheirRuns)
+{
+  constexpr Millis kObservedMs = 7'000;
+  Start(1);
+  ASSERT_TRUE(IsReady(1));
+  ASSERT_NO_FATAL_FAILURE(OpenConnections());
+  m_toFirst.Silence();
+  m_toSecond.Silence();
+  RunUntil([] { return false; }, kObservedMs);
+  EXPECT_EQ(
+    m_first.m_starts["00000000000000bb.0.0.0"] + m_second.m_starts["00000000000000bb.0.0.0"], 1);
+  EXPECT_EQ(
+    m_first.m_starts["00000000000000bb.0.0.1"] + m_second.m_starts["00000000000000bb.0.0.1"], 1);
+  EXPECT_EQ(m_first.Running() + m_second.Running(), kLastingSubtasks);
+}
+
 // Guards against a process that an uncaught exception terminates.
 TEST_F(ConnectionFaultTest, UnexpectedError_EntryInstance_GoesOnServing)
 {
