Assume the longest lease of a server that was born shortly before a takeover

Cause: calls that were meant for the former life of a server reach the new one, with deadlines on the clock of the former life.

Change: when an owner first learns of a server that was born around its takeover, it assumes the longest lease, counted from the takeover.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -48,6 +48,9 @@
 /// order. A registration that arrives later shows that the incarnation has not ended: the platform
 /// reports a repeated order as done without executing it again.
 constexpr Millis kStaleRegistrationMs = 4'500;
+/// Largest difference between the wall clocks of a backend server and of this instance that is
+/// allowed for.
+constexpr Millis kWallClockToleranceMs = 5'000;
 /// Interval of the search for stops to repeat, which visits all runs, 4,000 in a large fleet.
 constexpr Millis kStopCheckMs = 250;
 /// Calls without a response after which a server gets no new work.
@@ -155,6 +158,19 @@
   AssumeLongestLease(aServer);
 }
 
+void RunControl::AssumeLeaseOfEarlierOwner(ServerState& aServer, std::int64_t aIncarnation)
+{
+  const Millis maxLease = m_state.m_settings.m_bounds.m_maxLeaseMs;
+  const Millis claimedWallMs = WallMs() - (MonotonicMs() - m_state.m_claimedMs);
+  const bool mayHoldLongestLease =
+    aIncarnation >= claimedWallMs - maxLease - kWallClockToleranceMs &&
+    aIncarnation <= claimedWallMs + kWallClockToleranceMs;
+  if (mayHoldLongestLease) {
+    aServer.m_leaseEndMs = std::max(
+      aServer.m_leaseEndMs, LatestLeaseEndMs(m_state.m_claimedMs + kStartTimeoutMs, maxLease));
+  }
+}
+
 void RunControl::AssumeLongestLease(ServerState& aServer)
 {
   // Leases computed with the clock of the previous incarnation end far in the future, so the server
@@ -201,6 +217,8 @@
   if (restarted) {
     server.m_clock.reset();
     AssumeLongestLease(server);
+  } else if (known == 0) {
+    AssumeLeaseOfEarlierOwner(server, aRegistration->m_incarnation);
   }
   server.m_registration = *aRegistration;
   server.m_registered = true;
@@ -556,6 +574,8 @@
                aServer.m_registration.m_incarnation != aReport.m_incarnation) {
       // The lease of the poll was computed with the clock of the registered incarnation.
       AssumeLongestLease(aServer);
+    } else {
+      AssumeLeaseOfEarlierOwner(aServer, aReport.m_incarnation);
     }
     aServer.m_incarnation = aReport.m_incarnation;
     aServer.m_appliedEnds = 0;
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -88,6 +88,10 @@
   /// incarnation do not apply to the new one. The caller resets the clock.
   void BeginIncarnation(ServerState& aServer);
   void AssumeLongestLease(ServerState& aServer);
+  /// \brief Assumes the longest lease, counted from the takeover, for a server that may have
+  /// restarted shortly before it. The earlier owner may have sent it orders with deadlines on the
+  /// clock of its previous incarnation, which the server limits to its longest lease.
+  void AssumeLeaseOfEarlierOwner(ServerState& aServer, std::int64_t aIncarnation);
   [[nodiscard]] bool HasRuns(const ServerId& aId) const;
   /// \brief True when a run on the server may have begun. Planned runs hold no lease yet.
   [[nodiscard]] bool HasSentRuns(const ServerId& aId) const;
--- a/tests/manager/DuplicateRunTest.cpp
+++ b/tests/manager/DuplicateRunTest.cpp
@@ -231,5 +231,62 @@
   EXPECT_TRUE(m_store.Value("keyed.progress", kNextJob).has_value());
 }
 
+/// \brief A server that has restarted under its id when the owner dies. The earlier owner has sent
+/// it a start with a deadline on the clock of its previous incarnation, so its lease is the
+/// longest.
+class RestartBeforeTakeoverTest : public DuplicateRunTest
+{
+protected:
+  static constexpr Millis kLongestLeaseMs = 10'000;
+  static constexpr Millis kRunMs = 9'500;
+
+  RestartBeforeTakeoverTest()
+  {
+    m_maxLeaseMs = kLongestLeaseMs;
+    m_first.m_maxHoldMs = kLongestLeaseMs;
+    m_first.m_runMs = kRunMs;
+  }
+
+  /// \brief Starts a run on the restarted server under the first owner, which then dies.
+  void RestartAndLoseTheOwner()
+  {
+    DeregisterSecond();
+    Start(1);
+    ASSERT_TRUE(IsReady(1));
+    Wait(200);
+    m_first.Restart();
+    Submit(kJob);
+    ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+    m_store.Put("keyed.servers", "s1", m_first.Entry("lookup"));
+    m_entries.erase(1);
+    RegisterSecond();
+  }
+};
+
+// Guards against two runs at the same time: the next owner could not reach the server, and assumed
+// that its leases were over 6 s after the takeover.
+TEST_F(RestartBeforeTakeoverTest, ServerCutOff_NextOwner_WaitsForTheLongestLease)
+{
+  ASSERT_NO_FATAL_FAILURE(RestartAndLoseTheOwner());
+  m_first.m_hold = true;
+  Start(2);
+  Wait(kRunMs + 1'000);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
+// Guards against the same failure when the server is cut off after its first report, from which the
+// next owner assumed a lease of 4 s.
+TEST_F(RestartBeforeTakeoverTest, ServerCutOffAfterItsFirstReport_NextOwner_WaitsForTheLongestLease)
+{
+  ASSERT_NO_FATAL_FAILURE(RestartAndLoseTheOwner());
+  const auto polls = m_first.m_pollMs.size();
+  Start(2);
+  ASSERT_TRUE(RunUntil([&] { return m_first.m_pollMs.size() > polls + 1; }));
+  Wait(100);
+  m_first.m_hold = true;
+  Wait(kRunMs + 1'000);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/manager/EntryInstanceFixture.h
+++ b/tests/manager/EntryInstanceFixture.h
@@ -88,7 +88,7 @@
     settings.m_instances = At(9); // Nothing listens there, so capacity does not change.
     settings.m_maxDirectServers = m_maxDirectServers;
     settings.m_instanceOrdersPerS = m_instanceOrdersPerS;
-    settings.m_bounds.m_maxLeaseMs = 6'000;
+    settings.m_bounds.m_maxLeaseMs = m_maxLeaseMs;
     settings.m_bounds.m_graceMs = 6'000;
     settings.m_bounds.m_exclusiveMs = 3'000;
     settings.m_bounds.m_keepStateMs = 120'000;
@@ -197,6 +197,7 @@
   std::set<int> m_paused;             ///< Instances whose loops do not run.
   std::map<int, std::string> m_zones; ///< Zones of the instances outside z1.
   std::uint32_t m_maxDirectServers = 120;
+  Millis m_maxLeaseMs = 6'000;      ///< Longest lease that a server grants.
   double m_instanceOrdersPerS = 0;  ///< 0: not set.
   std::optional<Endpoint> m_advice; ///< Placement service; nullopt: none.
 };
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -1,5 +1,6 @@
 #include "OwnerFixture.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -185,6 +186,32 @@
   EXPECT_LT(ServerClockMs(m_state.m_servers["s1"], MonotonicMs()), 10'000);
 }
 
+// Guards against two runs at the same time under a new owner: the earlier one had sent orders with
+// deadlines on the clock of the server's previous incarnation, so that its lease is the longest.
+TEST_F(RunControlTest, FirstRegistration_BornShortlyBeforeTheTakeover_LongestLeaseIsAssumed)
+{
+  Register(WallMs() - 1'000, 100);
+  EXPECT_GE(m_state.m_servers["s1"].m_leaseEndMs, m_state.m_claimedMs + kLongestLeaseMs);
+}
+
+// The same when the server is known from its report only.
+TEST_F(RunControlTest, FirstReport_BornShortlyBeforeTheTakeover_LongestLeaseIsAssumed)
+{
+  m_state.m_servers["s1"].m_hasReported = false;
+  m_runs.Tick(MonotonicMs());
+  Respond("/hold", fmt::format(R"({{"clock-ms":120,"born":{},"running":[],"finished":[]}})",
+                               WallMs() - 1'000));
+  EXPECT_GE(m_state.m_servers["s1"].m_leaseEndMs, m_state.m_claimedMs + kLongestLeaseMs);
+}
+
+// Guards against work of a lost server that waits longer than any lease can last: no order of the
+// earlier owner can have met another incarnation.
+TEST_F(RunControlTest, FirstRegistration_BornLongBeforeTheTakeover_NoLeaseIsAssumed)
+{
+  Register(WallMs() - 60'000, 59'000);
+  EXPECT_EQ(m_state.m_servers["s1"].m_leaseEndMs, 0);
+}
+
 // Guards against a poll that is sent seconds late, after its process or its carrier was paused: the
 // number of acknowledged ends in it may then reach a new incarnation, which counts its ends anew.
 TEST_F(RunControlTest, Poll_WaitingToBeSent_HasASendDeadline)
