--- a/tests/manager/ConnectionFaultTest.cpp
+++ b/tests/manager/ConnectionFaultTest.cpp
@@ -22,6 +22,32 @@
     m_storeAddress = At(8);
   }
 
+  /// \brief Opens six connections to the store, makes them unresponsive after `aIdleMs` and reads
+  /// twice, one read after the other.
+  /// \return the outcomes of the two reads, or fewer if one is not answered.
+  std::vector<platform::ReadOutcome> ReadTwiceOnSilentConnections(Millis aIdleMs)
+  {
+    constexpr std::size_t kConnections = 6;
+    platform::Store store{ *m_client, pistachiostand::ToString(At(8)) };
+    std::vector<platform::ReadOutcome> outcomes;
+    const auto read = [&] {
+      store.Read({ "keyed.op" }, 0, 0,
+                 [&](const auto& aResult) { outcomes.push_back(aResult.m_outcome); });
+    };
+    for (std::size_t i = 0; i < kConnections; ++i) {
+      read();
+    }
+    EXPECT_TRUE(RunUntil([&] { return outcomes.size() == kConnections; }));
+    RunUntil([] { return false; }, aIdleMs);
+    m_relay.Silence();
+    outcomes.clear();
+    for (std::size_t count = 1; count <= 2; ++count) {
+      read();
+      RunUntil([&] { return outcomes.size() == count; });
+    }
+    return outcomes;
+  }
+
   standin::SilentRelay m_relay;
 };
 
@@ -80,50 +106,16 @@
 // new connection was opened.
 TEST_F(ConnectionFaultTest, IdleConnectionsSilent_ReadAfterAFailedOne_IsAnswered)
 {
-  constexpr int kConnections = 6;
-  platform::Store store{ *m_client, pistachiostand::ToString(At(8)) };
-  std::vector<platform::ReadOutcome> outcomes;
-  const auto read = [&] {
-    store.Read({ "keyed.op" }, 0, 0,
-               [&](const auto& aResult) { outcomes.push_back(aResult.m_outcome); });
-  };
-  for (int i = 0; i < kConnections; ++i) {
-    read();
-  }
-  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == kConnections; }));
-  RunUntil([] { return false; }, 2'500);
-  m_relay.Silence();
-  outcomes.clear();
-  read();
-  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == 1; }));
-  EXPECT_EQ(outcomes.back(), platform::ReadOutcome::Failed);
-  read();
-  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == 2; }));
-  EXPECT_EQ(outcomes.back(), platform::ReadOutcome::Ok);
+  EXPECT_EQ(ReadTwiceOnSilentConnections(2'500),
+            (std::vector{ platform::ReadOutcome::Failed, platform::ReadOutcome::Ok }));
 }
 
 // Guards against connections that are used again because they were opened less than a second before
 // the one that failed: the limit on their age had whole seconds.
 TEST_F(ConnectionFaultTest, NewConnectionsSilent_ReadAfterAFailedOne_IsAnswered)
 {
-  constexpr int kConnections = 6;
-  platform::Store store{ *m_client, pistachiostand::ToString(At(8)) };
-  std::vector<platform::ReadOutcome> outcomes;
-  const auto read = [&] {
-    store.Read({ "keyed.op" }, 0, 0,
-               [&](const auto& aResult) { outcomes.push_back(aResult.m_outcome); });
-  };
-  for (int i = 0; i < kConnections; ++i) {
-    read();
-  }
-  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == kConnections; }));
-  m_relay.Silence();
-  outcomes.clear();
-  read();
-  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == 1; }));
-  read();
-  ASSERT_TRUE(RunUntil([&] { return outcomes.size() == 2; }));
-  EXPECT_EQ(outcomes, (std::vector{ platform::ReadOutcome::Failed, platform::ReadOutcome::Ok }));
+  EXPECT_EQ(ReadTwiceOnSilentConnections(0),
+            (std::vector{ platform::ReadOutcome::Failed, platform::ReadOutcome::Ok }));
 }
 
 /// \brief Backend servers that are reached through a relay.
