Log which incarnation a start is meant for and what a lease is taken from

`run: start` now has `born`, `fleet: lease-expired` has `born` and `basis`, and `fleet: lease-assumed` is written whenever a lease beyond the granted ones is assumed. No decision changes.

--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -329,7 +329,7 @@
   for (const auto& [id, subtasks] : m_state.m_jobTable.m_byServer) {
     ServerState& server = m_state.m_servers[id];
     server.m_registration.m_id = id;
-    server.m_leaseEndMs = std::max(server.m_leaseEndMs, lease);
+    ExtendLease(server, lease, "takeover");
   }
   for (const auto& id : std::exchange(m_cancels, {})) {
     CancelJob(m_state.m_jobTable, id);
--- a/src/manager/OwnerState.cpp
+++ b/src/manager/OwnerState.cpp
@@ -41,6 +41,14 @@
   return aNowMs + aLeaseMs * 100 / (100 - kClockDriftPercent) + kLeaseMarginMs;
 }
 
+void ExtendLease(ServerState& aServer, Millis aEndMs, std::string_view aBasis)
+{
+  if (aEndMs > aServer.m_leaseEndMs) {
+    aServer.m_leaseEndMs = aEndMs;
+    aServer.m_leaseBasis = aBasis;
+  }
+}
+
 std::string ToString(const SubtaskId& aId)
 {
   return fmt::format("{}.{}.{}.{}", aId.m_job, aId.m_occurrence, aId.m_step, aId.m_index);
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 /// \file
 /// \brief State that the parts of the owner share for the duration of one ownership.
@@ -45,6 +46,7 @@
   Millis m_endedMs{};                ///< When that order was reported as done.
   std::optional<ClockSample> m_clock;
   Millis m_leaseEndMs{};         ///< Latest end of any lease there, on the owner's steady clock.
+  std::string_view m_leaseBasis; ///< Why the lease is assumed to last until then, for the log.
   std::uint64_t m_appliedEnds{}; ///< Ends up to this number are in the job table,
   std::uint64_t m_storedEnds{};  ///< and up to this one in the store.
   std::uint64_t m_pollCall{};    ///< Call in flight; 0: none.
@@ -111,6 +113,10 @@
 /// \brief Latest time on the owner's steady clock at which a lease granted now may still be valid.
 [[nodiscard]] Millis LatestLeaseEndMs(Millis aNowMs, Millis aLeaseMs) noexcept;
 
+/// \brief Assumes that leases on the server may be in force until `aEndMs`. An earlier end changes
+/// nothing, since leases are never shortened.
+void ExtendLease(ServerState& aServer, Millis aEndMs, std::string_view aBasis);
+
 /// \brief Formats the id of a subtask for log lines.
 [[nodiscard]] std::string ToString(const SubtaskId& aId);
 using pistachiostand::ToString;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -166,8 +166,8 @@
     aIncarnation >= claimedWallMs - maxLease - kWallClockToleranceMs &&
     aIncarnation <= claimedWallMs + kWallClockToleranceMs;
   if (mayHoldLongestLease) {
-    aServer.m_leaseEndMs = std::max(
-      aServer.m_leaseEndMs, LatestLeaseEndMs(m_state.m_claimedMs + kStartTimeoutMs, maxLease));
+    AssumeLease(aServer, LatestLeaseEndMs(m_state.m_claimedMs + kStartTimeoutMs, maxLease),
+                "started around the takeover", aIncarnation);
   }
 }
 
@@ -176,8 +176,17 @@
   // Leases computed with the clock of the previous incarnation end far in the future, so the server
   // limits them to its longest lease, counted from their arrival.
   const Millis arrival = MonotonicMs() + kStartTimeoutMs;
-  aServer.m_leaseEndMs = std::max(
-    aServer.m_leaseEndMs, LatestLeaseEndMs(arrival, m_state.m_settings.m_bounds.m_maxLeaseMs));
+  AssumeLease(aServer, LatestLeaseEndMs(arrival, m_state.m_settings.m_bounds.m_maxLeaseMs),
+              "started again", 0);
+}
+
+void RunControl::AssumeLease(ServerState& aServer, Millis aEndMs, std::string_view aBasis,
+                             std::int64_t aIncarnation)
+{
+  ExtendLease(aServer, aEndMs, aBasis);
+  LogEvent("fleet", "lease-assumed", "server={} born={} basis={} remaining_ms={}",
+           aServer.m_registration.m_id, aIncarnation, aServer.m_leaseBasis,
+           aServer.m_leaseEndMs - MonotonicMs());
 }
 
 void RunControl::OnServerRegistration(const ServerId& aId,
@@ -313,13 +322,14 @@
     order.m_ticket = ticket->second;
     m_tickets.erase(ticket);
   }
-  server.m_leaseEndMs = std::max(server.m_leaseEndMs, LatestLeaseEndMs(now, lease));
+  ExtendLease(server, LatestLeaseEndMs(now, lease), "start");
   run->m_phase = RunPhase::Sent;
   run->m_sinceMs = now;
   Count(m_state.m_metrics, "starts_total");
-  LogEvent("run", "start", "task={} run={} server={} token={} lease_ms={} resumed={} last_ended={}",
-           ToString(aRun.m_subtask), aRun.m_run, aRun.m_server, m_state.m_token, lease,
-           !order.m_checkpoint.empty(),
+  LogEvent("run", "start",
+           "task={} run={} server={} born={} token={} lease_ms={} resumed={} last_ended={}",
+           ToString(aRun.m_subtask), aRun.m_run, aRun.m_server, server.m_incarnation,
+           m_state.m_token, lease, !order.m_checkpoint.empty(),
            FindSubtask(m_state.m_jobTable, aRun.m_subtask)->m_lastEndedRun);
   m_state.m_orders.Start(
     server.m_registration, order, m_state.m_ownershipLeaseEndMs(), kStartTimeoutMs,
@@ -499,7 +509,7 @@
   // effect, and each one would delay the time from which its work may start elsewhere.
   if (clock && aServer.m_unansweredCalls == 0) {
     order.m_leaseEndMs = *clock + lease;
-    aServer.m_leaseEndMs = std::max(aServer.m_leaseEndMs, LatestLeaseEndMs(now, lease));
+    ExtendLease(aServer, LatestLeaseEndMs(now, lease), "renewal");
   }
   aServer.m_pollSentMs = now;
   Count(m_state.m_metrics, "looks_total");
@@ -598,7 +608,7 @@
   if (!aReport.m_running.empty() && (isFirst || aServer.m_leaseEndMs < now)) {
     // The runs hold a lease of an earlier owner, which that owner can no longer renew.
     const Millis longest = std::min(kLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
-    aServer.m_leaseEndMs = std::max(aServer.m_leaseEndMs, LatestLeaseEndMs(now, longest));
+    ExtendLease(aServer, LatestLeaseEndMs(now, longest), "first report");
   }
   Throttle(aServer);
 }
@@ -707,7 +717,8 @@
 
 void RunControl::ExpireLease(ServerState& aServer, Millis aNowMs)
 {
-  LogEvent("fleet", "lease-expired", "server={} silent_ms={}", aServer.m_registration.m_id,
+  LogEvent("fleet", "lease-expired", "server={} born={} basis={} silent_ms={}",
+           aServer.m_registration.m_id, aServer.m_incarnation, aServer.m_leaseBasis,
            aNowMs - aServer.m_contactMs);
   Count(m_state.m_metrics, "leases_expired_total");
   LogDropped(DropServerRuns(m_state.m_jobTable, aServer.m_registration.m_id, aNowMs),
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -92,6 +92,10 @@
   /// restarted shortly before it. The earlier owner may have sent it orders with deadlines on the
   /// clock of its previous incarnation, which the server limits to its longest lease.
   void AssumeLeaseOfEarlierOwner(ServerState& aServer, std::int64_t aIncarnation);
+  /// \brief Extends the lease beyond what this owner has granted, and logs why.
+  /// \param aIncarnation the incarnation that may hold it; 0: not known yet.
+  void AssumeLease(ServerState& aServer, Millis aEndMs, std::string_view aBasis,
+                   std::int64_t aIncarnation);
   [[nodiscard]] bool HasRuns(const ServerId& aId) const;
   /// \brief True when a run on the server may have begun. Planned runs hold no lease yet.
   [[nodiscard]] bool HasSentRuns(const ServerId& aId) const;
