Tests: a start without a response reaches an incarnation that no owner knows of

Callers saw two runs of one subtask at the same time. The run holds the longest lease, 10 s; the same owner gives it up after 4.1 s, the next owner 6.2 s after its takeover. The relay of the tests can now close its connections, as the restart of a server does; the stand-in itself keeps idle ones open.

--- a/tests/manager/DuplicateRunTest.cpp
+++ b/tests/manager/DuplicateRunTest.cpp
@@ -1,3 +1,4 @@
+#include "../standins/SilentRelay.h"
 #include "EntryInstanceFixture.h"
 
 #include <asio/post.hpp>
@@ -288,5 +289,61 @@
   EXPECT_EQ(Violation(Subtask(kJob)), "");
 }
 
+/// \brief A server that restarts under its id, which its owner does not learn: its connections
+/// break, and its new registration does not reach the store.
+class UnnoticedRestartTest : public RestartBeforeTakeoverTest
+{
+protected:
+  /// Age of the first incarnation, long before each takeover.
+  static constexpr int kAgeMs = 60'000;
+
+  UnnoticedRestartTest()
+    : m_toFirst(m_loop, At(8), At(1))
+  {
+    auto entry = nlohmann::json::parse(m_first.Entry("lookup", -kAgeMs));
+    entry["address"] = pistachiostand::ToString(At(8));
+    m_store.Put("keyed.servers", "s1", entry.dump());
+  }
+
+  /// \brief Restarts the server, which then carries out a start, loses the response to it and is
+  /// cut off.
+  void RestartAndCutOffAfterAStart()
+  {
+    DeregisterSecond();
+    Start(1);
+    ASSERT_TRUE(IsReady(1));
+    Wait(200);
+    m_first.Restart();
+    m_toFirst.Reset();
+    m_first.m_loseStartResponses = 1;
+    Submit(kJob);
+    ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }));
+    m_first.m_hold = true;
+    RegisterSecond();
+  }
+
+  standin::SilentRelay m_toFirst;
+};
+
+// Guards against two runs at the same time: a start without a response had reached an incarnation
+// that its owner did not know of, and its lease was the longest instead of the intended one.
+TEST_F(UnnoticedRestartTest, StartUnanswered_SameOwner_WorkIsNotStartedElsewhereMeanwhile)
+{
+  ASSERT_NO_FATAL_FAILURE(RestartAndCutOffAfterAStart());
+  Wait(kRunMs + 1'000);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
+// Guards against the same failure under the next owner, which reads the registration of the
+// previous incarnation.
+TEST_F(UnnoticedRestartTest, StartUnanswered_NextOwner_WorkIsNotStartedElsewhereMeanwhile)
+{
+  ASSERT_NO_FATAL_FAILURE(RestartAndCutOffAfterAStart());
+  m_entries.erase(1);
+  Start(2);
+  Wait(kRunMs + 1'000);
+  EXPECT_EQ(Violation(Subtask(kJob)), "");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/standins/SilentRelay.h
+++ b/tests/standins/SilentRelay.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 /// \file
-/// \brief TCP relay whose connections can become unresponsive: they stay open but forward nothing.
+/// \brief TCP relay whose connections can be closed, or become unresponsive: they stay open but
+/// forward nothing.
 
 namespace pistachiostand::fleet::standin {
 
@@ -36,6 +37,16 @@
     }
   }
 
+  /// \brief Closes the open connections, as the restart of the target does.
+  void Reset()
+  {
+    for (const auto& each : std::exchange(m_pipes, {})) {
+      if (const auto pipe = each.lock()) {
+        pipe->Close();
+      }
+    }
+  }
+
   /// New connections forward nothing.
   bool m_cut{};
   std::size_t m_responseBytesPerS{}; ///< Rate limit of each connection to its client; 0: none.
