Send orders for one incarnation of a server only on connections that lead to it

Cause: a call that is meant for the former incarnation of a server is carried out by the next one.

Change: a connection ends with the process that accepted it. HttpClient records when each connection was established, and can restrict a request to connections of a certain age. Starts, renewals and acknowledgments are restricted to connections that were established before the last report of the incarnation that they are meant for; carriers do the same. Without such a connection a poll that renews and acknowledges nothing goes first, on the connection that the start uses next. If another incarnation answers it, the start is not sent, and the owner polls the server.

Two tests changed: DuplicateRunTest.*_PollOvertakenByAStart_* held all responses to polls and now holds the first, because the start waits for a report; RunControlTest.AnswerOfThePreviousIncarnation_* gives that report. Both check as much as before.

--- a/include/pistachiostand/connection/HttpClient.h
+++ b/include/pistachiostand/connection/HttpClient.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace asio {
 class io_context;
@@ -44,6 +45,9 @@
   /// Latest time to send, on the monotonic clock; 0: no limit. After it the request fails as
   /// NotSent, however long the process was paused or waited for a connection.
   Millis m_sendBeforeMs{};
+  /// Sends only on a connection that was established by this time, on the monotonic clock; 0: on
+  /// any. Otherwise the request fails as NotSent.
+  Millis m_establishedByMs{};
 };
 
 struct ClientResponse
@@ -52,6 +56,8 @@
   std::uint16_t m_status{};
   HttpHeaders m_headers;
   std::string m_body;
+  /// When its connection was ready for the request, on the monotonic clock; 0: it was not sent.
+  Millis m_sentMs{};
 };
 
 using ClientCallback = std::function<void(ClientResponse)>;
@@ -76,6 +82,11 @@
   /// \brief Ends a transfer and its connection; its callback is not called.
   virtual void Cancel(std::uint64_t aId) = 0;
 
+  /// \brief True when an idle connection to the peer of the URL, established by the time, is
+  /// left after each waiting request has taken one. The peer may have closed it unnoticed.
+  [[nodiscard]] virtual bool HasIdleConnection(std::string_view aUrl,
+                                               Millis aEstablishedByMs) const = 0;
+
 protected:
   HttpClient() = default;
 };
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -40,6 +40,8 @@
   CURL* m_easy{};
   curl_slist* m_headerList{};
   bool m_sendStarted{}; ///< libcurl has begun to send the request.
+  bool m_isWaiting{};   ///< It has no connection yet, and has not begun to open one.
+  curl_socket_t m_openedSocket{ CURL_SOCKET_BAD }; ///< Of the connection opened for it.
 
   Transfer() = default;
   Transfer(const Transfer&) = delete;
@@ -97,19 +99,20 @@
   return std::string{ aUrl.substr(0, aUrl.find_first_of("/?")) };
 }
 
-/// \brief Called when the connection is ready, right before the request is written.
-int OnBeforeRequest(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
-                    int /*aLocalPort*/)
+/// \brief An open connection, or one that is being opened.
+struct Connection
 {
-  auto& transfer = *static_cast<Transfer*>(aTransfer);
-  const ClientRequest& request = transfer.m_request;
-  if ((request.m_sendOnce && transfer.m_sendStarted) ||
-      (request.m_sendBeforeMs != 0 && MonotonicMs() > request.m_sendBeforeMs)) {
-    return CURL_PREREQFUNC_ABORT;
-  }
-  transfer.m_sendStarted = true;
-  return CURL_PREREQFUNC_OK;
-}
+  std::string m_peer;
+  int m_localPort{};        ///< 0: not established yet.
+  Millis m_establishedMs{}; ///< When it was first found established; not earlier than it was.
+};
+
+/// \brief The connections to a peer and the requests that wait for one.
+struct Peer
+{
+  std::vector<curl_socket_t> m_sockets;
+  std::size_t m_waiting{};
+};
 
 /// \brief True when the request was not handed to a connection.
 bool IsUnsent(CURL* aEasy)
@@ -177,6 +180,8 @@
     transfer->m_peer = PeerOf(transfer->m_request.m_url);
     transfer->m_callback = std::move(aCallback);
     transfer->m_easy = AcquireHandle();
+    transfer->m_isWaiting = true;
+    ++m_peers[transfer->m_peer].m_waiting;
     Configure(*transfer);
     CURL* easy = transfer->m_easy;
     m_transfers.emplace(m_lastId, std::move(transfer));
@@ -188,12 +193,28 @@
   {
     const auto found = m_transfers.find(aId);
     if (found != m_transfers.end()) {
+      EndWait(*found->second);
       curl_multi_remove_handle(m_multi, found->second->m_easy);
       m_transfers.erase(found);
     }
     m_pendingResponses.erase(aId);
   }
 
+  [[nodiscard]] bool HasIdleConnection(std::string_view aUrl,
+                                       Millis aEstablishedByMs) const override
+  {
+    const auto peer = m_peers.find(PeerOf(aUrl));
+    if (peer == m_peers.end()) {
+      return false;
+    }
+    const auto idle = std::ranges::count_if(peer->second.m_sockets, [&](curl_socket_t aSocket) {
+      const Connection& connection = m_connections.at(aSocket);
+      return connection.m_localPort != 0 && connection.m_establishedMs <= aEstablishedByMs &&
+             IsIdle(aSocket);
+    });
+    return static_cast<std::size_t>(idle) > peer->second.m_waiting;
+  }
+
 private:
   /// \brief A response that has not been delivered to its caller yet.
   struct PendingResponse
@@ -256,10 +277,8 @@
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
-    if (request.m_sendBeforeMs != 0 || request.m_sendOnce) {
-      curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
-      curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
-    }
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
     SetHeaders(aTransfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
@@ -272,6 +291,57 @@
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   }
 
+  /// \brief Called when the connection is ready, right before the request is written.
+  static int OnBeforeRequest(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
+                             int aLocalPort)
+  {
+    auto& transfer = *static_cast<Transfer*>(aTransfer);
+    const ClientRequest& request = transfer.m_request;
+    const Millis now = MonotonicMs();
+    transfer.m_client->EndWait(transfer);
+    const Millis establishedMs = transfer.m_client->EstablishedMs(transfer, aLocalPort, now);
+    if ((request.m_sendOnce && transfer.m_sendStarted) ||
+        (request.m_sendBeforeMs != 0 && now > request.m_sendBeforeMs) ||
+        (request.m_establishedByMs != 0 && establishedMs > request.m_establishedByMs)) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.m_sendStarted = true;
+    transfer.m_response.m_sentMs = now;
+    return CURL_PREREQFUNC_OK;
+  }
+
+  /// \brief When the connection that a transfer is about to use was established. libcurl identifies
+  /// the connection only by its local port, which is unique among those to one peer.
+  Millis EstablishedMs(const Transfer& aTransfer, int aLocalPort, Millis aNowMs)
+  {
+    const auto opened = m_connections.find(aTransfer.m_openedSocket);
+    if (opened != m_connections.end() && opened->second.m_localPort == 0) {
+      opened->second.m_localPort = aLocalPort;
+      opened->second.m_establishedMs = aNowMs;
+    }
+    const auto& sockets = m_peers[aTransfer.m_peer].m_sockets;
+    const auto used = std::ranges::find_if(sockets, [&](curl_socket_t aSocket) {
+      return m_connections.at(aSocket).m_localPort == aLocalPort;
+    });
+    return used == sockets.end() ? aNowMs : m_connections.at(*used).m_establishedMs;
+  }
+
+  void EndWait(Transfer& aTransfer)
+  {
+    if (std::exchange(aTransfer.m_isWaiting, false)) {
+      --m_peers[aTransfer.m_peer].m_waiting;
+      ForgetUnused(aTransfer.m_peer);
+    }
+  }
+
+  void ForgetUnused(const std::string& aPeer)
+  {
+    const auto found = m_peers.find(aPeer);
+    if (found != m_peers.end() && found->second.m_sockets.empty() && found->second.m_waiting == 0) {
+      m_peers.erase(found);
+    }
+  }
+
   static int OnTimer(CURLM* /*aMulti*/, long aTimeoutMs, void* aSelf)
   {
     static_cast<CurlClient*>(aSelf)->SetDriveTime(aTimeoutMs);
@@ -358,11 +428,15 @@
   {
     const curl_socket_t opened =
       ::socket(aAddress->family, aAddress->socktype | SOCK_CLOEXEC, aAddress->protocol);
-    const auto& transfer = *static_cast<Transfer*>(aTransfer);
-    transfer.m_client->ReleaseSocket(opened);
+    auto& transfer = *static_cast<Transfer*>(aTransfer);
+    CurlClient& client = *transfer.m_client;
+    client.ReleaseSocket(opened);
     if (opened != CURL_SOCKET_BAD) {
-      transfer.m_client->m_peers.insert_or_assign(opened, transfer.m_peer);
+      client.m_connections.emplace(opened, Connection{ transfer.m_peer, 0, 0 });
+      client.m_peers[transfer.m_peer].m_sockets.push_back(opened);
+      transfer.m_openedSocket = opened;
     }
+    client.EndWait(transfer);
     return opened;
   }
 
@@ -374,7 +448,10 @@
 
   void ReleaseSocket(curl_socket_t aSocket)
   {
-    m_peers.erase(aSocket);
+    if (const auto connection = m_connections.extract(aSocket)) {
+      std::erase(m_peers[connection.mapped().m_peer].m_sockets, aSocket);
+      ForgetUnused(connection.mapped().m_peer);
+    }
     const auto found = m_sockets.find(aSocket);
     if (found != m_sockets.end()) {
       found->second->m_descriptor.release();
@@ -383,16 +460,25 @@
   }
 
   /// \brief Shuts the idle connections to a peer down, so that libcurl opens new ones.
-  void ShutDownIdleConnections(std::string_view aPeer)
+  void ShutDownIdleConnections(const std::string& aPeer)
   {
-    for (const auto& [socket, peer] : m_peers) {
-      const auto watched = m_sockets.find(socket);
-      if (peer == aPeer && watched != m_sockets.end() && watched->second->m_pollFlags == 0) {
+    const auto peer = m_peers.find(aPeer);
+    if (peer == m_peers.end()) {
+      return;
+    }
+    for (const curl_socket_t socket : peer->second.m_sockets) {
+      if (IsIdle(socket)) {
         ::shutdown(socket, SHUT_RDWR);
       }
     }
   }
 
+  [[nodiscard]] bool IsIdle(curl_socket_t aSocket) const
+  {
+    const auto watched = m_sockets.find(aSocket);
+    return watched != m_sockets.end() && watched->second->m_pollFlags == 0;
+  }
+
   void WatchSocket(curl_socket_t aSocket, int aPollFlags)
   {
     auto& socket = m_sockets[aSocket];
@@ -462,6 +548,7 @@
     const auto found = m_transfers.find(static_cast<Transfer*>(data)->m_id);
     const auto transfer = std::move(found->second);
     m_transfers.erase(found);
+    EndWait(*transfer);
     long status = 0;
     curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
     transfer->m_response.m_status = static_cast<std::uint16_t>(status);
@@ -501,7 +588,8 @@
   std::map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
   std::map<std::uint64_t, PendingResponse> m_pendingResponses;
   std::map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
-  std::map<curl_socket_t, std::string> m_peers; ///< Peer of each open socket.
+  std::map<curl_socket_t, Connection> m_connections;
+  std::map<std::string, Peer> m_peers; ///< By host and port.
 };
 
 } // namespace
--- a/src/manager/CarrierMessage.cpp
+++ b/src/manager/CarrierMessage.cpp
@@ -15,7 +15,7 @@
 
 static constexpr std::uint8_t EnumeratorCount(CallOutcome /*aOutcome*/) noexcept
 {
-  return static_cast<std::uint8_t>(CallOutcome::Unknown) + 1;
+  return static_cast<std::uint8_t>(CallOutcome::IncarnationMismatch) + 1;
 }
 
 static constexpr std::uint8_t EnumeratorCount(OrderRefusal /*aRefusal*/) noexcept
@@ -59,7 +59,7 @@
   aVisit(aOrder.m_call, aOrder.m_kind, aOrder.m_server, aOrder.m_address, aOrder.m_timeoutMs,
          aOrder.m_sendBeforeMs, aOrder.m_subtask, aOrder.m_run, aOrder.m_payload,
          aOrder.m_checkpoint, aOrder.m_ticket, aOrder.m_leaseEndMs, aOrder.m_acknowledged,
-         aOrder.m_waitMs, aOrder.m_percent);
+         aOrder.m_waitMs, aOrder.m_percent, aOrder.m_incarnation);
 }
 
 template<typename V>
--- a/src/manager/CarrierMessage.h
+++ b/src/manager/CarrierMessage.h
@@ -66,6 +66,7 @@
   std::uint64_t m_acknowledged{}; ///< The ends up to this number are stored and acknowledged.
   Millis m_waitMs{};              ///< How long a poll waits for an end.
   int m_percent{};                ///< Speed that a throttle order permits.
+  std::int64_t m_incarnation{};   ///< Of the backend server, for starts and polls; 0: not known.
 
   friend bool operator==(const CarriedOrder&, const CarriedOrder&) = default;
 };
--- /dev/null
+++ b/src/manager/IncarnationOrders.cpp
@@ -0,0 +1,118 @@
+#include "IncarnationOrders.h"
+
+#include "EventLog.h"
+#include "OwnerState.h"
+
+#include "pistachiostand/base/Clock.h"
+
+#include <utility>
+
+namespace pistachiostand::fleet {
+
+using platform::CallOutcome;
+
+Millis IncarnationOrders::EstablishedByMs(const Endpoint& aAddress, std::int64_t aIncarnation) const
+{
+  const auto report = m_reports.find(aAddress);
+  const bool isKnown =
+    report != m_reports.end() && report->second.m_incarnation == aIncarnation &&
+    m_client.HasIdleConnection("http://" + ToString(aAddress), report->second.m_requestedMs);
+  return isKnown ? report->second.m_requestedMs : 0;
+}
+
+void IncarnationOrders::Start(const ServerRegistration& aServer, const platform::StartOrder& aOrder,
+                              Millis aSendBeforeMs, Millis aTimeoutMs,
+                              platform::OrderCallback aDone)
+{
+  if (aOrder.m_incarnation == 0) {
+    m_orders.Start(aServer, aOrder, aSendBeforeMs, aTimeoutMs, std::move(aDone));
+    return;
+  }
+  platform::StartOrder order = aOrder;
+  order.m_establishedByMs = EstablishedByMs(aServer.m_address, aOrder.m_incarnation);
+  if (order.m_establishedByMs == 0) {
+    PollThenStart(aServer, std::move(order), aSendBeforeMs, aTimeoutMs, std::move(aDone));
+    return;
+  }
+  const Millis deadline = MonotonicMs() + aTimeoutMs;
+  m_orders.Start(aServer, order, aSendBeforeMs, aTimeoutMs,
+                 [this, alive = std::weak_ptr<int>(m_alive), aServer, order, aSendBeforeMs,
+                  deadline, done = std::move(aDone)](const platform::OrderResult& aResult) {
+                   const Millis left = deadline - MonotonicMs();
+                   // The server had closed the connection meanwhile.
+                   if (aResult.m_outcome == CallOutcome::NotSent && left > 0 && alive.lock()) {
+                     PollThenStart(aServer, order, aSendBeforeMs, left, done);
+                   } else {
+                     done(aResult);
+                   }
+                 });
+}
+
+void IncarnationOrders::PollThenStart(const ServerRegistration& aServer,
+                                      platform::StartOrder aOrder, Millis aSendBeforeMs,
+                                      Millis aTimeoutMs, platform::OrderCallback aDone)
+{
+  platform::PollRequest poll;
+  poll.m_token = aOrder.m_token;
+  poll.m_sendBeforeMs = aSendBeforeMs;
+  const Millis deadline = MonotonicMs() + aTimeoutMs;
+  SendPoll(
+    aServer, poll, aTimeoutMs,
+    [this, alive = std::weak_ptr<int>(m_alive), aServer, order = std::move(aOrder), aSendBeforeMs,
+     deadline, done = std::move(aDone)](const platform::PollResult& aResult) mutable {
+      if (!alive.lock()) {
+        return;
+      }
+      const Millis left = deadline - MonotonicMs();
+      const std::int64_t reported = aResult.m_report.m_incarnation;
+      if (aResult.m_outcome == CallOutcome::Done && reported != order.m_incarnation) {
+        LogEvent("run", "start-withheld", "task={} server={} born={} expected_born={}",
+                 ToString(order.m_run.m_subtask), aServer.m_id, reported, order.m_incarnation);
+        done({ CallOutcome::IncarnationMismatch, {} });
+      } else if (aResult.m_outcome == CallOutcome::Unknown ||
+                 (aResult.m_outcome == CallOutcome::Done && left <= 0)) {
+        done({ CallOutcome::NotSent, {} });
+      } else if (aResult.m_outcome != CallOutcome::Done) {
+        done({ aResult.m_outcome, { {}, aResult.m_refusal } });
+      } else {
+        order.m_establishedByMs = aResult.m_sentMs;
+        m_orders.Start(aServer, order, aSendBeforeMs, left, std::move(done));
+      }
+    });
+}
+
+std::uint64_t IncarnationOrders::Poll(const ServerRegistration& aServer,
+                                      platform::PollRequest aRequest, Millis aTimeoutMs,
+                                      std::function<void(const platform::PollResult&)> aDone)
+{
+  const bool isForOneIncarnation = aRequest.m_leaseEndMs != 0 || aRequest.m_acknowledged != 0;
+  if (aRequest.m_incarnation != 0 && isForOneIncarnation) {
+    aRequest.m_establishedByMs = EstablishedByMs(aServer.m_address, aRequest.m_incarnation);
+    if (aRequest.m_establishedByMs == 0) {
+      aRequest.m_leaseEndMs = 0;
+      aRequest.m_acknowledged = 0;
+      aRequest.m_waitMs = 0;
+    }
+  }
+  return SendPoll(aServer, aRequest, aTimeoutMs, std::move(aDone));
+}
+
+std::uint64_t IncarnationOrders::SendPoll(const ServerRegistration& aServer,
+                                          const platform::PollRequest& aRequest, Millis aTimeoutMs,
+                                          std::function<void(const platform::PollResult&)> aDone)
+{
+  return m_orders.Poll(aServer, aRequest, aTimeoutMs,
+                       [this, alive = std::weak_ptr<int>(m_alive), address = aServer.m_address,
+                        done = std::move(aDone)](const platform::PollResult& aResult) {
+                         if (aResult.m_outcome == CallOutcome::Done && alive.lock()) {
+                           LastReport& last = m_reports[address];
+                           // Responses may overtake each other.
+                           if (aResult.m_sentMs > last.m_requestedMs) {
+                             last = { aResult.m_report.m_incarnation, aResult.m_sentMs };
+                           }
+                         }
+                         done(aResult);
+                       });
+}
+
+} // namespace pistachiostand::fleet
--- /dev/null
+++ b/src/manager/IncarnationOrders.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "platform/Orders.h"
+
+#include "pistachiostand/base/Endpoint.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+/// \file
+/// \brief Sends orders so that only the intended incarnation of a backend server carries them out.
+///
+/// A restarted server keeps its id and address, and its clock starts anew, so that a deadline for
+/// the previous incarnation lies far in the future. Nothing in a call names the incarnation. But a
+/// connection ends with the process that accepted it: what is sent on a connection does not reach a
+/// later incarnation than the one that reported after the connection was established.
+
+namespace pistachiostand::fleet {
+
+class IncarnationOrders
+{
+public:
+  explicit IncarnationOrders(HttpClient& aClient)
+    : m_client(aClient)
+    , m_orders(aClient)
+  {
+  }
+
+  /// \brief Starts a run, after a poll where no connection is known to lead to the incarnation.
+  /// `IncarnationMismatch` when another incarnation answers the poll.
+  void Start(const ServerRegistration& aServer, const platform::StartOrder& aOrder,
+             Millis aSendBeforeMs, Millis aTimeoutMs, platform::OrderCallback aDone);
+
+  /// \brief Polls the server. Where no connection is known to lead to the incarnation, the poll
+  /// renews and acknowledges nothing, and responds at once.
+  /// \return an id for HttpClient::Cancel.
+  std::uint64_t Poll(const ServerRegistration& aServer, platform::PollRequest aRequest,
+                     Millis aTimeoutMs, std::function<void(const platform::PollResult&)> aDone);
+
+  void Stop(const ServerRegistration& aServer, const RunRef& aRun,
+            const platform::Permission& aPermission, Millis aTimeoutMs,
+            platform::OrderCallback aDone)
+  {
+    m_orders.Stop(aServer, aRun, aPermission, aTimeoutMs, std::move(aDone));
+  }
+
+  void Throttle(const ServerRegistration& aServer, const RunRef& aRun, int aPercent,
+                const platform::Permission& aPermission, Millis aTimeoutMs,
+                platform::OrderCallback aDone)
+  {
+    m_orders.Throttle(aServer, aRun, aPercent, aPermission, aTimeoutMs, std::move(aDone));
+  }
+
+private:
+  /// \brief The last incarnation that reported from an address.
+  struct LastReport
+  {
+    std::int64_t m_incarnation{};
+    Millis m_requestedMs{}; ///< When the poll was sent, on the monotonic clock.
+  };
+
+  void PollThenStart(const ServerRegistration& aServer, platform::StartOrder aOrder,
+                     Millis aSendBeforeMs, Millis aTimeoutMs, platform::OrderCallback aDone);
+  std::uint64_t SendPoll(const ServerRegistration& aServer, const platform::PollRequest& aRequest,
+                         Millis aTimeoutMs, std::function<void(const platform::PollResult&)> aDone);
+  /// \brief Time by which a connection must have been established to lead to the incarnation; 0:
+  /// none is known to.
+  [[nodiscard]] Millis EstablishedByMs(const Endpoint& aAddress, std::int64_t aIncarnation) const;
+
+  HttpClient& m_client;
+  platform::ServerOrders m_orders;
+  std::map<Endpoint, LastReport> m_reports;
+  std::shared_ptr<int> m_alive = std::make_shared<int>();
+};
+
+} // namespace pistachiostand::fleet
--- a/src/manager/OrderCarrier.cpp
+++ b/src/manager/OrderCarrier.cpp
@@ -238,7 +238,7 @@
     case OrderKind::Start:
       m_orders.Start(server,
                      { run, aOrder.m_payload, aOrder.m_checkpoint, aOrder.m_ticket,
-                       aOrder.m_leaseEndMs, aToken },
+                       aOrder.m_leaseEndMs, aToken, aOrder.m_incarnation, 0 },
                      permission.m_sendBeforeMs, aOrder.m_timeoutMs, answered);
       break;
     case OrderKind::Stop:
@@ -250,7 +250,7 @@
     case OrderKind::Poll:
       m_orders.Poll(server,
                     { aOrder.m_leaseEndMs, aToken, aOrder.m_acknowledged, aOrder.m_waitMs,
-                      permission.m_sendBeforeMs },
+                      permission.m_sendBeforeMs, aOrder.m_incarnation, 0 },
                     aOrder.m_timeoutMs,
                     guarded([this, id = aOrder.m_server](const platform::PollResult& aResult) {
                       if (aResult.m_malformedRows.m_count != 0) {
--- a/src/manager/OrderCarrier.h
+++ b/src/manager/OrderCarrier.h
@@ -2,6 +2,7 @@
 
 #include "CarrierMessage.h"
 #include "EntrySettings.h"
+#include "IncarnationOrders.h"
 #include "Metrics.h"
 
 #include "pistachiostand/connection/FrameLink.h"
@@ -59,7 +60,7 @@
   std::string m_process;
   const OwnershipView& m_view;
   Metrics& m_metrics;
-  platform::ServerOrders m_orders;
+  IncarnationOrders m_orders;
   std::string m_owner;   ///< Process to connect to.
   unsigned m_failures{}; ///< Consecutive failed connection attempts.
   Millis m_dialAfterMs{};
--- a/src/manager/OrderRouter.cpp
+++ b/src/manager/OrderRouter.cpp
@@ -77,6 +77,7 @@
   order.m_checkpoint = aOrder.m_checkpoint;
   order.m_ticket = aOrder.m_ticket;
   order.m_leaseEndMs = aOrder.m_leaseEndMs;
+  order.m_incarnation = aOrder.m_incarnation;
   if (SendThroughCarrier(aServer, std::move(order), [aDone](const CarriedResult& aResult) {
         aDone(ToOrderResult(aResult));
       }) == 0) {
@@ -115,10 +116,11 @@
   auto order = MakeOrder(OrderKind::Poll, {}, aOrder.m_sendBeforeMs, aTimeoutMs);
   order.m_leaseEndMs = aOrder.m_leaseEndMs;
   order.m_acknowledged = aOrder.m_acknowledged;
+  order.m_incarnation = aOrder.m_incarnation;
   order.m_waitMs = aOrder.m_waitMs;
   const auto call =
     SendThroughCarrier(aServer, std::move(order), [aDone](const CarriedResult& aResult) {
-      platform::PollResult result{ aResult.m_outcome, aResult.m_refusal, {} };
+      platform::PollResult result{ aResult.m_outcome, aResult.m_refusal, {}, {}, {} };
       if (aResult.m_report) {
         result.m_report = *aResult.m_report;
       } else if (aResult.m_outcome == platform::CallOutcome::Done) {
--- a/src/manager/OrderRouter.h
+++ b/src/manager/OrderRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CarrierPool.h"
+#include "IncarnationOrders.h"
 
 #include "platform/Orders.h"
 
@@ -64,7 +65,7 @@
   [[nodiscard]] bool UsesCarrier(const ServerId& aServer);
 
   HttpClient& m_client;
-  platform::ServerOrders m_direct;
+  IncarnationOrders m_direct;
   std::unique_ptr<CarrierPool> m_carriers;
   std::map<ServerId, Millis> m_directUntilMs; ///< Servers that a carrier could not reach.
 };
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -113,6 +113,9 @@
 /// \brief Latest time on the owner's steady clock at which a lease granted now may still be valid.
 [[nodiscard]] Millis LatestLeaseEndMs(Millis aNowMs, Millis aLeaseMs) noexcept;
 
+/// \brief Latest incarnation of the server that its reports and registrations have shown; 0: none.
+[[nodiscard]] std::int64_t KnownIncarnation(const ServerState& aServer) noexcept;
+
 /// \brief Assumes that leases on the server may be in force until `aEndMs`. An earlier end changes
 /// nothing, since leases are never shortened.
 void ExtendLease(ServerState& aServer, Millis aEndMs, std::string_view aBasis);
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -209,7 +209,7 @@
   }
   const bool moved =
     server.m_registered && server.m_registration.m_address != aRegistration->m_address;
-  const std::int64_t known = std::max(server.m_incarnation, server.m_registration.m_incarnation);
+  const std::int64_t known = KnownIncarnation(server);
   const bool restarted = known != 0 && known < aRegistration->m_incarnation;
   if (!server.m_registered || moved || restarted ||
       server.m_registration.m_draining != aRegistration->m_draining) {
@@ -318,6 +318,7 @@
   const Millis lease = std::min(kStartLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
   order.m_leaseEndMs = *clock + lease;
   order.m_token = m_state.m_token;
+  order.m_incarnation = KnownIncarnation(server);
   if (const auto ticket = m_tickets.find(aRun.m_subtask); ticket != m_tickets.end()) {
     order.m_ticket = ticket->second;
     m_tickets.erase(ticket);
@@ -328,7 +329,7 @@
   Count(m_state.m_metrics, "starts_total");
   LogEvent("run", "start",
            "task={} run={} server={} born={} token={} lease_ms={} resumed={} last_ended={}",
-           ToString(aRun.m_subtask), aRun.m_run, aRun.m_server, server.m_incarnation,
+           ToString(aRun.m_subtask), aRun.m_run, aRun.m_server, order.m_incarnation,
            m_state.m_token, lease, !order.m_checkpoint.empty(),
            FindSubtask(m_state.m_jobTable, aRun.m_subtask)->m_lastEndedRun);
   m_state.m_orders.Start(
@@ -379,6 +380,12 @@
       Drop(ref, "another server is listening at the address");
       OnServerMismatch(server, aSent.m_address);
       break;
+    case CallOutcome::IncarnationMismatch:
+      Drop(ref, "the server started again");
+      server.m_hasReported = false;
+      server.m_nextPollMs = now;
+      CancelPoll(server);
+      break;
     case CallOutcome::NotSent:
       Drop(ref, "not sent");
       OnCallUnanswered(server);
@@ -498,6 +505,7 @@
   }
   platform::PollRequest order;
   order.m_token = m_state.m_token;
+  order.m_incarnation = KnownIncarnation(aServer);
   // Ends are acknowledged only to a server that has just listed them. If it has restarted in the
   // meantime, the number would acknowledge ends of the new incarnation that were never received.
   const bool canAcknowledge =
--- a/tests/manager/DuplicateRunTest.cpp
+++ b/tests/manager/DuplicateRunTest.cpp
@@ -159,6 +159,7 @@
   m_first.m_holdPollResponses = true;
   m_first.Restart();
   ASSERT_TRUE(RunUntil([this] { return m_first.HeldPolls() == 1; }, 2'000));
+  m_first.m_holdPollResponses = false; // The start waits for a report of the new incarnation.
   Submit(kNextJob);
   ASSERT_TRUE(RunUntil([this] { return m_first.Running() == 1; }, 500));
   Wait(20); // The response to the start arrives.
--- a/tests/manager/HttpClientTest.cpp
+++ b/tests/manager/HttpClientTest.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -108,5 +109,60 @@
   EXPECT_EQ(calls[0] + calls[1], 1);
 }
 
+/// \brief Requests that may use only connections of a certain time.
+class ConnectionAgeTest : public HttpClientTest
+{
+protected:
+  ClientResponse Send(Millis aEstablishedByMs)
+  {
+    std::optional<ClientResponse> response;
+    ClientRequest request;
+    request.m_url = m_url;
+    request.m_establishedByMs = aEstablishedByMs;
+    m_client->Send(std::move(request),
+                   [&response](const ClientResponse& aResponse) { response = aResponse; });
+    while (!response) {
+      m_loop.run_for(std::chrono::milliseconds{ 1 });
+    }
+    return *response;
+  }
+
+  const std::string m_url = "http://127.0.0.1:" + std::to_string(kServerPort) + "/";
+};
+
+// Guards against a request for one incarnation of a server that is sent to a later one on a newer
+// connection.
+TEST_F(ConnectionAgeTest, ConnectionTooNew_RequestIsNotSent)
+{
+  const Millis sent = Send(0).m_sentMs;
+  const auto refused = Send(sent - 1);
+  EXPECT_EQ(refused.m_failure, TransferFailure::NotSent);
+  EXPECT_EQ(refused.m_sentMs, 0);
+}
+
+// Guards against a server that gets no requests any more, because its connections count as new.
+TEST_F(ConnectionAgeTest, ConnectionOldEnough_RequestIsSentOnIt)
+{
+  const Millis sent = Send(0).m_sentMs;
+  m_loop.run_for(std::chrono::milliseconds{ 20 });
+  EXPECT_EQ(Send(sent).m_status, 200);
+  EXPECT_EQ(Send(sent).m_status, 200);
+}
+
+// Guards against a request that takes the connection of another one and needs a new one itself.
+TEST_F(ConnectionAgeTest, IdleConnection_IsFreeUntilARequestWaitsForIt)
+{
+  EXPECT_FALSE(m_client->HasIdleConnection(m_url, MonotonicMs()));
+  const Millis sent = Send(0).m_sentMs;
+  EXPECT_TRUE(m_client->HasIdleConnection(m_url, sent));
+  EXPECT_FALSE(m_client->HasIdleConnection(m_url, sent - 1));
+  ClientRequest request;
+  request.m_url = m_url;
+  const auto id = m_client->Send(std::move(request), [](const ClientResponse&) {});
+  EXPECT_FALSE(m_client->HasIdleConnection(m_url, sent));
+  m_client->Cancel(id);
+  EXPECT_TRUE(m_client->HasIdleConnection(m_url, sent));
+}
+
 } // namespace
 } // namespace pistachiostand
--- a/tests/unit/FakeHttpClient.h
+++ b/tests/unit/FakeHttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/base/Clock.h"
 #include "pistachiostand/connection/HttpClient.h"
 
 #include <cstdint>
@@ -37,12 +38,18 @@
     }
   }
 
+  [[nodiscard]] bool HasIdleConnection(std::string_view /*aUrl*/,
+                                       Millis /*aEstablishedByMs*/) const override
+  {
+    return m_hasIdleConnection;
+  }
+
   /// \brief Completes a request with a response, unless it was completed or canceled before.
   void Respond(std::size_t aIndex, std::uint16_t aStatus, std::string aBody)
   {
     const auto callback = std::exchange(m_sent.at(aIndex).m_callback, {});
     if (callback) {
-      callback({ {}, aStatus, {}, std::move(aBody) });
+      callback({ {}, aStatus, {}, std::move(aBody), MonotonicMs() });
     }
   }
 
@@ -59,6 +66,7 @@
   }
 
   std::vector<Request> m_sent;
+  bool m_hasIdleConnection{ true };
 
 private:
   std::uint64_t m_lastId{};
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -180,6 +180,7 @@
 {
   Register(5, 50'000);
   StartRun();
+  Respond("/hold", R"({"clock-ms":50000,"born":5,"running":[],"finished":[]})");
   std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
   Register(9, 100);
   Respond("/run-start", R"({"clock-ms":50005})");
@@ -269,5 +270,19 @@
   EXPECT_NE(FindRun(m_state.m_jobTable, ref)->m_startTimedOutMs, 0);
 }
 
+// Guards against a server that gets no work any more: it has restarted, its registration does not
+// arrive, and the starts for the previous incarnation are withheld.
+TEST_F(RunControlTest, AnotherIncarnationAnswersBeforeAStart_ServerIsPolledAgain)
+{
+  Register(5, 50'000);
+  StartRun();
+  ASSERT_TRUE(m_client.Find("/run-start").empty());
+  Respond("/hold", R"({"clock-ms":10,"born":6,"running":[],"finished":[]})");
+  EXPECT_TRUE(m_client.Find("/run-start").empty());
+  EXPECT_EQ(FindRun(m_state.m_jobTable, { m_subtask, 1, "s1" }), nullptr);
+  m_runs.Tick(MonotonicMs());
+  EXPECT_EQ(m_client.Find("/hold").size(), 2U);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
