Poll a server whose calls were not answered until it responds

Cause: two calls without a response make a server unusable, and only a response makes it usable again, but a server without runs was not polled.

--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -746,7 +746,9 @@
       ExpireLease(server, aNowMs);
       continue;
     }
-    const bool awaitsReport = server.m_registered && !server.m_hasReported;
+    // Only a response makes a server usable again whose calls were not answered.
+    const bool awaitsReport =
+      server.m_registered && (!server.m_hasReported || server.m_unansweredCalls != 0);
     if ((runs || awaitsReport) && server.m_pollCall == 0 && aNowMs >= server.m_nextPollMs &&
         polls > 0) {
       --polls;
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -284,5 +284,24 @@
   EXPECT_EQ(m_client.Find("/hold").size(), 2U);
 }
 
+// Guards against an idle server that gets no work any more: two starts could not be sent to it, and
+// it was not polled (review, case 9).
+TEST_F(RunControlTest, StartsToAnIdleServerNotSent_ServerIsPolledUntilItResponds)
+{
+  ServerState& server = m_state.m_servers["s1"];
+  for (int i = 0; i < 2; ++i) {
+    StartRun();
+    const auto callback = m_client.m_sent.back().m_callback;
+    ClientResponse response;
+    response.m_failure = TransferFailure::NotSent;
+    callback(response);
+  }
+  ASSERT_FALSE(m_runs.IsUsable(server, MonotonicMs()));
+  ASSERT_TRUE(m_client.Find("/hold").empty());
+  m_runs.Tick(MonotonicMs());
+  Respond("/hold", R"({"clock-ms":50010,"born":5,"running":[],"finished":[]})");
+  EXPECT_TRUE(m_runs.IsUsable(server, MonotonicMs()));
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
