Release the sockets of connections that were never established

Callers saw slow and failed jobs after a change of the owner in a large fleet: no carrier reached the new owner, which had to call 350 servers itself.

Cause: libcurl does not report that it closes a socket that never connected. HttpClient went on listing it, and its descriptor soon belonged to another socket, such as the one on which an owner listens for carriers. When a later transfer to the same peer failed, HttpClient shut the idle connections to that peer down, and with them the foreign socket. Polls of servers that do not respond made it frequent.

Change: when a transfer ends, the socket that was opened for it is released if it was never connected.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -103,8 +103,10 @@
 struct Connection
 {
   std::string m_peer;
-  int m_localPort{};        ///< 0: not established yet.
-  Millis m_establishedMs{}; ///< When it was first found established; not earlier than it was.
+  std::uint64_t m_openedFor{}; ///< Transfer that opened it.
+  int m_localPort{};           ///< 0: not established yet.
+  Millis m_establishedMs{};    ///< When it was first found established; not earlier than it was.
+  bool m_isShutDown{};         ///< It is not used again.
 };
 
 /// \brief The connections to a peer and the requests that wait for one.
@@ -195,6 +197,7 @@
     if (found != m_transfers.end()) {
       EndWait(*found->second);
       curl_multi_remove_handle(m_multi, found->second->m_easy);
+      ReleaseUnconnected(*found->second);
       m_transfers.erase(found);
     }
     m_pendingResponses.erase(aId);
@@ -209,8 +212,8 @@
     }
     const auto idle = std::ranges::count_if(peer->second.m_sockets, [&](curl_socket_t aSocket) {
       const Connection& connection = m_connections.at(aSocket);
-      return connection.m_localPort != 0 && connection.m_establishedMs <= aEstablishedByMs &&
-             IsIdle(aSocket);
+      return connection.m_localPort != 0 && !connection.m_isShutDown &&
+             connection.m_establishedMs <= aEstablishedByMs && IsIdle(aSocket);
     });
     return static_cast<std::size_t>(idle) > peer->second.m_waiting;
   }
@@ -321,7 +324,7 @@
     }
     const auto& sockets = m_peers[aTransfer.m_peer].m_sockets;
     const auto used = std::ranges::find_if(sockets, [&](curl_socket_t aSocket) {
-      return m_connections.at(aSocket).m_localPort == aLocalPort;
+      return aLocalPort > 0 && m_connections.at(aSocket).m_localPort == aLocalPort;
     });
     return used == sockets.end() ? aNowMs : m_connections.at(*used).m_establishedMs;
   }
@@ -432,7 +435,7 @@
     CurlClient& client = *transfer.m_client;
     client.ReleaseSocket(opened);
     if (opened != CURL_SOCKET_BAD) {
-      client.m_connections.emplace(opened, Connection{ transfer.m_peer, 0, 0 });
+      client.m_connections.emplace(opened, Connection{ transfer.m_peer, transfer.m_id });
       client.m_peers[transfer.m_peer].m_sockets.push_back(opened);
       transfer.m_openedSocket = opened;
     }
@@ -459,6 +462,17 @@
     }
   }
 
+  /// \brief Releases the socket of an ended transfer that was never connected. libcurl does not
+  /// report that it has closed it, and its descriptor may soon belong to another socket.
+  void ReleaseUnconnected(const Transfer& aTransfer)
+  {
+    const auto opened = m_connections.find(aTransfer.m_openedSocket);
+    if (opened != m_connections.end() && opened->second.m_openedFor == aTransfer.m_id &&
+        opened->second.m_localPort == 0) {
+      ReleaseSocket(aTransfer.m_openedSocket);
+    }
+  }
+
   /// \brief Shuts the idle connections to a peer down, so that libcurl opens new ones.
   void ShutDownIdleConnections(const std::string& aPeer)
   {
@@ -469,6 +483,7 @@
     for (const curl_socket_t socket : peer->second.m_sockets) {
       if (IsIdle(socket)) {
         ::shutdown(socket, SHUT_RDWR);
+        m_connections.at(socket).m_isShutDown = true;
       }
     }
   }
@@ -554,6 +569,7 @@
     transfer->m_response.m_status = static_cast<std::uint16_t>(status);
     transfer->m_response.m_failure = FailureOf(aCode, aEasy);
     curl_multi_remove_handle(m_multi, aEasy);
+    ReleaseUnconnected(*transfer);
     // A request whose send deadline had passed says nothing about the peer.
     const bool isAbandoned = aCode == CURLE_ABORTED_BY_CALLBACK && !transfer->m_sendStarted;
     if (transfer->m_response.m_failure && !isAbandoned) {
--- a/tests/manager/HttpClientTest.cpp
+++ b/tests/manager/HttpClientTest.cpp
@@ -31,8 +31,12 @@
     Reason reason;
     m_server = HttpServer::Create(
       m_loop, { { "127.0.0.1", kServerPort }, 100 },
-      [](const HttpRequest& /*aRequest*/, const HttpResponder& aRespond) {
-        aRespond({ 200, {}, "{}" });
+      [this](const HttpRequest& /*aRequest*/, const HttpResponder& aRespond) {
+        if (m_loseResponses) {
+          m_lost.push_back(aRespond);
+        } else {
+          aRespond({ 200, {}, "{}" });
+        }
       },
       reason);
     // With a full backlog the kernel drops further connection requests.
@@ -69,6 +73,8 @@
   }
 
   asio::io_context m_loop{ 1 };
+  bool m_loseResponses{};
+  std::vector<HttpResponder> m_lost;
   std::unique_ptr<HttpClient> m_client;
   std::unique_ptr<HttpServer> m_server;
   asio::ip::tcp::acceptor m_silent;
@@ -89,6 +95,22 @@
   EXPECT_LT(std::ranges::max(Times(kServerPort, kRequests, 500)), kAtOnceMs);
 }
 
+// Guards against a listening socket that is shut down: it had got the descriptor of a socket whose
+// connection was never established, and later requests to the same peer failed, too.
+TEST_F(HttpClientTest, ConnectionsNeverMade_SocketWithTheirDescriptor_StaysOpen)
+{
+  constexpr int kRequests = 8;
+  constexpr std::uint16_t kOtherPort = 21'464;
+  ASSERT_EQ(Times(kSilentPort, kRequests, 50).size(), 8U);
+  const asio::ip::tcp::endpoint address{ asio::ip::address_v4::loopback(), kOtherPort };
+  asio::ip::tcp::acceptor listening{ m_loop, address };
+  ASSERT_EQ(Times(kSilentPort, 1, 50).size(), 1U);
+  asio::ip::tcp::socket socket{ m_loop };
+  std::error_code error;
+  socket.connect(address, error);
+  EXPECT_FALSE(error) << error.message();
+}
+
 // Guards against delivering a response after its request was canceled, because both happened in one
 // iteration of the loop: the owner took an old report of a server for one of its new incarnation.
 TEST_F(HttpClientTest, CancelAfterTheAnswerCame_CallbackIsNotCalled)
@@ -149,6 +171,17 @@
   EXPECT_EQ(Send(sent).m_status, 200);
 }
 
+// Guards against a request that is refused because an idle connection that is not used any more was
+// taken for one that is.
+TEST_F(ConnectionAgeTest, AfterAFailedRequest_NoConnectionIsIdle)
+{
+  ASSERT_EQ(Times(kServerPort, 2, 500).size(), 2U); // Two open connections.
+  ASSERT_TRUE(m_client->HasIdleConnection(m_url, MonotonicMs()));
+  m_loseResponses = true;
+  ASSERT_TRUE(Send(0).m_failure);
+  EXPECT_FALSE(m_client->HasIdleConnection(m_url, MonotonicMs()));
+}
+
 // Guards against a request that takes the connection of another one and needs a new one itself.
 TEST_F(ConnectionAgeTest, IdleConnection_IsFreeUntilARequestWaitsForIt)
 {
