Keep the incarnation with each clock, and repeat polls that no connection takes

A reviewer who had not seen the work read. No way was found in which an order reaches another incarnation than the one it is meant for, but these, by reading:

- The incarnation of an order was not always the one whose clock its deadline was computed with.
It is now kept in ClockSample.
- A poll that was not sent because the server had closed the connection counted as unanswered, and led to a pause or to direct calls.
It is now sent again at once, without a lease.
- A start that was withheld late made the owner poll again a server that had reported since.
- After a takeover the first renewal waited for the next tick.
It now follows the first report.

Evidence and result: IncarnationOrdersTest.PollOnAClosedConnection_*, CancelOfAPollThatWasSentAgain_*, RunControlTest.StartWithheldAfterALaterReport_* and FirstReportOfAServerWithRuns_* are new and pass, as do the other unit tests (562 in all). The fixture of RunControlTest gives a registered server the clock of its registration.

--- a/src/manager/IncarnationOrders.cpp
+++ b/src/manager/IncarnationOrders.cpp
@@ -11,13 +11,21 @@
 
 using platform::CallOutcome;
 
+namespace {
+
+/// With less time left for its response, a start is not sent: without a response its work would
+/// wait for a lease.
+constexpr Millis kMinStartTimeoutMs = 300;
+
+} // namespace
+
 Millis IncarnationOrders::EstablishedByMs(const Endpoint& aAddress, std::int64_t aIncarnation) const
 {
   const auto report = m_reports.find(aAddress);
   const bool isKnown =
     report != m_reports.end() && report->second.m_incarnation == aIncarnation &&
-    m_client.HasIdleConnection("http://" + ToString(aAddress), report->second.m_requestedMs);
-  return isKnown ? report->second.m_requestedMs : 0;
+    m_client.HasIdleConnection("http://" + ToString(aAddress), report->second.m_sentMs);
+  return isKnown ? report->second.m_sentMs : 0;
 }
 
 void IncarnationOrders::Start(const ServerRegistration& aServer, const platform::StartOrder& aOrder,
@@ -86,15 +94,51 @@
                                       std::function<void(const platform::PollResult&)> aDone)
 {
   const bool isForOneIncarnation = aRequest.m_leaseEndMs != 0 || aRequest.m_acknowledged != 0;
-  if (aRequest.m_incarnation != 0 && isForOneIncarnation) {
-    aRequest.m_establishedByMs = EstablishedByMs(aServer.m_address, aRequest.m_incarnation);
-    if (aRequest.m_establishedByMs == 0) {
-      aRequest.m_leaseEndMs = 0;
-      aRequest.m_acknowledged = 0;
-      aRequest.m_waitMs = 0;
-    }
+  if (aRequest.m_incarnation == 0 || !isForOneIncarnation) {
+    return SendPoll(aServer, aRequest, aTimeoutMs, std::move(aDone));
   }
-  return SendPoll(aServer, aRequest, aTimeoutMs, std::move(aDone));
+  platform::PollRequest forAny = aRequest;
+  forAny.m_leaseEndMs = 0;
+  forAny.m_acknowledged = 0;
+  forAny.m_waitMs = 0;
+  aRequest.m_establishedByMs = EstablishedByMs(aServer.m_address, aRequest.m_incarnation);
+  if (aRequest.m_establishedByMs == 0) {
+    return SendPoll(aServer, forAny, aTimeoutMs, std::move(aDone));
+  }
+  const auto call = std::make_shared<std::uint64_t>();
+  const Millis deadline = MonotonicMs() + aTimeoutMs;
+  *call = SendPoll(aServer, aRequest, aTimeoutMs,
+                   [this, alive = std::weak_ptr<int>(m_alive), aServer, forAny, deadline, call,
+                    done = std::move(aDone)](const platform::PollResult& aResult) {
+                     const Millis left = deadline - MonotonicMs();
+                     // The server had closed the connection meanwhile.
+                     if (aResult.m_outcome == CallOutcome::NotSent && left > 0 && alive.lock()) {
+                       RepeatPoll(*call, aServer, forAny, left, done);
+                     } else {
+                       done(aResult);
+                     }
+                   });
+  return *call;
+}
+
+void IncarnationOrders::RepeatPoll(std::uint64_t aCall, const ServerRegistration& aServer,
+                                   const platform::PollRequest& aRequest, Millis aTimeoutMs,
+                                   std::function<void(const platform::PollResult&)> aDone)
+{
+  m_repeatedPolls[aCall] = SendPoll(aServer, aRequest, aTimeoutMs,
+                                    [this, alive = std::weak_ptr<int>(m_alive), aCall,
+                                     done = std::move(aDone)](const platform::PollResult& aResult) {
+                                      if (alive.lock()) {
+                                        m_repeatedPolls.erase(aCall);
+                                      }
+                                      done(aResult);
+                                    });
+}
+
+void IncarnationOrders::Cancel(std::uint64_t aCall)
+{
+  const auto repeated = m_repeatedPolls.extract(aCall);
+  m_client.Cancel(repeated ? repeated.mapped() : aCall);
 }
 
 std::uint64_t IncarnationOrders::SendPoll(const ServerRegistration& aServer,
@@ -107,7 +151,7 @@
                          if (aResult.m_outcome == CallOutcome::Done && alive.lock()) {
                            LastReport& last = m_reports[address];
                            // Responses may overtake each other.
-                           if (aResult.m_sentMs > last.m_requestedMs) {
+                           if (aResult.m_sentMs > last.m_sentMs) {
                              last = { aResult.m_report.m_incarnation, aResult.m_sentMs };
                            }
                          }
--- a/src/manager/IncarnationOrders.h
+++ b/src/manager/IncarnationOrders.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 
 /// \file
 /// \brief Sends orders so that only the intended incarnation of a backend server carries them out.
@@ -35,10 +36,13 @@
 
   /// \brief Polls the server. Where no connection is known to lead to the incarnation, the poll
   /// renews and acknowledges nothing, and responds at once.
-  /// \return an id for HttpClient::Cancel.
+  /// \return an id for Cancel().
   std::uint64_t Poll(const ServerRegistration& aServer, platform::PollRequest aRequest,
                      Millis aTimeoutMs, std::function<void(const platform::PollResult&)> aDone);
 
+  /// \brief Drops a poll; its callback is not called.
+  void Cancel(std::uint64_t aCall);
+
   void Stop(const ServerRegistration& aServer, const RunRef& aRun,
             const platform::Permission& aPermission, Millis aTimeoutMs,
             platform::OrderCallback aDone)
@@ -58,11 +62,15 @@
   struct LastReport
   {
     std::int64_t m_incarnation{};
-    Millis m_requestedMs{}; ///< When the poll was sent, on the monotonic clock.
+    Millis m_sentMs{}; ///< When the poll was sent, on the monotonic clock.
   };
 
   void PollThenStart(const ServerRegistration& aServer, platform::StartOrder aOrder,
                      Millis aSendBeforeMs, Millis aTimeoutMs, platform::OrderCallback aDone);
+  /// \brief Sends a poll again that its server did not get.
+  void RepeatPoll(std::uint64_t aCall, const ServerRegistration& aServer,
+                  const platform::PollRequest& aRequest, Millis aTimeoutMs,
+                  std::function<void(const platform::PollResult&)> aDone);
   std::uint64_t SendPoll(const ServerRegistration& aServer, const platform::PollRequest& aRequest,
                          Millis aTimeoutMs, std::function<void(const platform::PollResult&)> aDone);
   /// \brief Time by which a connection must have been established to lead to the incarnation; 0:
@@ -72,6 +80,8 @@
   HttpClient& m_client;
   platform::ServerOrders m_orders;
   std::map<Endpoint, LastReport> m_reports;
+  /// Polls that were sent again without a lease, by the id of the first call.
+  std::map<std::uint64_t, std::uint64_t> m_repeatedPolls;
   std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
 
--- a/src/manager/OrderRouter.cpp
+++ b/src/manager/OrderRouter.cpp
@@ -134,7 +134,7 @@
 void OrderRouter::Cancel(std::uint64_t aCall)
 {
   // The ids of the two are disjoint; each ignores those of the other.
-  m_client.Cancel(aCall);
+  m_direct.Cancel(aCall);
   if (m_carriers) {
     m_carriers->Cancel(aCall);
   }
--- a/src/manager/OrderRouter.h
+++ b/src/manager/OrderRouter.h
@@ -19,8 +19,7 @@
 {
 public:
   explicit OrderRouter(HttpClient& aClient)
-    : m_client(aClient)
-    , m_direct(aClient)
+    : m_direct(aClient)
   {
   }
 
@@ -64,7 +63,6 @@
                                    ResultCallback aDone);
   [[nodiscard]] bool UsesCarrier(const ServerId& aServer);
 
-  HttpClient& m_client;
   IncarnationOrders m_direct;
   std::unique_ptr<CarrierPool> m_carriers;
   std::map<ServerId, Millis> m_directUntilMs; ///< Servers that a carrier could not reach.
--- a/src/manager/OwnerState.cpp
+++ b/src/manager/OwnerState.cpp
@@ -2,8 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-
 namespace pistachiostand::fleet {
 
 namespace {
@@ -43,11 +41,6 @@
   return aNowMs + aLeaseMs * 100 / (100 - kClockDriftPercent) + kLeaseMarginMs;
 }
 
-std::int64_t KnownIncarnation(const ServerState& aServer) noexcept
-{
-  return std::max(aServer.m_incarnation, aServer.m_registration.m_incarnation);
-}
-
 void ExtendLease(ServerState& aServer, Millis aEndMs, std::string_view aBasis)
 {
   if (aEndMs > aServer.m_leaseEndMs) {
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -32,6 +32,7 @@
 {
   Millis m_serverMs{};
   Millis m_localMs{};
+  std::int64_t m_incarnation{}; ///< Incarnation with this clock; 0: not known.
 };
 
 /// \brief What the owner has recorded about a backend server.
@@ -113,9 +114,6 @@
 /// \brief Latest time on the owner's steady clock at which a lease granted now may still be valid.
 [[nodiscard]] Millis LatestLeaseEndMs(Millis aNowMs, Millis aLeaseMs) noexcept;
 
-/// \brief Latest incarnation of the server that its reports and registrations have shown; 0: none.
-[[nodiscard]] std::int64_t KnownIncarnation(const ServerState& aServer) noexcept;
-
 /// \brief Assumes that leases on the server may be in force until `aEndMs`. An earlier end changes
 /// nothing, since leases are never shortened.
 void ExtendLease(ServerState& aServer, Millis aEndMs, std::string_view aBasis);
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -133,6 +133,7 @@
 void RunControl::UpdateClock(ServerState& aServer, Millis aServerMs, Millis aSentMs)
 {
   const Millis now = MonotonicMs();
+  std::int64_t incarnation = aServer.m_clock ? aServer.m_clock->m_incarnation : 0;
   if (IsLaterIncarnation(aServer, aServerMs, aSentMs)) {
     LogEvent("fleet", "server-reborn", "server={} clock_ms={} expected_ms={}",
              aServer.m_registration.m_id, aServerMs, *ServerClockMs(aServer, now));
@@ -140,6 +141,7 @@
       DropPreviousIncarnation(m_state.m_jobTable, aServer.m_registration.m_id, aSentMs, now),
       "the server started again");
     BeginIncarnation(aServer);
+    incarnation = 0;
     aServer.m_incarnation = 0;
     aServer.m_hasReported = false;
     aServer.m_nextPollMs = now;
@@ -147,7 +149,7 @@
   } else if (aServer.m_clock && aSentMs < aServer.m_clock->m_localMs) {
     return; // The response may be older than the sample, and of a previous incarnation.
   }
-  aServer.m_clock = ClockSample{ aServerMs, now };
+  aServer.m_clock = ClockSample{ aServerMs, now, incarnation };
 }
 
 void RunControl::BeginIncarnation(ServerState& aServer)
@@ -202,6 +204,7 @@
     return;
   }
   ServerState& server = m_state.m_servers[aId];
+  server.m_registration.m_id = aId;
   if (aRegistration->m_incarnation != 0 &&
       aRegistration->m_incarnation <= server.m_endedIncarnation &&
       now - server.m_endedMs < kStaleRegistrationMs) {
@@ -209,7 +212,7 @@
   }
   const bool moved =
     server.m_registered && server.m_registration.m_address != aRegistration->m_address;
-  const std::int64_t known = KnownIncarnation(server);
+  const std::int64_t known = std::max(server.m_incarnation, server.m_registration.m_incarnation);
   const bool restarted = known != 0 && known < aRegistration->m_incarnation;
   if (!server.m_registered || moved || restarted ||
       server.m_registration.m_draining != aRegistration->m_draining) {
@@ -232,7 +235,7 @@
   server.m_registration = *aRegistration;
   server.m_registered = true;
   if (!server.m_clock) {
-    server.m_clock = ClockSample{ aRegistration->m_clockMs, now };
+    server.m_clock = ClockSample{ aRegistration->m_clockMs, now, aRegistration->m_incarnation };
   }
   m_onChange();
 }
@@ -318,7 +321,7 @@
   const Millis lease = std::min(kStartLeaseMs, m_state.m_settings.m_bounds.m_maxLeaseMs);
   order.m_leaseEndMs = *clock + lease;
   order.m_token = m_state.m_token;
-  order.m_incarnation = KnownIncarnation(server);
+  order.m_incarnation = server.m_clock->m_incarnation;
   if (const auto ticket = m_tickets.find(aRun.m_subtask); ticket != m_tickets.end()) {
     order.m_ticket = ticket->second;
     m_tickets.erase(ticket);
@@ -334,8 +337,9 @@
            FindSubtask(m_state.m_jobTable, aRun.m_subtask)->m_lastEndedRun);
   m_state.m_orders.Start(
     server.m_registration, order, m_state.m_ownershipLeaseEndMs(), kStartTimeoutMs,
-    m_state.Guard([this, sent = SentOrder{ aRun, server.m_registration.m_address, now }](
-                    const platform::OrderResult& aResult) { OnStarted(sent, aResult); }));
+    m_state.Guard(
+      [this, sent = SentOrder{ aRun, server.m_registration.m_address, now, order.m_incarnation }](
+        const platform::OrderResult& aResult) { OnStarted(sent, aResult); }));
 }
 
 void RunControl::OnStarted(const SentOrder& aSent, const platform::OrderResult& aResult)
@@ -382,9 +386,11 @@
       break;
     case CallOutcome::IncarnationMismatch:
       Drop(ref, "the server started again");
-      server.m_hasReported = false;
-      server.m_nextPollMs = now;
-      CancelPoll(server);
+      if (server.m_clock && server.m_clock->m_incarnation == aSent.m_incarnation) {
+        server.m_hasReported = false;
+        server.m_nextPollMs = now;
+        CancelPoll(server);
+      }
       break;
     case CallOutcome::NotSent:
       Drop(ref, "not sent");
@@ -443,7 +449,7 @@
   m_state.m_orders.Stop(
     server->second.m_registration, aRun, { m_state.m_token, m_state.m_ownershipLeaseEndMs() },
     kStopTimeoutMs,
-    m_state.Guard([this, sent = SentOrder{ aRun, server->second.m_registration.m_address, now }](
+    m_state.Guard([this, sent = SentOrder{ aRun, server->second.m_registration.m_address, now, 0 }](
                     const platform::OrderResult& aResult) { OnStopped(sent, aResult); }));
 }
 
@@ -505,7 +511,7 @@
   }
   platform::PollRequest order;
   order.m_token = m_state.m_token;
-  order.m_incarnation = KnownIncarnation(aServer);
+  order.m_incarnation = clock ? aServer.m_clock->m_incarnation : aServer.m_incarnation;
   // Ends are acknowledged only to a server that has just listed them. If it has restarted in the
   // meantime, the number would acknowledge ends of the new incarnation that were never received.
   const bool canAcknowledge =
@@ -549,6 +555,7 @@
     m_onChange();
     return;
   }
+  const bool isFirst = !server.m_hasReported;
   switch (aResult.m_outcome) {
     case platform::CallOutcome::Done:
       server.m_nextPollMs = now;
@@ -556,6 +563,11 @@
         LogEvent("fleet", "server-answers", "server={}", aId);
       }
       ApplyReport(server, aResult.m_report, aSentMs);
+      // The first poll may have renewed nothing; see IncarnationOrders::Poll.
+      if (isFirst && HasRuns(aId) && server.m_pollCall == 0 &&
+          server.m_appliedEnds == server.m_storedEnds) {
+        Poll(server, kPollWaitMs);
+      }
       break;
     case platform::CallOutcome::Refused:
       if (aResult.m_refusal == platform::OrderRefusal::Fenced) {
@@ -590,7 +602,7 @@
       BeginIncarnation(aServer);
     } else if (aServer.m_registration.m_incarnation != 0 &&
                aServer.m_registration.m_incarnation != aReport.m_incarnation) {
-      // The lease of the poll was computed with the clock of the registered incarnation.
+      // An earlier owner may have computed leases with the clock of the registered incarnation.
       AssumeLongestLease(aServer);
     } else {
       AssumeLeaseOfEarlierOwner(aServer, aReport.m_incarnation);
@@ -601,7 +613,7 @@
     aServer.m_clock.reset(); // It may be of another incarnation.
   }
   if (aReport.m_clockMs != 0) {
-    aServer.m_clock = ClockSample{ aReport.m_clockMs, now };
+    aServer.m_clock = ClockSample{ aReport.m_clockMs, now, aReport.m_incarnation };
   }
   aServer.m_contactMs = now;
   const bool isFirst = !std::exchange(aServer.m_hasReported, true);
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -61,6 +61,7 @@
     RunRef m_run;
     Endpoint m_address;
     Millis m_sentMs{};
+    std::int64_t m_incarnation{}; ///< Incarnation that a start is meant for; 0: not known.
   };
 
   void Start(const RunRef& aRun);
--- a/tests/unit/IncarnationOrdersTest.cpp
+++ b/tests/unit/IncarnationOrdersTest.cpp
@@ -38,14 +38,15 @@
     });
   }
 
-  void Poll()
+  std::uint64_t Poll()
   {
     platform::PollRequest request;
     request.m_leaseEndMs = 50'000;
     request.m_acknowledged = 3;
     request.m_waitMs = 400;
     request.m_incarnation = kIncarnation;
-    m_orders.Poll(m_server, request, kTimeoutMs, [](const platform::PollResult&) {});
+    return m_orders.Poll(m_server, request, kTimeoutMs,
+                         [this](const platform::PollResult&) { ++m_reportCount; });
   }
 
   /// \brief Responds to the latest poll as an incarnation of the server, by default at once.
@@ -76,6 +77,7 @@
   ServerRegistration m_server;
   IncarnationOrders m_orders;
   std::vector<CallOutcome> m_outcomes;
+  int m_reportCount{};
 };
 
 // Guards against a start that reaches a later incarnation: it waits until the intended one has
@@ -153,6 +155,30 @@
   EXPECT_GT(LatestPoll().m_establishedByMs, 0);
 }
 
+// Guards against a server that counts as silent because it has closed an idle connection.
+TEST_F(IncarnationOrdersTest, PollOnAClosedConnection_IsSentAgainWithoutALease)
+{
+  Poll();
+  Report(kIncarnation);
+  Poll();
+  Fail(TransferFailure::NotSent);
+  ASSERT_EQ(m_client.Find("/hold").size(), 3U);
+  EXPECT_FALSE(nlohmann::json::parse(LatestPoll().m_body).contains("deadline-ms"));
+}
+
+// Guards against the report of a poll that was canceled.
+TEST_F(IncarnationOrdersTest, CancelOfAPollThatWasSentAgain_CallbackIsNotCalled)
+{
+  Poll();
+  Report(kIncarnation);
+  ASSERT_EQ(m_reportCount, 1);
+  const auto call = Poll();
+  Fail(TransferFailure::NotSent);
+  m_orders.Cancel(call);
+  Report(kIncarnation);
+  EXPECT_EQ(m_reportCount, 1);
+}
+
 // Guards against the same failures when no connection of the time of the report is left.
 TEST_F(IncarnationOrdersTest, NoIdleConnection_ThePollComesFirstAgain)
 {
--- a/tests/unit/ReconcileTest.cpp
+++ b/tests/unit/ReconcileTest.cpp
@@ -103,6 +103,16 @@
   EXPECT_FALSE(HasRun());
 }
 
+// Guards against a second run beside one that the new incarnation has confirmed: the response that
+// shows the restart belongs to an earlier request.
+TEST_F(ReconcileTest, PreviousIncarnation_RunConfirmedSinceTheRequest_IsKept)
+{
+  auto& run = Planned(RunPhase::Running);
+  run.m_sinceMs = kRequested;
+  DropPreviousIncarnation(m_jobTable, "s1", kRequested, kNow);
+  EXPECT_TRUE(HasRun());
+}
+
 // Guards against a second run beside one that starts late: a start without a response was to be
 // stopped, its server restarted and lost the stop, and the start can still be carried out.
 TEST_F(ReconcileTest, PreviousIncarnation_StopOfAStartWithoutAnswer_IsKept)
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -30,7 +30,11 @@
 
   void Register(std::int64_t aIncarnation, Millis aClockMs)
   {
-    ServerRegistration registration = m_state.m_servers["s1"].m_registration;
+    ServerState& server = m_state.m_servers["s1"];
+    if (server.m_clock && server.m_clock->m_incarnation == 0) {
+      server.m_clock.reset(); // The clock of the fixture belongs to no incarnation.
+    }
+    ServerRegistration registration = server.m_registration;
     registration.m_incarnation = aIncarnation;
     registration.m_clockMs = aClockMs;
     m_runs.OnServerRegistration("s1", registration);
@@ -285,7 +289,7 @@
 }
 
 // Guards against an idle server that gets no work any more: two starts could not be sent to it, and
-// it was not polled (review, case 9).
+// it was not polled.
 TEST_F(RunControlTest, StartsToAnIdleServerNotSent_ServerIsPolledUntilItResponds)
 {
   ServerState& server = m_state.m_servers["s1"];
@@ -303,5 +307,38 @@
   EXPECT_TRUE(m_runs.IsUsable(server, MonotonicMs()));
 }
 
+// Guards against a renewal that a late answer cancels: a start for the previous incarnation was
+// withheld after the new one had reported.
+TEST_F(RunControlTest, StartWithheldAfterALaterReport_ServerStaysUsable)
+{
+  Register(5, 50'000);
+  StartRun();
+  Register(9, 100);
+  m_runs.Tick(MonotonicMs());
+  const auto polls = m_client.Find("/hold");
+  ASSERT_EQ(polls.size(), 2U);
+  const std::string report = R"({"clock-ms":110,"born":9,"running":[],"finished":[]})";
+  m_client.Respond(polls[1], 200, report);
+  ASSERT_TRUE(m_runs.IsUsable(m_state.m_servers["s1"], MonotonicMs()));
+  m_client.Respond(polls[0], 200, report);
+  EXPECT_TRUE(m_runs.IsUsable(m_state.m_servers["s1"], MonotonicMs()));
+  EXPECT_TRUE(m_client.Find("/run-start").empty());
+}
+
+// Guards against leases that lapse after a takeover, because the first poll renews nothing and the
+// next one waits for its turn.
+TEST_F(RunControlTest, FirstReportOfAServerWithRuns_LeaseIsRenewedAtOnce)
+{
+  Register(5, 50'000);
+  PlanRun(m_state.m_jobTable, m_subtask, "s1", 1, MonotonicMs());
+  m_state.m_servers["s1"].m_hasReported = false;
+  m_runs.Tick(MonotonicMs());
+  Respond("/hold", R"({"clock-ms":50010,"born":5,"running":[["a.0.0.0",1,"",50]],"finished":[]})");
+  const auto polls = m_client.Find("/hold");
+  ASSERT_EQ(polls.size(), 2U);
+  EXPECT_TRUE(
+    nlohmann::json::parse(m_client.m_sent.at(polls[1]).m_request.m_body).contains("deadline-ms"));
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
