Send a start again when a connection newer than the report was chosen

Callers waited longer for their work in bursts, after: starts were dropped and planned again with a new record.

Cause: several starts to one server open connections at the same time. A start is restricted to connections of the time of its own poll, but libcurl may choose the connection of a later one, and the start counted as not sent, which also counts as a call without a response.

--- a/src/manager/IncarnationOrders.cpp
+++ b/src/manager/IncarnationOrders.cpp
@@ -36,57 +36,67 @@
     m_orders.Start(aServer, aOrder, aSendBeforeMs, aTimeoutMs, std::move(aDone));
     return;
   }
-  platform::StartOrder order = aOrder;
-  order.m_establishedByMs = EstablishedByMs(aServer.m_address, aOrder.m_incarnation);
-  if (order.m_establishedByMs == 0) {
-    PollThenStart(aServer, std::move(order), aSendBeforeMs, aTimeoutMs, std::move(aDone));
-    return;
+  PendingStart start{ aServer, aOrder, aSendBeforeMs, MonotonicMs() + aTimeoutMs,
+                      std::move(aDone) };
+  start.m_order.m_establishedByMs = EstablishedByMs(aServer.m_address, aOrder.m_incarnation);
+  if (start.m_order.m_establishedByMs == 0) {
+    PollThenStart(std::move(start));
+  } else {
+    SendStart(std::move(start));
   }
-  const Millis deadline = MonotonicMs() + aTimeoutMs;
-  m_orders.Start(aServer, order, aSendBeforeMs, aTimeoutMs,
-                 [this, alive = std::weak_ptr<int>(m_alive), aServer, order, aSendBeforeMs,
-                  deadline, done = std::move(aDone)](const platform::OrderResult& aResult) {
-                   const Millis left = deadline - MonotonicMs();
-                   // The server had closed the connection meanwhile.
-                   if (aResult.m_outcome == CallOutcome::NotSent && left > 0 && alive.lock()) {
-                     PollThenStart(aServer, order, aSendBeforeMs, left, done);
+}
+
+void IncarnationOrders::SendStart(PendingStart aStart)
+{
+  const Millis left = aStart.m_deadlineMs - MonotonicMs();
+  m_orders.Start(aStart.m_server, aStart.m_order, aStart.m_sendBeforeMs, left,
+                 [this, alive = std::weak_ptr<int>(m_alive),
+                  start = aStart](const platform::OrderResult& aResult) {
+                   // The server had closed the connection, or a newer one was chosen.
+                   const bool isRepeatable =
+                     aResult.m_outcome == CallOutcome::NotSent &&
+                     MonotonicMs() + kMinStartTimeoutMs <= start.m_deadlineMs;
+                   if (isRepeatable && alive.lock()) {
+                     PollThenStart(start);
                    } else {
-                     done(aResult);
+                     start.m_done(aResult);
                    }
                  });
 }
 
-void IncarnationOrders::PollThenStart(const ServerRegistration& aServer,
-                                      platform::StartOrder aOrder, Millis aSendBeforeMs,
-                                      Millis aTimeoutMs, platform::OrderCallback aDone)
+void IncarnationOrders::PollThenStart(PendingStart aStart)
 {
   platform::PollRequest poll;
-  poll.m_token = aOrder.m_token;
-  poll.m_sendBeforeMs = aSendBeforeMs;
-  const Millis deadline = MonotonicMs() + aTimeoutMs;
-  SendPoll(
-    aServer, poll, aTimeoutMs,
-    [this, alive = std::weak_ptr<int>(m_alive), aServer, order = std::move(aOrder), aSendBeforeMs,
-     deadline, done = std::move(aDone)](const platform::PollResult& aResult) mutable {
-      if (!alive.lock()) {
-        return;
-      }
-      const Millis left = deadline - MonotonicMs();
-      const std::int64_t reported = aResult.m_report.m_incarnation;
-      if (aResult.m_outcome == CallOutcome::Done && reported != order.m_incarnation) {
-        LogEvent("run", "start-withheld", "task={} server={} born={} expected_born={}",
-                 ToString(order.m_run.m_subtask), aServer.m_id, reported, order.m_incarnation);
-        done({ CallOutcome::IncarnationMismatch, {} });
-      } else if (aResult.m_outcome == CallOutcome::Unknown ||
-                 (aResult.m_outcome == CallOutcome::Done && left <= 0)) {
-        done({ CallOutcome::NotSent, {} });
-      } else if (aResult.m_outcome != CallOutcome::Done) {
-        done({ aResult.m_outcome, { {}, aResult.m_refusal } });
-      } else {
-        order.m_establishedByMs = aResult.m_sentMs;
-        m_orders.Start(aServer, order, aSendBeforeMs, left, std::move(done));
-      }
-    });
+  poll.m_token = aStart.m_order.m_token;
+  poll.m_sendBeforeMs = aStart.m_sendBeforeMs;
+  SendPoll(aStart.m_server, poll, aStart.m_deadlineMs - MonotonicMs(),
+           [this, alive = std::weak_ptr<int>(m_alive),
+            start = aStart](const platform::PollResult& aResult) {
+             if (!alive.lock()) {
+               return;
+             }
+             const std::int64_t reported = aResult.m_report.m_incarnation;
+             const bool isTooLate = MonotonicMs() + kMinStartTimeoutMs > start.m_deadlineMs;
+             if (aResult.m_outcome == CallOutcome::Done &&
+                 reported != start.m_order.m_incarnation) {
+               LogEvent("run", "start-withheld", "task={} server={} born={} expected_born={}",
+                        ToString(start.m_order.m_run.m_subtask), start.m_server.m_id, reported,
+                        start.m_order.m_incarnation);
+               start.m_done({ CallOutcome::IncarnationMismatch, {} });
+             } else if (aResult.m_outcome == CallOutcome::Unknown ||
+                        (aResult.m_outcome == CallOutcome::Done && isTooLate)) {
+               start.m_done({ CallOutcome::NotSent, {} });
+             } else if (aResult.m_outcome != CallOutcome::Done) {
+               start.m_done({ aResult.m_outcome, { {}, aResult.m_refusal } });
+             } else {
+               // A later poll may have been answered before, and its connection may be chosen.
+               const LastReport& last = m_reports.at(start.m_server.m_address);
+               PendingStart next = start;
+               next.m_order.m_establishedByMs =
+                 last.m_incarnation == reported ? last.m_sentMs : aResult.m_sentMs;
+               SendStart(std::move(next));
+             }
+           });
 }
 
 std::uint64_t IncarnationOrders::Poll(const ServerRegistration& aServer,
--- a/src/manager/IncarnationOrders.h
+++ b/src/manager/IncarnationOrders.h
@@ -65,8 +65,17 @@
     Millis m_sentMs{}; ///< When the poll was sent, on the monotonic clock.
   };
 
-  void PollThenStart(const ServerRegistration& aServer, platform::StartOrder aOrder,
-                     Millis aSendBeforeMs, Millis aTimeoutMs, platform::OrderCallback aDone);
+  struct PendingStart
+  {
+    ServerRegistration m_server;
+    platform::StartOrder m_order;
+    Millis m_sendBeforeMs{};
+    Millis m_deadlineMs{}; ///< For the response, on the monotonic clock.
+    platform::OrderCallback m_done;
+  };
+
+  void SendStart(PendingStart aStart);
+  void PollThenStart(PendingStart aStart);
   /// \brief Sends a poll again that its server did not get.
   void RepeatPoll(std::uint64_t aCall, const ServerRegistration& aServer,
                   const platform::PollRequest& aRequest, Millis aTimeoutMs,
--- a/tests/unit/IncarnationOrdersTest.cpp
+++ b/tests/unit/IncarnationOrdersTest.cpp
@@ -133,6 +133,19 @@
   EXPECT_EQ(StartCount(), 2U);
 }
 
+// Guards against work that is planned again because a connection was chosen that is newer than the
+// report: in a burst, other starts open connections at the same time.
+TEST_F(IncarnationOrdersTest, StartAfterThePollOnANewerConnection_IsSentAfterAnotherReport)
+{
+  Start();
+  Report(kIncarnation);
+  ASSERT_EQ(StartCount(), 1U);
+  Fail(TransferFailure::NotSent);
+  ASSERT_TRUE(m_outcomes.empty());
+  Report(kIncarnation);
+  EXPECT_EQ(StartCount(), 2U);
+}
+
 // Guards against a renewal or an acknowledgment that reaches a later incarnation.
 TEST_F(IncarnationOrdersTest, PollWithoutAKnownConnection_RenewsAndAcknowledgesNothing)
 {
