Share a pending start between its calls instead of copying it

Callers see no difference. Change: the pending start is moved into a shared object that the callbacks hold.

--- a/src/manager/IncarnationOrders.cpp
+++ b/src/manager/IncarnationOrders.cpp
@@ -48,50 +48,49 @@
 
 void IncarnationOrders::SendStart(PendingStart aStart)
 {
-  const Millis left = aStart.m_deadlineMs - MonotonicMs();
-  m_orders.Start(aStart.m_server, aStart.m_order, aStart.m_sendBeforeMs, left,
-                 [this, alive = std::weak_ptr<int>(m_alive),
-                  start = aStart](const platform::OrderResult& aResult) {
-                   // The server had closed the connection, or a newer one was chosen.
-                   const bool isRepeatable =
-                     aResult.m_outcome == CallOutcome::NotSent &&
-                     MonotonicMs() + kMinStartTimeoutMs <= start.m_deadlineMs;
-                   if (isRepeatable && alive.lock()) {
-                     PollThenStart(start);
-                   } else {
-                     start.m_done(aResult);
-                   }
-                 });
+  const auto start = std::make_shared<const PendingStart>(std::move(aStart));
+  m_orders.Start(
+    start->m_server, start->m_order, start->m_sendBeforeMs, start->m_deadlineMs - MonotonicMs(),
+    [this, alive = std::weak_ptr<int>(m_alive), start](const platform::OrderResult& aResult) {
+      // The server had closed the connection, or a newer one was chosen.
+      const bool isRepeatable = aResult.m_outcome == CallOutcome::NotSent &&
+                                MonotonicMs() + kMinStartTimeoutMs <= start->m_deadlineMs;
+      if (isRepeatable && alive.lock()) {
+        PollThenStart(*start);
+      } else {
+        start->m_done(aResult);
+      }
+    });
 }
 
 void IncarnationOrders::PollThenStart(PendingStart aStart)
 {
+  const auto start = std::make_shared<const PendingStart>(std::move(aStart));
   platform::PollRequest poll;
-  poll.m_token = aStart.m_order.m_token;
-  poll.m_sendBeforeMs = aStart.m_sendBeforeMs;
-  SendPoll(aStart.m_server, poll, aStart.m_deadlineMs - MonotonicMs(),
-           [this, alive = std::weak_ptr<int>(m_alive),
-            start = aStart](const platform::PollResult& aResult) {
+  poll.m_token = start->m_order.m_token;
+  poll.m_sendBeforeMs = start->m_sendBeforeMs;
+  SendPoll(start->m_server, poll, start->m_deadlineMs - MonotonicMs(),
+           [this, alive = std::weak_ptr<int>(m_alive), start](const platform::PollResult& aResult) {
              if (!alive.lock()) {
                return;
              }
              const std::int64_t reported = aResult.m_report.m_incarnation;
-             const bool isTooLate = MonotonicMs() + kMinStartTimeoutMs > start.m_deadlineMs;
+             const bool isTooLate = MonotonicMs() + kMinStartTimeoutMs > start->m_deadlineMs;
              if (aResult.m_outcome == CallOutcome::Done &&
-                 reported != start.m_order.m_incarnation) {
+                 reported != start->m_order.m_incarnation) {
                LogEvent("run", "start-withheld", "task={} server={} born={} expected_born={}",
-                        ToString(start.m_order.m_run.m_subtask), start.m_server.m_id, reported,
-                        start.m_order.m_incarnation);
-               start.m_done({ CallOutcome::IncarnationMismatch, {} });
+                        ToString(start->m_order.m_run.m_subtask), start->m_server.m_id, reported,
+                        start->m_order.m_incarnation);
+               start->m_done({ CallOutcome::IncarnationMismatch, {} });
              } else if (aResult.m_outcome == CallOutcome::Unknown ||
                         (aResult.m_outcome == CallOutcome::Done && isTooLate)) {
-               start.m_done({ CallOutcome::NotSent, {} });
+               start->m_done({ CallOutcome::NotSent, {} });
              } else if (aResult.m_outcome != CallOutcome::Done) {
-               start.m_done({ aResult.m_outcome, { {}, aResult.m_refusal } });
+               start->m_done({ aResult.m_outcome, { {}, aResult.m_refusal } });
              } else {
                // A later poll may have been answered before, and its connection may be chosen.
-               const LastReport& last = m_reports.at(start.m_server.m_address);
-               PendingStart next = start;
+               const LastReport& last = m_reports.at(start->m_server.m_address);
+               PendingStart next = *start;
                next.m_order.m_establishedByMs =
                  last.m_incarnation == reported ? last.m_sentMs : aResult.m_sentMs;
                SendStart(std::move(next));
