Let starts wait for a connection instead of polling for each of them

Cause: each start without a known connection was preceded by a poll of its own. With hundreds of starts to one server, hundreds of polls were in flight, and each response lists all runs of the server; the owner got nothing else done.

Change: starts to one address wait in a queue for a free connection to their incarnation. Up to four polls at a time open connections for them, and each response or free connection sends what waits. Starts that have waited too long count as not sent, and those for another incarnation are withheld.

--- a/src/manager/IncarnationOrders.cpp
+++ b/src/manager/IncarnationOrders.cpp
@@ -5,7 +5,10 @@
 
 #include "pistachiostand/base/Clock.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace pistachiostand::fleet {
 
@@ -16,6 +19,9 @@
 /// With less time left for its response, a start is not sent: without a response its work would
 /// wait for a lease.
 constexpr Millis kMinStartTimeoutMs = 300;
+/// Polls to one server at a time that open connections for starts. A report lists all runs there,
+/// so that one for each of hundreds of starts would slow both sides down.
+constexpr std::size_t kMaxPollsForStarts = 4;
 
 } // namespace
 
@@ -36,13 +42,40 @@
     m_orders.Start(aServer, aOrder, aSendBeforeMs, aTimeoutMs, std::move(aDone));
     return;
   }
-  PendingStart start{ aServer, aOrder, aSendBeforeMs, MonotonicMs() + aTimeoutMs,
-                      std::move(aDone) };
-  start.m_order.m_establishedByMs = EstablishedByMs(aServer.m_address, aOrder.m_incarnation);
-  if (start.m_order.m_establishedByMs == 0) {
-    PollThenStart(std::move(start));
-  } else {
-    SendStart(std::move(start));
+  m_queues[aServer.m_address].m_starts.push_back(
+    { aServer, aOrder, aSendBeforeMs, MonotonicMs() + aTimeoutMs, std::move(aDone) });
+  SendQueued(aServer.m_address);
+}
+
+void IncarnationOrders::SendQueued(const Endpoint& aAddress)
+{
+  const std::weak_ptr<int> alive = m_alive;
+  FinishQueued(aAddress, { CallOutcome::NotSent, {} }, [](const PendingStart& aStart) {
+    return MonotonicMs() + kMinStartTimeoutMs > aStart.m_deadlineMs;
+  });
+  if (!alive.lock()) {
+    return;
+  }
+  const auto found = m_queues.find(aAddress);
+  if (found == m_queues.end()) {
+    return;
+  }
+  StartQueue& queue = found->second;
+  while (!queue.m_starts.empty()) {
+    PendingStart& next = queue.m_starts.front();
+    next.m_order.m_establishedByMs = EstablishedByMs(aAddress, next.m_order.m_incarnation);
+    if (next.m_order.m_establishedByMs == 0) {
+      break;
+    }
+    SendStart(std::move(next));
+    queue.m_starts.pop_front();
+  }
+  while (queue.m_polls < std::min(queue.m_starts.size(), kMaxPollsForStarts)) {
+    ++queue.m_polls;
+    PollForStarts(queue.m_starts.front());
+  }
+  if (queue.m_starts.empty() && queue.m_polls == 0) {
+    m_queues.erase(found);
   }
 }
 
@@ -52,52 +85,78 @@
   m_orders.Start(
     start->m_server, start->m_order, start->m_sendBeforeMs, start->m_deadlineMs - MonotonicMs(),
     [this, alive = std::weak_ptr<int>(m_alive), start](const platform::OrderResult& aResult) {
+      const Endpoint address = start->m_server.m_address;
       // The server had closed the connection, or a newer one was chosen.
       const bool isRepeatable = aResult.m_outcome == CallOutcome::NotSent &&
                                 MonotonicMs() + kMinStartTimeoutMs <= start->m_deadlineMs;
       if (isRepeatable && alive.lock()) {
-        PollThenStart(*start);
+        m_queues[address].m_starts.push_front(*start);
       } else {
         start->m_done(aResult);
       }
+      if (alive.lock()) {
+        SendQueued(address);
+      }
     });
 }
 
-void IncarnationOrders::PollThenStart(PendingStart aStart)
+void IncarnationOrders::PollForStarts(const PendingStart& aStart)
 {
-  const auto start = std::make_shared<const PendingStart>(std::move(aStart));
   platform::PollRequest poll;
-  poll.m_token = start->m_order.m_token;
-  poll.m_sendBeforeMs = start->m_sendBeforeMs;
-  SendPoll(start->m_server, poll, start->m_deadlineMs - MonotonicMs(),
-           [this, alive = std::weak_ptr<int>(m_alive), start](const platform::PollResult& aResult) {
-             if (!alive.lock()) {
-               return;
-             }
-             const std::int64_t reported = aResult.m_report.m_incarnation;
-             const bool isTooLate = MonotonicMs() + kMinStartTimeoutMs > start->m_deadlineMs;
-             if (aResult.m_outcome == CallOutcome::Done &&
-                 reported != start->m_order.m_incarnation) {
-               LogEvent("run", "start-withheld", "task={} server={} born={} expected_born={}",
-                        ToString(start->m_order.m_run.m_subtask), start->m_server.m_id, reported,
-                        start->m_order.m_incarnation);
-               start->m_done({ CallOutcome::IncarnationMismatch, {} });
-             } else if (aResult.m_outcome == CallOutcome::Unknown ||
-                        (aResult.m_outcome == CallOutcome::Done && isTooLate)) {
-               start->m_done({ CallOutcome::NotSent, {} });
-             } else if (aResult.m_outcome != CallOutcome::Done) {
-               start->m_done({ aResult.m_outcome, { {}, aResult.m_refusal } });
-             } else {
-               // A later poll may have been answered before, and its connection may be chosen.
-               const LastReport& last = m_reports.at(start->m_server.m_address);
-               PendingStart next = *start;
-               next.m_order.m_establishedByMs =
-                 last.m_incarnation == reported ? last.m_sentMs : aResult.m_sentMs;
-               SendStart(std::move(next));
+  poll.m_token = aStart.m_order.m_token;
+  poll.m_sendBeforeMs = aStart.m_sendBeforeMs;
+  SendPoll(aStart.m_server, poll, aStart.m_deadlineMs - MonotonicMs(),
+           [this, alive = std::weak_ptr<int>(m_alive),
+            address = aStart.m_server.m_address](const platform::PollResult& aResult) {
+             if (alive.lock()) {
+               OnPolledForStarts(address, aResult);
              }
            });
 }
 
+void IncarnationOrders::OnPolledForStarts(const Endpoint& aAddress,
+                                          const platform::PollResult& aResult)
+{
+  --m_queues.at(aAddress).m_polls;
+  const std::weak_ptr<int> alive = m_alive;
+  if (aResult.m_outcome == CallOutcome::Done) {
+    const std::int64_t reported = aResult.m_report.m_incarnation;
+    FinishQueued(
+      aAddress, { CallOutcome::IncarnationMismatch, {} },
+      [reported](const PendingStart& aStart) { return aStart.m_order.m_incarnation != reported; });
+  } else {
+    // None of the starts was sent, whatever became of the poll.
+    const bool isUnknown = aResult.m_outcome == CallOutcome::Unknown;
+    FinishQueued(
+      aAddress, { isUnknown ? CallOutcome::NotSent : aResult.m_outcome, { {}, aResult.m_refusal } },
+      [](const PendingStart& /*aStart*/) { return true; });
+  }
+  if (alive.lock()) {
+    SendQueued(aAddress);
+  }
+}
+
+void IncarnationOrders::FinishQueued(const Endpoint& aAddress, const platform::OrderResult& aResult,
+                                     const std::function<bool(const PendingStart&)>& aCondition)
+{
+  const auto found = m_queues.find(aAddress);
+  if (found == m_queues.end()) {
+    return;
+  }
+  auto& starts = found->second.m_starts;
+  const auto first = std::stable_partition(
+    starts.begin(), starts.end(), [&](const PendingStart& aStart) { return !aCondition(aStart); });
+  const std::vector<PendingStart> finished{ std::make_move_iterator(first),
+                                            std::make_move_iterator(starts.end()) };
+  starts.erase(first, starts.end());
+  for (const auto& start : finished) {
+    LogEvent("run", "start-withheld", "task={} server={} expected_born={} outcome={}",
+             ToString(start.m_order.m_run.m_subtask), start.m_server.m_id,
+             start.m_order.m_incarnation, static_cast<int>(aResult.m_outcome));
+    start.m_done(aResult);
+  }
+}
+
 std::uint64_t IncarnationOrders::Poll(const ServerRegistration& aServer,
                                       platform::PollRequest aRequest, Millis aTimeoutMs,
                                       std::function<void(const platform::PollResult&)> aDone)
@@ -165,6 +224,9 @@
                            }
                          }
                          done(aResult);
+                         if (alive.lock()) {
+                           SendQueued(address);
+                         }
                        });
 }
 
--- a/src/manager/IncarnationOrders.h
+++ b/src/manager/IncarnationOrders.h
@@ -4,7 +4,9 @@
 
 #include "pistachiostand/base/Endpoint.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,8 +76,21 @@
     platform::OrderCallback m_done;
   };
 
+  /// \brief Starts for one address that wait for a connection to their incarnation.
+  struct StartQueue
+  {
+    std::deque<PendingStart> m_starts;
+    std::size_t m_polls{}; ///< Polls in flight that open connections for them.
+  };
+
+  /// \brief Sends the waiting starts for which a connection is free, and polls for the others.
+  void SendQueued(const Endpoint& aAddress);
   void SendStart(PendingStart aStart);
-  void PollThenStart(PendingStart aStart);
+  void PollForStarts(const PendingStart& aStart);
+  void OnPolledForStarts(const Endpoint& aAddress, const platform::PollResult& aResult);
+  /// \brief Removes the waiting starts that the condition selects, and reports their outcome.
+  void FinishQueued(const Endpoint& aAddress, const platform::OrderResult& aResult,
+                    const std::function<bool(const PendingStart&)>& aCondition);
   /// \brief Sends a poll again that its server did not get.
   void RepeatPoll(std::uint64_t aCall, const ServerRegistration& aServer,
                   const platform::PollRequest& aRequest, Millis aTimeoutMs,
@@ -89,6 +104,7 @@
   HttpClient& m_client;
   platform::ServerOrders m_orders;
   std::map<Endpoint, LastReport> m_reports;
+  std::map<Endpoint, StartQueue> m_queues;
   /// Polls that were sent again without a lease, by the id of the first call.
   std::map<std::uint64_t, std::uint64_t> m_repeatedPolls;
   std::shared_ptr<int> m_alive = std::make_shared<int>();
--- a/tests/unit/IncarnationOrdersTest.cpp
+++ b/tests/unit/IncarnationOrdersTest.cpp
@@ -146,6 +146,22 @@
   EXPECT_EQ(StartCount(), 2U);
 }
 
+// Guards against a wide job that blocks its owner: each of hundreds of starts to one server was
+// preceded by a poll of its own, whose response lists all runs there.
+TEST_F(IncarnationOrdersTest, ManyStartsWithoutAConnection_FewPollsAreInFlight)
+{
+  constexpr std::size_t kStarts = 20;
+  constexpr std::size_t kMaxPolls = 4;
+  m_client.m_hasIdleConnection = false;
+  for (std::size_t i = 0; i < kStarts; ++i) {
+    Start();
+  }
+  EXPECT_EQ(m_client.Find("/hold").size(), kMaxPolls);
+  m_client.m_hasIdleConnection = true;
+  Report(kIncarnation);
+  EXPECT_EQ(StartCount(), kStarts);
+}
+
 // Guards against a renewal or an acknowledgment that reaches a later incarnation.
 TEST_F(IncarnationOrdersTest, PollWithoutAKnownConnection_RenewsAndAcknowledgesNothing)
 {
