Check the account key of each request, and bind jobs to accounts

Cause: the configuration's accounts were not read and the header with the key was ignored. Change: accounts, keys and public queues are read from the configuration; a request on a queue that is not public needs a key of the configuration in force (401 otherwise). The account is stored with the submission and the cancellation; a job of another account is answered 410. Records of jobs may have fields of later versions. JobTableTest.Submission_StoredWithoutTerms_IsDecoded cut a fixed number of bytes off the record and is replaced by one that checks both older forms; another one checks a newer form.

--- a/include/pistachiostand/fleet/Configuration.h
+++ b/include/pistachiostand/fleet/Configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/account/Account.h"
 #include "pistachiostand/base/Types.h"
 
 #include <compare>
@@ -51,6 +52,7 @@
   PoolName m_pool; ///< Pool whose backend servers run the subtasks.
   /// Priority from the platform's configuration, 0 the highest; the scheduler does not compare it.
   std::uint32_t m_priority{};
+  bool m_public{}; ///< Its callers need no key.
 
   friend bool operator==(const QueueRule&, const QueueRule&) = default;
 };
@@ -70,10 +72,18 @@
   std::vector<QueueRule> m_queues;
   std::map<PoolName, PoolSettings> m_pools;
   std::size_t m_maxBodyBytes{ 262'144 };
+  bool m_requiresKeys{}; ///< Callers of queues that are not public need the key of an account.
+  Accounts m_accounts;
+  std::map<std::string, AccountName, std::less<>> m_accountByKey;
 
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
 
+/// \brief Adds an account or replaces the one of this name. A key that another account already has
+/// stays with that one.
+/// \return false when there was such a key.
+bool AddAccount(Configuration& aConfiguration, Account aAccount);
+
 /// \brief Returns the queue of `aHost` with the longest prefix of `aPath`, or null.
 [[nodiscard]] const QueueRule* FindQueue(const Configuration& aConfiguration,
                                          std::string_view aHost, std::string_view aPath) noexcept;
--- a/include/pistachiostand/job/JobSpec.h
+++ b/include/pistachiostand/job/JobSpec.h
@@ -54,7 +54,8 @@
   Millis m_intervalMs{};
   std::uint32_t m_occurrences{}; ///< 0: runs once and has no due times.
   std::vector<StepSpec> m_steps;
-  QueueTerms m_terms; ///< Of the queue, at acceptance.
+  QueueTerms m_terms;    ///< Of the queue, at acceptance.
+  std::string m_account; ///< Account of its caller; empty on a public queue.
 
   friend bool operator==(const JobSpec&, const JobSpec&) = default;
 };
--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/account/Access.h"
 #include "pistachiostand/fleet/Inventory.h"
 #include "pistachiostand/job/JobSpec.h"
 #include "pistachiostand/job/ProgressPart.h"
@@ -171,7 +172,8 @@
   std::map<ServerId, ServerLoad> m_load;              ///< These runs by kind.
   std::set<JobId> m_toCheck;                          ///< Jobs that may have runs to stop.
   std::set<ProgressPart> m_changed;            ///< Parts whose durable state has yet to be stored.
-  std::set<JobId> m_cancelledBeforeSubmission; ///< Jobs cancelled before they were added.
+  /// Cancellations of jobs that have not been added, with their callers.
+  std::multimap<JobId, CallerScope> m_cancelledBeforeSubmission;
 };
 
 /// \brief Adds a job; returns false when its id already exists.
@@ -180,8 +182,9 @@
 /// \brief Recomputes the work and the critical path of a job from the times of its steps.
 void UpdateJobTotals(Job& aJob);
 
-/// \brief Cancels an active job; RunsToStop then returns its runs.
-void CancelJob(JobTable& aJobTable, const JobId& aId);
+/// \brief Cancels an active job if the caller may do so; RunsToStop then returns its runs.
+/// \return false when the caller may not cancel it.
+bool CancelJob(JobTable& aJobTable, const JobId& aId, const CallerScope& aScope = {});
 
 /// \brief Marks an active job as failed because its progress is unknown; RunsToStop then returns
 /// its runs.
--- a/src/fleet/Configuration.cpp
+++ b/src/fleet/Configuration.cpp
@@ -1,9 +1,25 @@
 #include "pistachiostand/fleet/Configuration.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pistachiostand::fleet {
 
+bool AddAccount(Configuration& aConfiguration, Account aAccount)
+{
+  std::erase_if(aConfiguration.m_accountByKey,
+                [&aAccount](const auto& aEntry) { return aEntry.second == aAccount.m_name; });
+  bool isUnique = true;
+  // A caller without a key must not match.
+  std::erase_if(aAccount.m_keys, [](const std::string& aKey) { return aKey.empty(); });
+  for (const auto& key : aAccount.m_keys) {
+    const auto [entry, added] = aConfiguration.m_accountByKey.emplace(key, aAccount.m_name);
+    isUnique = isUnique && (added || entry->second == aAccount.m_name);
+  }
+  aConfiguration.m_accounts.insert_or_assign(aAccount.m_name, std::move(aAccount));
+  return isUnique;
+}
+
 const QueueRule* FindQueue(const Configuration& aConfiguration, std::string_view aHost,
                            std::string_view aPath) noexcept
 {
--- a/src/job/JobCodec.cpp
+++ b/src/job/JobCodec.cpp
@@ -60,6 +60,16 @@
          aSubtask.m_done, aSubtask.m_checkpoint, aSubtask.m_runs, aSubtask.m_lastFailedRun);
 }
 
+constexpr bool SkipsUnknownFields(const StoredSubtask& /*aSubtask*/) noexcept
+{
+  return true;
+}
+
+constexpr bool SkipsUnknownFields(const StoredProgress& /*aProgress*/) noexcept
+{
+  return true;
+}
+
 /// \brief Earlier records lack m_lastFailedRun.
 constexpr std::size_t AddedFieldCount(const StoredSubtask& /*aSubtask*/) noexcept
 {
@@ -296,13 +306,31 @@
 void Fields(JobSpec& aSpec, V aVisit)
 {
   aVisit(aSpec.m_id, aSpec.m_queue, aSpec.m_pool, aSpec.m_payload, aSpec.m_acceptedMs,
-         aSpec.m_firstDueMs, aSpec.m_intervalMs, aSpec.m_occurrences, aSpec.m_steps, aSpec.m_terms);
+         aSpec.m_firstDueMs, aSpec.m_intervalMs, aSpec.m_occurrences, aSpec.m_steps, aSpec.m_terms,
+         aSpec.m_account);
 }
 
-/// \brief Earlier records lack m_terms.
+/// \brief Earlier records lack m_terms, m_account or both.
 static constexpr std::size_t AddedFieldCount(const JobSpec& /*aSpec*/) noexcept
 {
-  return 1;
+  return 2;
+}
+
+// Records of jobs and their progress are read by builds of other versions during an upgrade.
+
+static constexpr bool SkipsUnknownFields(const JobSpec& /*aSpec*/) noexcept
+{
+  return true;
+}
+
+static constexpr bool SkipsUnknownFields(const StepSpec& /*aStep*/) noexcept
+{
+  return true;
+}
+
+static constexpr bool SkipsUnknownFields(const QueueTerms& /*aTerms*/) noexcept
+{
+  return true;
 }
 
 std::string EncodeSubmission(const JobSpec& aSpec)
--- a/src/job/JobLimits.cpp
+++ b/src/job/JobLimits.cpp
@@ -64,8 +64,9 @@
   if (!IsValidJobId(aSpec.m_id)) {
     return "the id is no job id";
   }
-  if (aSpec.m_queue.size() > kMaxTextBytes || aSpec.m_pool.size() > kMaxTextBytes) {
-    return "the queue or pool is too long";
+  if (aSpec.m_queue.size() > kMaxTextBytes || aSpec.m_pool.size() > kMaxTextBytes ||
+      aSpec.m_account.size() > kMaxTextBytes) {
+    return "the queue, pool or account is too long";
   }
   if (aSpec.m_payload.size() > kMaxPayloadBytes) {
     return "the payload is too long";
--- a/src/job/JobTable.cpp
+++ b/src/job/JobTable.cpp
@@ -271,20 +271,28 @@
     OpenOccurrence(job, 0, aNowMs);
     job.m_dueOccurrences = 1;
   }
-  if (aJobTable.m_cancelledBeforeSubmission.erase(id) != 0) {
-    CancelJob(aJobTable, id);
+  const auto [first, last] = aJobTable.m_cancelledBeforeSubmission.equal_range(id);
+  for (const auto& [cancelled, scope] : std::ranges::subrange(first, last)) {
+    CancelJob(aJobTable, cancelled, scope);
   }
+  aJobTable.m_cancelledBeforeSubmission.erase(id);
   return true;
 }
 
-void CancelJob(JobTable& aJobTable, const JobId& aId)
+bool CancelJob(JobTable& aJobTable, const JobId& aId, const CallerScope& aScope)
 {
   const auto found = aJobTable.m_jobs.find(aId);
   if (found == aJobTable.m_jobs.end()) {
-    aJobTable.m_cancelledBeforeSubmission.insert(aId);
-  } else if (found->second.m_phase == JobPhase::Active) {
+    aJobTable.m_cancelledBeforeSubmission.emplace(aId, aScope);
+    return true;
+  }
+  if (!MayUseJob(aScope, found->second.m_spec)) {
+    return false;
+  }
+  if (found->second.m_phase == JobPhase::Active) {
     FinishJob(aJobTable, found->second, JobPhase::Cancelled);
   }
+  return true;
 }
 
 void FailJob(JobTable& aJobTable, const JobId& aId)
--- a/src/manager/EntryInstance.cpp
+++ b/src/manager/EntryInstance.cpp
@@ -139,6 +139,10 @@
                [this](const std::string& aRecord, Millis aTimeoutMs, auto aDone) {
                  RelaySubmission(aRecord, aTimeoutMs, std::move(aDone));
                },
+               [this](const QueueRule& aQueue, std::string_view aKey) {
+                 return Authorize(m_configuration, aQueue, aKey, m_settings.m_access,
+                                  m_operatorTail.CurrentAsOf(), MonotonicMs());
+               },
                [this] { return m_stopping; },
                [this] { return IsStoreSilent(m_connectivity, MonotonicMs()); },
                [this] { return IsIsolated(m_connectivity, MonotonicMs()); } })
@@ -250,9 +254,10 @@
   if (configuration->m_revision <= m_configuration.m_revision) {
     return;
   }
-  LogEvent("config", "in-force", "revision={} before={} queues={} pools={}",
+  LogEvent("config", "in-force", "revision={} before={} queues={} pools={} accounts={} keys={}",
            configuration->m_revision, m_configuration.m_revision, configuration->m_queues.size(),
-           configuration->m_pools.size());
+           configuration->m_pools.size(), configuration->m_accounts.size(),
+           configuration->m_accountByKey.size());
   m_configuration = std::move(*configuration);
   if (m_owner) {
     m_owner->OnConfiguration();
@@ -403,7 +408,8 @@
     return { static_cast<std::uint16_t>(IsCutOffOwner() ? 503 : 200), {}, {} };
   }
   if (m_owner && path.starts_with(kJobs)) {
-    const auto found = m_owner->Find(JobId{ path.substr(kJobs.size()) });
+    const auto found =
+      m_owner->Find(JobId{ path.substr(kJobs.size()) }, ScopeOfOwnerRequest(aRequest));
     if (found.m_state) {
       return { 200, json, platform::EncodeJobState(*found.m_state) };
     }
@@ -460,8 +466,10 @@
 bool EntryInstance::IsReady() const
 {
   const auto seen = m_elector.View().m_lastRecordMs;
-  return !m_stopping && !IsIsolated(m_connectivity, MonotonicMs()) &&
-         m_configuration.m_revision != 0 && seen && MonotonicMs() - *seen < kMaxReadAgeMs;
+  return !m_stopping &&
+         !IsConfigurationStale(m_settings.m_access, m_operatorTail.CurrentAsOf(), MonotonicMs()) &&
+         !IsIsolated(m_connectivity, MonotonicMs()) && m_configuration.m_revision != 0 && seen &&
+         MonotonicMs() - *seen < kMaxReadAgeMs;
 }
 
 void EntryInstance::WaitForSignal()
@@ -486,6 +494,8 @@
            settings && *settings != m_settings);
   if (settings) {
     m_settings.m_bounds = settings->m_bounds;
+    m_settings.m_access = settings->m_access;
+    m_settings.m_runningOverage = settings->m_runningOverage;
     m_settings.m_advice = settings->m_advice;
     m_settings.m_logLevel = settings->m_logLevel;
     spdlog::set_level(spdlog::level::from_str(m_settings.m_logLevel));
--- a/src/manager/EntrySettings.cpp
+++ b/src/manager/EntrySettings.cpp
@@ -52,6 +52,15 @@
     return value.value_or(0);
   }
 
+  [[nodiscard]] bool Flag(const char* aKey) const
+  {
+    const auto value = Node(aKey).value<bool>();
+    if (!value) {
+      Fail(aKey, "set it to true or false");
+    }
+    return value.value_or(false);
+  }
+
   /// \brief A number of bytes that has room for at least a key and a short value.
   [[nodiscard]] std::size_t Size(const char* aKey) const
   {
@@ -154,6 +163,12 @@
     settings.m_maxDirectServers =
       static_cast<std::uint32_t>(TableReader{ *file, "orders", aReasons }.Number("direct_servers"));
   }
+  if ((*file)["accounts"].is_table()) {
+    const TableReader accounts{ *file, "accounts", aReasons };
+    settings.m_access = { true, accounts.Flag("strict_revocation"),
+                          accounts.Milliseconds("revoke_ms") };
+    settings.m_runningOverage = accounts.Number("overage");
+  }
   settings.m_bounds = ReadBounds(TableReader{ *file, "bounds", aReasons });
   settings.m_logLevel = (*file)["log"]["level"].value_or(settings.m_logLevel);
   if (aReasons.size() != before) {
--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/account/Access.h"
 #include "pistachiostand/base/Endpoint.h"
 #include "pistachiostand/base/Reason.h"
 #include "pistachiostand/base/Types.h"
@@ -58,6 +59,8 @@
   /// this number an owner with a quarter of a core can send them itself, and carriers only add
   /// cost.
   std::uint32_t m_maxDirectServers{ 120 };
+  AccessPolicy m_access;     ///< Table `[accounts]`; without it no key is required.
+  double m_runningOverage{}; ///< Fraction of a limit of running work that may be exceeded.
   PlatformBounds m_bounds;
   std::string m_logLevel{ "info" };
 
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -163,12 +163,12 @@
          });
 }
 
-JobLookup FleetOwner::Find(const JobId& aId) const
+JobLookup FleetOwner::Find(const JobId& aId, const CallerScope& aScope) const
 {
   JobLookup lookup;
   const auto job = m_state.m_jobTable.m_jobs.find(aId);
   lookup.m_current = IsCurrent(MonotonicMs());
-  if (m_loaded && job != m_state.m_jobTable.m_jobs.end()) {
+  if (m_loaded && job != m_state.m_jobTable.m_jobs.end() && MayUseJob(aScope, job->second.m_spec)) {
     lookup.m_state = StateOf(job->second);
   }
   return lookup;
@@ -198,11 +198,10 @@
     }
     m_cleaner.OnRecord(id, aPartition);
     if (!m_loaded) {
-      m_cancels.insert(id);
+      m_cancels.insert_or_assign(id, DecodeCancel(*aValue));
       return;
     }
-    LogEvent("job", "cancel", "id={} known={}", id, m_state.m_jobTable.m_jobs.contains(id));
-    CancelJob(m_state.m_jobTable, id);
+    Cancel(id, DecodeCancel(*aValue));
     ScheduleSoon();
     return;
   }
@@ -223,6 +222,14 @@
   AddSubmission(std::move(*spec));
 }
 
+void FleetOwner::Cancel(const JobId& aId, const CallerScope& aScope)
+{
+  const bool known = m_state.m_jobTable.m_jobs.contains(aId);
+  const bool allowed = CancelJob(m_state.m_jobTable, aId, aScope);
+  LogEvent("job", "cancel", "id={} known={} allowed={} account={}", aId, known, allowed,
+           aScope.m_account);
+}
+
 void FleetOwner::AddSubmission(JobSpec aSpec)
 {
   const JobId id = aSpec.m_id;
@@ -244,8 +251,8 @@
     mean->second += kMeanWorkWeight * (work - mean->second);
   }
   if (m_loaded) {
-    LogEvent("job", "known", "id={} queue={} steps={} work_core_s={:.1f} age_ms={}", id, queue,
-             steps, work, age);
+    LogEvent("job", "known", "id={} queue={} account={} steps={} work_core_s={:.1f} age_ms={}", id,
+             queue, job.m_spec.m_account, steps, work, age);
     ScheduleSoon();
   }
 }
@@ -331,8 +338,8 @@
     server.m_registration.m_id = id;
     ExtendLease(server, lease, "takeover");
   }
-  for (const auto& id : std::exchange(m_cancels, {})) {
-    CancelJob(m_state.m_jobTable, id);
+  for (const auto& [id, scope] : std::exchange(m_cancels, {})) {
+    Cancel(id, scope);
   }
   for (const auto& [id, job] : m_state.m_jobTable.m_jobs) {
     if (job.m_phase != JobPhase::Active && !job.m_spec.m_steps.empty()) {
@@ -449,8 +456,8 @@
   for (const auto& id : aBatch.m_finished) {
     const Job& job = m_state.m_jobTable.m_jobs.at(id);
     const Millis took = job.m_finishedMs - job.m_acceptedMs;
-    LogEvent("job", "finished", "id={} queue={} phase={} after_ms={}", id, job.m_spec.m_queue,
-             static_cast<int>(job.m_phase), took);
+    LogEvent("job", "finished", "id={} queue={} account={} phase={} after_ms={}", id,
+             job.m_spec.m_queue, job.m_spec.m_account, static_cast<int>(job.m_phase), took);
     Observe(m_state.m_metrics, "job_ms", job.m_spec.m_queue, took);
     m_cleaner.Add(id);
   }
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -9,6 +9,7 @@
 #include "SubmissionWriter.h"
 #include "TopicTail.h"
 
+#include "pistachiostand/account/Access.h"
 #include "pistachiostand/connection/Ticker.h"
 #include "pistachiostand/job/Scheduler.h"
 
@@ -47,7 +48,8 @@
 
   void Start();
 
-  [[nodiscard]] JobLookup Find(const JobId& aId) const;
+  /// \brief Looks up a job as far as the caller may read it.
+  [[nodiscard]] JobLookup Find(const JobId& aId, const CallerScope& aScope) const;
 
   /// \brief Number of pending jobs of a queue; nullopt while the jobs are not read up to a recent
   /// time.
@@ -75,6 +77,7 @@
   void OnProgressPage(const std::optional<platform::KeyedPage>& aPage);
   void FinishLoad();
   void AddSubmission(JobSpec aSpec);
+  void Cancel(const JobId& aId, const CallerScope& aScope);
   void ScheduleSoon();
   /// \brief Load of the owner since the last log line about it.
   struct LoadWindow
@@ -126,9 +129,9 @@
   bool m_scheduled{};
   Millis m_passMs{}; ///< Duration of the last pass over the jobs.
   LoadWindow m_load;
-  Millis m_expectedTimesUpdatedMs{}; ///< When the expected times of all jobs were updated.
-  Millis m_tickMs{};                 ///< Time of the last tick.
-  std::set<JobId> m_cancels;         ///< Cancellations that were read before the progress.
+  Millis m_expectedTimesUpdatedMs{};      ///< When the expected times of all jobs were updated.
+  Millis m_tickMs{};                      ///< Time of the last tick.
+  std::map<JobId, CallerScope> m_cancels; ///< Cancellations read before the progress.
 };
 
 } // namespace pistachiostand::fleet
--- a/src/manager/JobApi.cpp
+++ b/src/manager/JobApi.cpp
@@ -12,6 +12,7 @@
 #include "pistachiostand/job/JobLimits.h"
 
 #include <asio/steady_timer.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <charconv>
@@ -38,6 +39,8 @@
 /// The owner reads a submission within this time unless the store is unavailable.
 constexpr Millis kAcceptedRetentionMs = 10'000;
 constexpr Millis kPruneIntervalMs = 1'000;
+constexpr std::string_view kAccountParameter = "account";
+constexpr std::string_view kQueueParameter = "queue";
 
 std::string_view WithoutPort(std::string_view aHost)
 {
@@ -78,6 +81,7 @@
 {
   JobId m_id;
   QueueName m_queue;
+  AccountName m_account;
   std::string m_record;
   HttpResponder m_respond;
   Millis m_receivedMs{};
@@ -123,30 +127,56 @@
     respond(ErrorResponse(404, "no queue has this host and path"));
     return;
   }
+  const auto access =
+    m_context.m_authorize(*queue, FindHeader(aRequest.m_headers, platform::kAccountKeyHeader));
+  if (access.m_outcome != AccessOutcome::Allowed) {
+    Reject(*queue, access.m_outcome, respond);
+    return;
+  }
   const std::string id = aRequest.m_path.substr(queue->m_pathPrefix.size());
   if (id.empty() && aRequest.m_method == "GET") {
     AskPending(*queue, std::move(respond));
   } else if (!platform::IsJobId(id)) {
     respond(ErrorResponse(400, "a job id has 16 hexadecimal digits"));
   } else if (aRequest.m_method == "POST") {
-    Submit(aRequest, *queue, id, std::move(respond));
+    Submit(aRequest, *queue, id, access.m_scope, std::move(respond));
   } else if (aRequest.m_method == "DELETE") {
-    Cancel(aRequest, id, std::move(respond));
+    Cancel(aRequest, id, access.m_scope, std::move(respond));
   } else if (aRequest.m_method == "GET") {
-    AskState(id, std::move(respond));
+    AskState(id, access.m_scope, std::move(respond));
   } else {
     respond(ErrorResponse(405, "use POST, GET or DELETE"));
   }
 }
 
+void JobApi::Reject(const QueueRule& aQueue, AccessOutcome aOutcome, const HttpResponder& aRespond)
+{
+  const bool unknown = aOutcome == AccessOutcome::UnknownKey;
+  const std::string_view cause = unknown ? "unknown key" : "the configuration may be outdated here";
+  const std::uint16_t status = unknown ? 401 : 503;
+  LogEvent("http", "rejected", "queue={} status={} cause={} revision={}", aQueue.m_name, status,
+           cause, m_context.m_configuration.m_revision);
+  CountResponse(m_context.m_metrics, aQueue.m_name, status, cause);
+  HttpResponse response = ErrorResponse(status, cause);
+  if (!unknown) {
+    // The caller's next connection may reach an instance that can read the store.
+    SetHeader(response.m_headers, "connection", "close");
+  }
+  aRespond(std::move(response));
+}
+
 void JobApi::Submit(const HttpRequest& aRequest, const QueueRule& aQueue, const JobId& aId,
-                    HttpResponder aRespond)
+                    const CallerScope& aScope, HttpResponder aRespond)
 {
   if (aRequest.m_body.size() > m_context.m_configuration.m_maxBodyBytes) {
     aRespond(ErrorResponse(413, "the body exceeds the configured limit"));
     return;
   }
-  if (m_accepted.contains(aId)) {
+  if (const auto known = m_accepted.find(aId); known != m_accepted.end()) {
+    if (known->second.m_account != aScope.m_account) {
+      aRespond(ErrorResponse(400, "the job id is in use"));
+      return;
+    }
     aRespond(JsonResponse(200, platform::EncodeJobState(PublicJobState::Queued)));
     return;
   }
@@ -162,6 +192,7 @@
   spec->m_pool = aQueue.m_pool;
   spec->m_terms = aQueue;
   spec->m_acceptedMs = WallMs();
+  spec->m_account = aScope.m_account;
   // The owner rejects a stored job beyond these limits.
   const auto fault = ValidationErrorOf(*spec);
   if (!fault.empty()) {
@@ -181,7 +212,7 @@
   }
   const Millis now = MonotonicMs();
   auto submission = std::make_shared<Submission>(
-    Submission{ aId, aQueue.m_name, std::move(record), std::move(aRespond), now,
+    Submission{ aId, aQueue.m_name, aScope.m_account, std::move(record), std::move(aRespond), now,
                 now + CallerTimeoutMs(aRequest) - kResponseMarginMs, 0, false, false,
                 asio::steady_timer{ m_context.m_loop } });
   Begin(submission);
@@ -294,7 +325,7 @@
 {
   const Millis now = MonotonicMs();
   PruneAccepted(now);
-  m_accepted.emplace(aSubmission->m_id, now);
+  m_accepted.emplace(aSubmission->m_id, AcceptedJob{ now, aSubmission->m_account });
   Finish(aSubmission, 200, "stored");
 }
 
@@ -305,8 +336,9 @@
   aSubmission->m_timer.cancel();
   const Millis took = MonotonicMs() - aSubmission->m_receivedMs;
   LogEvent("job", aStatus == 200 ? "accepted" : "not-accepted",
-           "id={} queue={} status={} reason={} tries={} after_ms={}", aSubmission->m_id,
-           aSubmission->m_queue, aStatus, aReason, aSubmission->m_tries, took);
+           "id={} queue={} account={} status={} reason={} tries={} after_ms={}", aSubmission->m_id,
+           aSubmission->m_queue, aSubmission->m_account, aStatus, aReason, aSubmission->m_tries,
+           took);
   Observe(m_context.m_metrics, "accept_ms", aSubmission->m_queue, took);
   Count(m_context.m_metrics, aStatus == 200 ? "jobs_accepted_total" : "jobs_not_accepted_total");
   CountResponse(m_context.m_metrics, aSubmission->m_queue, aStatus, aReason);
@@ -315,21 +347,25 @@
                            : ErrorResponse(aStatus, aReason));
 }
 
-void JobApi::Cancel(const HttpRequest& aRequest, const JobId& aId, HttpResponder aRespond)
+void JobApi::Cancel(const HttpRequest& aRequest, const JobId& aId, const CallerScope& aScope,
+                    HttpResponder aRespond)
 {
   const Millis now = MonotonicMs();
   auto submission = std::make_shared<Submission>(
-    Submission{ aId, "cancel", platform::EncodeKeyed(std::string{ kCancelPrefix } + aId, "1"),
+    Submission{ aId, "cancel", aScope.m_account,
+                platform::EncodeKeyed(std::string{ kCancelPrefix } + aId, EncodeCancel(aScope)),
                 std::move(aRespond), now, now + CallerTimeoutMs(aRequest) - kResponseMarginMs, 0,
                 false, false, asio::steady_timer{ m_context.m_loop } });
   Begin(submission);
 }
 
-void JobApi::AskState(const JobId& aId, HttpResponder aRespond)
+void JobApi::AskState(const JobId& aId, const CallerScope& aScope, HttpResponder aRespond)
 {
-  const bool accepted = m_accepted.contains(aId);
+  const auto known = m_accepted.find(aId);
+  const bool accepted = known != m_accepted.end() &&
+                        (aScope.m_account.empty() || known->second.m_account == aScope.m_account);
   m_context.m_askOwner(
-    OwnerJobPath(aId), [accepted, respond = std::move(aRespond)](HttpResponse aResponse) {
+    OwnerJobPath(aId, aScope), [accepted, respond = std::move(aRespond)](HttpResponse aResponse) {
       if (accepted && aResponse.m_status == 410) {
         aResponse = JsonResponse(200, platform::EncodeJobState(PublicJobState::Queued));
       }
@@ -347,14 +383,29 @@
   if (aNowMs - m_lastPruneMs > kPruneIntervalMs) {
     m_lastPruneMs = aNowMs;
     std::erase_if(m_accepted, [aNowMs](const auto& aEntry) {
-      return aNowMs - aEntry.second > kAcceptedRetentionMs;
+      return aNowMs - aEntry.second.m_sinceMs > kAcceptedRetentionMs;
     });
   }
 }
 
-std::string OwnerJobPath(const JobId& aId)
+std::string OwnerJobPath(const JobId& aId, const CallerScope& aScope)
 {
-  return "/jobs/" + aId;
+  std::string path = "/jobs/" + aId;
+  if (!aScope.m_account.empty()) {
+    path += fmt::format("?{}={}", kAccountParameter, PercentEncode(aScope.m_account));
+  } else if (!aScope.m_queue.empty()) {
+    path += fmt::format("?{}={}", kQueueParameter, PercentEncode(aScope.m_queue));
+  }
+  return path;
+}
+
+CallerScope ScopeOfOwnerRequest(const HttpRequest& aRequest)
+{
+  const auto parameter = [&aRequest](std::string_view aName) {
+    const auto found = aRequest.m_query.find(aName);
+    return found == aRequest.m_query.end() ? std::string{} : found->second;
+  };
+  return { parameter(kAccountParameter), parameter(kQueueParameter) };
 }
 
 std::string OwnerPendingPath(const QueueName& aQueue)
--- a/src/manager/JobApi.h
+++ b/src/manager/JobApi.h
@@ -4,6 +4,7 @@
 #include "Metrics.h"
 #include "SubmissionWriter.h"
 
+#include "pistachiostand/account/Access.h"
 #include "pistachiostand/connection/HttpServer.h"
 #include "pistachiostand/fleet/Configuration.h"
 #include "pistachiostand/job/JobSpec.h"
@@ -49,6 +50,8 @@
   std::function<void(const std::string& aRecord, Millis aTimeoutMs,
                      std::function<void(RelayOutcome)> aDone)>
     m_relay;
+  /// \brief Checks the key of a request to a queue.
+  std::function<AccessResult(const QueueRule& aQueue, std::string_view aKey)> m_authorize;
   std::function<bool()> m_isStopping;
   std::function<bool()> m_isStoreSilent;
   std::function<bool()> m_isIsolated; ///< Neither the store nor the owner can be reached.
@@ -74,7 +77,7 @@
   struct Submission;
 
   void Submit(const HttpRequest& aRequest, const QueueRule& aQueue, const JobId& aId,
-              HttpResponder aRespond);
+              const CallerScope& aScope, HttpResponder aRespond);
   void Begin(const std::shared_ptr<Submission>& aSubmission);
   void Store(const std::shared_ptr<Submission>& aSubmission);
   void Relay(const std::shared_ptr<Submission>& aSubmission);
@@ -83,8 +86,11 @@
   void Accept(const std::shared_ptr<Submission>& aSubmission);
   void Finish(const std::shared_ptr<Submission>& aSubmission, std::uint16_t aStatus,
               std::string_view aReason);
-  void Cancel(const HttpRequest& aRequest, const JobId& aId, HttpResponder aRespond);
-  void AskState(const JobId& aId, HttpResponder aRespond);
+  void Cancel(const HttpRequest& aRequest, const JobId& aId, const CallerScope& aScope,
+              HttpResponder aRespond);
+  void AskState(const JobId& aId, const CallerScope& aScope, HttpResponder aRespond);
+  /// \brief Responds to a request whose key does not allow it.
+  void Reject(const QueueRule& aQueue, AccessOutcome aOutcome, const HttpResponder& aRespond);
   void AskPending(const QueueRule& aQueue, HttpResponder aRespond);
   void PruneAccepted(Millis aNowMs);
 
@@ -93,13 +99,21 @@
   /// Submissions without a response yet.
   std::set<std::shared_ptr<Submission>> m_pendingSubmissions;
   bool m_closed{};
+  struct AcceptedJob
+  {
+    Millis m_sinceMs{};
+    AccountName m_account;
+  };
   /// Jobs accepted recently by this instance, which the owner may not have read yet.
-  std::map<JobId, Millis> m_accepted;
+  std::map<JobId, AcceptedJob> m_accepted;
   Millis m_lastPruneMs{};
 };
 
-/// \brief Path on the owner for the state of a job.
-[[nodiscard]] std::string OwnerJobPath(const JobId& aId);
+/// \brief Target on the owner for the state of a job, as far as the caller may read it.
+[[nodiscard]] std::string OwnerJobPath(const JobId& aId, const CallerScope& aScope);
+/// \brief The caller for whom an entry instance requests the state of a job. Instances of earlier
+/// versions send none.
+[[nodiscard]] CallerScope ScopeOfOwnerRequest(const HttpRequest& aRequest);
 /// \brief Path on the owner for the number of pending jobs of a queue.
 [[nodiscard]] std::string OwnerPendingPath(const QueueName& aQueue);
 
--- a/src/process/Pack.h
+++ b/src/process/Pack.h
@@ -33,6 +33,14 @@
   return 0;
 }
 
+/// \brief True for a type whose records may have more fields, which later versions have appended. A
+/// type that skips them provides its own overload.
+template<typename T>
+constexpr bool SkipsUnknownFields(const T& /*aValue*/) noexcept
+{
+  return false;
+}
+
 class Packer
 {
 public:
@@ -113,7 +121,8 @@
       Fields(aValue, [&aObject](auto&... aFields) {
         constexpr std::size_t kCount = sizeof...(aFields);
         const auto items = ArrayOf(aObject);
-        if (items.size > kCount || items.size + AddedFieldCount(T{}) < kCount) {
+        if ((items.size > kCount && !SkipsUnknownFields(T{})) ||
+            items.size + AddedFieldCount(T{}) < kCount) {
           throw msgpack::type_error();
         }
         std::size_t next = 0;
--- a/tests/manager/EntryInstanceFixture.h
+++ b/tests/manager/EntryInstanceFixture.h
@@ -88,6 +88,7 @@
     settings.m_instances = At(9); // Nothing listens there, so capacity does not change.
     settings.m_maxDirectServers = m_maxDirectServers;
     settings.m_instanceOrdersPerS = m_instanceOrdersPerS;
+    settings.m_access = m_access;
     settings.m_bounds.m_maxLeaseMs = m_maxLeaseMs;
     settings.m_bounds.m_graceMs = 6'000;
     settings.m_bounds.m_exclusiveMs = 3'000;
@@ -200,6 +201,7 @@
   Millis m_maxLeaseMs = 6'000;      ///< Longest lease that a server grants.
   double m_instanceOrdersPerS = 0;  ///< 0: not set.
   std::optional<Endpoint> m_advice; ///< Placement service; nullopt: none.
+  AccessPolicy m_access;            ///< Without accounts unless a test sets it.
 };
 
 } // namespace pistachiostand::fleet
--- a/tests/unit/JobTableTest.cpp
+++ b/tests/unit/JobTableTest.cpp
@@ -199,13 +199,17 @@
 }
 
 // Guards against jobs that are lost in an upgrade, because their submissions were stored before the
-// terms of the queue were part of them.
-TEST_F(JobTableTest, Submission_StoredWithoutTerms_IsDecoded)
+// terms of the queue, or the account, were part of them.
+TEST_F(JobTableTest, Submission_StoredWithLaterFieldsMissing_IsDecoded)
 {
-  constexpr char kNineFields = '\x99';
+  constexpr std::size_t kEmptyAccountBytes = 2; // A header for 0 bytes.
   constexpr std::size_t kDefaultTermsBytes = 5; // Array header, 1, 1, 0 and an empty array.
   std::string record = EncodeSubmission(Spec("a", { Step(2) }));
-  record.front() = kNineFields;
+  record.front() = '\x9a';
+  record.resize(record.size() - kEmptyAccountBytes);
+  ASSERT_TRUE(DecodeSubmission(record));
+  EXPECT_EQ(DecodeSubmission(record)->m_account, "");
+  record.front() = '\x99';
   record.resize(record.size() - kDefaultTermsBytes);
   const auto spec = DecodeSubmission(record);
   ASSERT_TRUE(spec);
@@ -213,6 +217,18 @@
   EXPECT_EQ(spec->m_terms, QueueTerms{});
 }
 
+// Guards against jobs that are lost in an upgrade, because an instance that is upgraded later
+// refuses the fields that a newer one has appended to the record.
+TEST_F(JobTableTest, Submission_StoredWithAFieldOfALaterVersion_IsDecoded)
+{
+  JobSpec spec = Spec("a", { Step(2) });
+  spec.m_account = "tupelo";
+  std::string record = EncodeSubmission(spec);
+  record.front() = '\x9c';
+  record += '\x07';
+  EXPECT_EQ(DecodeSubmission(record), spec);
+}
+
 // Guards against running a subtask again after it is done: a run that had been dropped ended as
 // done after a later one had ended, and its end was ignored as outdated.
 TEST_F(JobTableTest, ApplyEnd_EarlierRunDoneAfterALaterOneEnded_SubtaskIsDone)
