--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -171,7 +171,7 @@
   std::map<ServerId, Resources> m_used;               ///< Counted need of the runs on the server.
   std::map<ServerId, ServerLoad> m_load;              ///< These runs by kind.
   std::set<JobId> m_toCheck;                          ///< Jobs that may have runs to stop.
-  std::set<ProgressPart> m_changed;            ///< Parts whose durable state has yet to be stored.
+  std::set<ProgressPart> m_changed; ///< Parts whose durable state has yet to be stored.
   /// Cancellations of jobs that have not been added, with their callers.
   std::multimap<JobId, CallerScope> m_cancelledBeforeSubmission;
 };
