--- a/src/job/JobTable.cpp
+++ b/src/job/JobTable.cpp
@@ -272,9 +272,9 @@
     job.m_dueOccurrences = 1;
   }
   const auto [first, last] = aJobTable.m_cancelledBeforeSubmission.equal_range(id);
-  for (const auto& [cancelled, scope] : std::ranges::subrange(first, last)) {
-    CancelJob(aJobTable, cancelled, scope);
-  }
+  std::for_each(first, last, [&aJobTable](const auto& aCancellation) {
+    CancelJob(aJobTable, aCancellation.first, aCancellation.second);
+  });
   aJobTable.m_cancelledBeforeSubmission.erase(id);
   return true;
 }
