Serve jobs beyond the weight of their account from spare capacity

Cause: one account that sends several times its usual load took the capacity of the others, because jobs are ordered by objective alone. Their demand counts as late work, and they are left out of the forecast. A new owner takes the shares again in the order of acceptance and does not mark jobs that have begun.

--- a/include/pistachiostand/job/Arrivals.h
+++ b/include/pistachiostand/job/Arrivals.h
@@ -39,7 +39,8 @@
 
 using Arrivals = std::map<QueueName, QueueArrivals>;
 
-/// \brief Records a job that arrived at `aAtMs`. Ignores jobs with due times or long-running steps.
+/// \brief Records a job that arrived at `aAtMs`. Ignores jobs with due times or long-running steps,
+/// and those beyond the share of their account, for which no instances are ordered ahead.
 void RecordArrival(Arrivals& aArrivals, const Job& aJob, Millis aAtMs);
 
 /// \brief Current arrival rate in jobs per second.
--- a/include/pistachiostand/job/Demand.h
+++ b/include/pistachiostand/job/Demand.h
@@ -19,9 +19,10 @@
   /// Instances that other runs and runnable subtasks fill, of jobs that can still meet their
   /// objective and benefit from more capacity.
   double m_runnable{};
-  double m_averageParallelism{};  ///< Average instances that these jobs keep busy.
-  double m_arriving{};            ///< Instances that jobs arriving soon will keep busy.
-  double m_lateInstanceSeconds{}; ///< Remaining instance-seconds of jobs that will be late.
+  double m_averageParallelism{}; ///< Average instances that these jobs keep busy.
+  double m_arriving{};           ///< Instances that jobs arriving soon will keep busy.
+  /// Remaining instance-seconds of jobs that will be late or are beyond the share of their account.
+  double m_lateInstanceSeconds{};
   /// Fewest instances that satisfy the limit of subtasks per server of each long-running step.
   std::uint32_t m_minSpreadInstances{};
 
--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -111,8 +111,10 @@
   double m_work{};                ///< Core-seconds of the whole job, from m_times.
   Millis m_criticalPathMs{};      ///< Length of its critical path, from m_times.
   JobPhase m_phase{};
-  bool m_phaseStored{};  ///< The terminal phase is stored and may be reported to callers.
-  bool m_begun{};        ///< A run of some subtask was reported, running or ended.
+  bool m_phaseStored{}; ///< The terminal phase is stored and may be reported to callers.
+  bool m_begun{};       ///< A run of some subtask was reported, running or ended.
+  /// Sent beyond the weight of its account: it runs on capacity that jobs within theirs leave.
+  bool m_beyondShare{};
   Millis m_acceptedMs{}; ///< On the owner's steady clock.
   Millis m_finishedMs{}; ///< When the terminal phase was stored, on the owner's steady clock.
   std::uint32_t m_dueOccurrences{}; ///< Occurrences that have become due.
@@ -171,7 +173,7 @@
   std::map<ServerId, Resources> m_used;               ///< Counted need of the runs on the server.
   std::map<ServerId, ServerLoad> m_load;              ///< These runs by kind.
   std::set<JobId> m_toCheck;                          ///< Jobs that may have runs to stop.
-  std::set<ProgressPart> m_changed;            ///< Parts whose durable state has yet to be stored.
+  std::set<ProgressPart> m_changed; ///< Parts whose durable state has yet to be stored.
   /// Cancellations of jobs that have not been added, with their callers.
   std::multimap<JobId, CallerScope> m_cancelledBeforeSubmission;
 };
--- a/include/pistachiostand/job/Scheduler.h
+++ b/include/pistachiostand/job/Scheduler.h
@@ -58,6 +58,7 @@
   InTime,      ///< Meets its objective with a margin if it starts now.
   AtRisk,      ///< Meets its objective if it takes no longer than expected.
   Late,        ///< Misses its objective, and still has a little value.
+  BeyondShare, ///< Sent beyond the weight of its account, and still has value.
   NoValue,     ///< Has no value left but must finish.
 };
 
--- a/src/job/Arrivals.cpp
+++ b/src/job/Arrivals.cpp
@@ -48,7 +48,7 @@
 
 void RecordArrival(Arrivals& aArrivals, const Job& aJob, Millis aAtMs)
 {
-  if (aJob.m_spec.m_occurrences != 0 ||
+  if (aJob.m_beyondShare || aJob.m_spec.m_occurrences != 0 ||
       std::ranges::any_of(aJob.m_spec.m_steps, &StepSpec::m_longRunning)) {
     return;
   }
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -32,6 +32,7 @@
 struct Candidate
 {
   Urgency m_urgency{};
+  Urgency m_objectiveUrgency{}; ///< As m_urgency, regardless of the share.
   std::uint32_t m_priority{};
   double m_creditDensity{}; ///< Credit for each remaining core-second.
   Millis m_objectiveEndMs{};
@@ -65,10 +66,19 @@
   return finish <= end + (kLateFactor - 1) * objective ? Urgency::Late : Urgency::NoValue;
 }
 
+/// \brief Places a job beyond the share after the jobs within theirs that have value.
+Urgency ApplyShare(const Job& aJob, Urgency aUrgency)
+{
+  return aJob.m_beyondShare && aUrgency < Urgency::NoValue ? Urgency::BeyondShare : aUrgency;
+}
+
 bool HasPrecedence(const Candidate& aLeft, const Candidate& aRight)
 {
-  return std::tuple{ aLeft.m_urgency, aLeft.m_objectiveEndMs, -aLeft.m_creditDensity } <
-         std::tuple{ aRight.m_urgency, aRight.m_objectiveEndMs, -aRight.m_creditDensity };
+  // Among the jobs beyond the share, too, those that will be late must not delay the others.
+  return std::tuple{ aLeft.m_urgency, aLeft.m_objectiveUrgency, aLeft.m_objectiveEndMs,
+                     -aLeft.m_creditDensity } <
+         std::tuple{ aRight.m_urgency, aRight.m_objectiveUrgency, aRight.m_objectiveEndMs,
+                     -aRight.m_creditDensity };
 }
 
 double RemainingWork(const Job& aJob, const Occurrence& aOccurrence)
@@ -112,6 +122,7 @@
   candidate.m_priority = aRule != nullptr ? aRule->m_priority : 0;
   if (aJob.m_spec.m_steps[aStep].m_longRunning) {
     candidate.m_urgency = Urgency::LongRunning;
+    candidate.m_objectiveUrgency = Urgency::LongRunning;
     return candidate;
   }
   const auto mean = aInput.m_meanWork.find(aJob.m_spec.m_queue);
@@ -121,7 +132,8 @@
   candidate.m_creditDensity = credit / std::max(RemainingWork(aJob, aState), 1e-3);
   const QueueTerms& terms = TermsOf(aJob, aRule);
   candidate.m_objectiveEndMs = ObjectiveEndMs(aJob, terms, aOccurrence);
-  candidate.m_urgency = UrgencyByTerms(aJob, terms, aOccurrence, aState, aInput.m_nowMs);
+  candidate.m_objectiveUrgency = UrgencyByTerms(aJob, terms, aOccurrence, aState, aInput.m_nowMs);
+  candidate.m_urgency = ApplyShare(aJob, candidate.m_objectiveUrgency);
   return candidate;
 }
 
@@ -406,7 +418,7 @@
   if (std::ranges::any_of(aJob.m_spec.m_steps, &StepSpec::m_longRunning)) {
     return Urgency::LongRunning;
   }
-  return UrgencyByTerms(aJob, TermsOf(aJob, aRule), aOccurrence, aState, aNowMs);
+  return ApplyShare(aJob, UrgencyByTerms(aJob, TermsOf(aJob, aRule), aOccurrence, aState, aNowMs));
 }
 
 const QueueTerms& TermsOf(const Job& aJob, const QueueRule* aRule) noexcept
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -244,19 +244,28 @@
   }
   Job& job = m_state.m_jobTable.m_jobs.at(id);
   UpdateExpectedTimes(job, m_state.m_runTimes);
-  RecordArrival(m_state.m_arrivals, job, job.m_acceptedMs);
+  if (m_loaded) {
+    RecordAccepted(job);
+  }
   const double work = job.m_work;
   const auto [mean, first] = m_state.m_meanWork.try_emplace(queue, work);
   if (!first) {
     mean->second += kMeanWorkWeight * (work - mean->second);
   }
   if (m_loaded) {
-    LogEvent("job", "known", "id={} queue={} account={} steps={} work_core_s={:.1f} age_ms={}", id,
-             queue, job.m_spec.m_account, steps, work, age);
+    LogEvent("job", "known",
+             "id={} queue={} account={} steps={} work_core_s={:.1f} age_ms={} beyond_share={}", id,
+             queue, job.m_spec.m_account, steps, work, age, job.m_beyondShare);
     ScheduleSoon();
   }
 }
 
+void FleetOwner::RecordAccepted(Job& aJob)
+{
+  AssignShare(aJob, m_state.m_configuration.m_accounts, m_state.m_shares);
+  RecordArrival(m_state.m_arrivals, aJob, aJob.m_acceptedMs);
+}
+
 void FleetOwner::OnServerRecord(const std::string& aKey, const std::optional<std::string>& aValue)
 {
   Reason reason;
@@ -331,6 +340,10 @@
 {
   m_loaded = true;
   CompleteRestoredGangs(m_state.m_jobTable);
+  // The partitions of the topic are read one by one, so the shares are taken only now.
+  for (Job* job : JobsByAcceptance(m_state.m_jobTable)) {
+    RecordAccepted(*job);
+  }
   const Millis lease = LatestLeaseEndMs(
     m_state.m_claimedMs, std::min(m_state.m_settings.m_bounds.m_maxLeaseMs, kLongestGrantMs));
   for (const auto& [id, subtasks] : m_state.m_jobTable.m_byServer) {
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -77,6 +77,8 @@
   void OnProgressPage(const std::optional<platform::KeyedPage>& aPage);
   void FinishLoad();
   void AddSubmission(JobSpec aSpec);
+  /// \brief Applies the share of its account to a job, and counts it for the forecast.
+  void RecordAccepted(Job& aJob);
   void Cancel(const JobId& aId, const CallerScope& aScope);
   void ScheduleSoon();
   /// \brief Load of the owner since the last log line about it.
--- a/src/manager/OwnerState.h
+++ b/src/manager/OwnerState.h
@@ -7,6 +7,7 @@
 #include "platform/Orders.h"
 #include "platform/Store.h"
 
+#include "pistachiostand/account/Share.h"
 #include "pistachiostand/fleet/Configuration.h"
 #include "pistachiostand/job/Arrivals.h"
 #include "pistachiostand/job/JobTable.h"
@@ -84,6 +85,7 @@
   std::map<ServerId, ServerState> m_servers{};
   RunTimes m_runTimes{};
   Arrivals m_arrivals{};
+  ShareMeters m_shares{};    ///< Share that each account has used of its weight.
   Millis m_arrivalsAsOfMs{}; ///< The job table has all submissions up to this time; 0: none.
   std::map<QueueName, double> m_meanWork{}; ///< Core-seconds of a job, moving average.
   std::shared_ptr<int> m_alive = std::make_shared<int>();
--- a/tests/unit/JobSimulation.h
+++ b/tests/unit/JobSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiostand/account/Share.h"
 #include "pistachiostand/fleet/CapacityPlan.h"
 #include "pistachiostand/job/Demand.h"
 #include "pistachiostand/job/RunTimes.h"
@@ -8,9 +9,11 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -22,6 +25,15 @@
 
 namespace pistachiostand::fleet {
 
+struct SimulatedAccount
+{
+  AccountName m_name;
+  double m_weight{};
+  double m_part{}; ///< Of the arriving jobs, relative to the other accounts.
+
+  friend auto operator<=>(const SimulatedAccount&, const SimulatedAccount&) = default;
+};
+
 struct SimulatedLoad
 {
   std::uint32_t m_seed{ 1 };
@@ -42,6 +54,8 @@
   /// otherwise the pool follows its demand, as with the owner.
   Millis m_provisioningMs{ 0 };
   bool m_predictArrivals{ true }; ///< Demand includes expected arrivals, not only those seen.
+  std::vector<SimulatedAccount> m_accounts{}; ///< Who sends the jobs; empty: nobody.
+  bool m_applyShares{ true };                 ///< Marks jobs beyond the share, as the owner does.
 
   friend auto operator<=>(const SimulatedLoad&, const SimulatedLoad&) = default;
 };
@@ -54,6 +68,7 @@
   double m_inTime{};
   double m_largestTenth{}; ///< Share in time of the tenth of the jobs with the most work.
   double m_serverS{};      ///< Server seconds in the pool; not a share.
+  std::map<AccountName, double> m_inTimeByAccount{};
 
   friend auto operator<=>(const SimulationResult&, const SimulationResult&) = default;
 };
@@ -73,6 +88,9 @@
     queue.m_objectiveBaseMs = kObjectiveMs;
     m_configuration.m_queues.push_back(queue);
     m_configuration.m_pools["p"].m_name = "p";
+    for (const auto& account : m_load.m_accounts) {
+      AddAccount(m_configuration, { account.m_name, {}, account.m_weight, {} });
+    }
     PlanArrivals();
   }
 
@@ -86,6 +104,9 @@
         AddJob(m_jobTable, m_jobs[next].m_spec, m_nowMs, 0);
         Job& job = m_jobTable.m_jobs.at(m_jobs[next].m_spec.m_id);
         UpdateExpectedTimes(job, m_runTimes);
+        if (m_load.m_applyShares) {
+          AssignShare(job, m_configuration.m_accounts, m_shares);
+        }
         RecordArrival(m_arrivals, job, m_nowMs);
       }
       EndRuns();
@@ -135,6 +156,7 @@
       job.m_spec.m_id = "job-" + std::to_string(10'000 + m_jobs.size());
       job.m_spec.m_queue = "q";
       job.m_spec.m_pool = "p";
+      job.m_spec.m_account = DrawAccount();
       const auto steps = static_cast<std::uint32_t>(
         std::clamp(std::round(LogNormal(m_load.m_steps, 0.4)), 1.0, 4.0));
       for (std::uint32_t step = 0; step < steps; ++step) {
@@ -151,6 +173,18 @@
     }
   }
 
+  AccountName DrawAccount()
+  {
+    if (m_load.m_accounts.empty()) {
+      return {};
+    }
+    std::vector<double> parts;
+    std::ranges::transform(m_load.m_accounts, std::back_inserter(parts), &SimulatedAccount::m_part);
+    return m_load.m_accounts
+      .at(std::discrete_distribution<std::size_t>{ parts.begin(), parts.end() }(m_random))
+      .m_name;
+  }
+
   StepSpec MakeStep(std::uint32_t aStep, double aRunMs)
   {
     StepSpec spec;
@@ -261,6 +295,7 @@
     double inTime = 0;
     double largest = 0;
     double largestInTime = 0;
+    std::map<AccountName, std::pair<double, double>> byAccount; // In time, and all.
     for (const auto& job : m_jobs) {
       double chain = 0;
       for (const auto run : job.m_longestMs) {
@@ -275,11 +310,17 @@
                 : job.m_endMs != 0 && took <= 3 * objective ? kLateCredit * credit
                                                             : 0;
       inTime += good ? 1 : 0;
+      byAccount[job.m_spec.m_account].first += good ? 1 : 0;
+      byAccount[job.m_spec.m_account].second += 1;
       largest += job.m_work >= large ? 1 : 0;
       largestInTime += good && job.m_work >= large ? 1 : 0;
     }
+    std::map<AccountName, double> inTimeByAccount;
+    for (const auto& [account, counts] : byAccount) {
+      inTimeByAccount[account] = counts.first / counts.second;
+    }
     return { earned / owed, inTime / static_cast<double>(m_jobs.size()), largestInTime / largest,
-             static_cast<double>(m_serverMs) / 1e3 };
+             static_cast<double>(m_serverMs) / 1e3, std::move(inTimeByAccount) };
   }
 
   SimulatedLoad m_load;
@@ -288,6 +329,7 @@
   JobTable m_jobTable;
   RunTimes m_runTimes;
   Arrivals m_arrivals;
+  ShareMeters m_shares;
   DemandTracker m_demandTracker;
   std::map<int, Millis> m_usableFromMs; ///< Servers in the pool or being provisioned.
   std::vector<SimulatedJob> m_jobs;
