--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -100,6 +100,7 @@
   Millis m_runMs{};  ///< Mean run time of a subtask.
   Millis m_stepMs{}; ///< Run time of the longest subtask, which the next step waits for.
   bool m_measured{}; ///< The step is done, and m_stepMs is its actual time.
+  Millis m_slowMs{}; ///< Run time that few subtasks exceed; 0: not known.
 
   friend auto operator<=>(const StepTimes&, const StepTimes&) = default;
 };
@@ -171,7 +172,7 @@
   std::map<ServerId, Resources> m_used;               ///< Counted need of the runs on the server.
   std::map<ServerId, ServerLoad> m_load;              ///< These runs by kind.
   std::set<JobId> m_toCheck;                          ///< Jobs that may have runs to stop.
-  std::set<ProgressPart> m_changed;            ///< Parts whose durable state has yet to be stored.
+  std::set<ProgressPart> m_changed; ///< Parts whose durable state has yet to be stored.
   /// Cancellations of jobs that have not been added, with their callers.
   std::multimap<JobId, CallerScope> m_cancelledBeforeSubmission;
 };
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -15,8 +15,12 @@
 constexpr double kMaxCredit = 4.0;
 /// A job that completes within three times its objective still has a little value.
 constexpr int kLateFactor = 3;
-/// A speculative subtask is copied when its first run takes this multiple of its estimate.
+/// A speculative subtask is copied when its first run takes this multiple of its estimate, or
+/// earlier when the run times of its queue vary so little that a healthy run would have ended.
 constexpr int kSpeculationFactor = 2;
+/// A healthy run is assumed to take up to this much of its estimate in any case, so that a slight
+/// change of the workload does not copy every subtask.
+constexpr double kMinSpeculationFactor = 1.5;
 /// Shorter runs are not copied, because starting a copy takes about this long.
 constexpr Millis kMinSpeculationDelayMs = 600;
 /// A job has enough margin when it would meet its objective even if its true critical path were
@@ -88,6 +92,17 @@
   return !aSubtask.m_done && aSubtask.m_runs.empty();
 }
 
+/// \brief Time after which a run of a speculative subtask is copied.
+Millis SpeculationDelayMs(const StepTimes& aTimes)
+{
+  const Millis latest = kSpeculationFactor * aTimes.m_runMs;
+  const auto earliest =
+    static_cast<Millis>(kMinSpeculationFactor * static_cast<double>(aTimes.m_runMs));
+  const Millis delay =
+    aTimes.m_slowMs == 0 ? latest : std::clamp(aTimes.m_slowMs, earliest, latest);
+  return std::max(delay, kMinSpeculationDelayMs);
+}
+
 bool NeedsSpeculativeCopy(const StepSpec& aStep, const StepTimes& aTimes, const Subtask& aSubtask,
                           Millis aNowMs)
 {
@@ -96,9 +111,7 @@
     return false;
   }
   const Run& run = aSubtask.m_runs.front();
-  return run.m_phase != RunPhase::Planned &&
-         aNowMs - run.m_sinceMs >
-           std::max<Millis>(kSpeculationFactor * aTimes.m_runMs, kMinSpeculationDelayMs);
+  return run.m_phase != RunPhase::Planned && aNowMs - run.m_sinceMs > SpeculationDelayMs(aTimes);
 }
 
 Candidate MakeCandidate(const Job& aJob, const QueueRule* aRule, std::uint32_t aOccurrence,
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -95,6 +95,25 @@
   EXPECT_TRUE(Place(serverViews, kNow + 60'000).empty());
 }
 
+// Guards against a copy that starts only at twice the mean although the run times hardly vary, and
+// against one that starts earlier than that in a queue whose run times vary widely.
+TEST_F(SchedulerTest, Speculative_SmallSpread_IsCopiedEarlier)
+{
+  StepSpec step = Step(1);
+  step.m_speculative = true;
+  Add("a", { step });
+  Run({ "a", 0, 0, 0 }, "s1");
+  std::vector<ServerView> serverViews{ MakeServer("s2", 4'000) };
+  StepTimes& times = m_jobTable.m_jobs.at("a").m_times[0];
+  for (const Millis slow : { Millis{ 0 }, Millis{ 5'000 } }) {
+    times = { 1'000, 1'000, false, slow };
+    EXPECT_TRUE(Place(serverViews, kNow + 2'000).empty()) << slow;
+  }
+  times = { 1'000, 1'000, false, 1'100 };
+  EXPECT_TRUE(Place(serverViews, kNow + 1'500).empty());
+  EXPECT_EQ(Place(serverViews, kNow + 1'501).size(), 1U);
+}
+
 // Guards against a burst in which jobs that are already late take the capacity of those that can
 // still be in time: with capacity for one of two jobs, the new one must get it.
 TEST_F(SchedulerTest, Overload_JobInTime_GoesBeforeALateOne)
