--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -100,6 +100,7 @@
   Millis m_runMs{};  ///< Mean run time of a subtask.
   Millis m_stepMs{}; ///< Run time of the longest subtask, which the next step waits for.
   bool m_measured{}; ///< The step is done, and m_stepMs is its actual time.
+  Millis m_slowMs{}; ///< Run time that few subtasks exceed; 0: not known.
 
   friend auto operator<=>(const StepTimes&, const StepTimes&) = default;
 };
