Check a configuration record before it is published

Cause: an operator learned of a wrong record only after publishing it, from the log of an entry instance, which names the first unreadable row alone and says nothing of conflicts between rows.

--- a/src/manager/main.cpp
+++ b/src/manager/main.cpp
@@ -1,3 +1,4 @@
+#include "ConfigurationCommand.h"
 #include "EntryInstance.h"
 #include "EventLog.h"
 
@@ -21,18 +22,22 @@
 Usage:
   pistachiostand-entry [SETTINGS]
   pistachiostand-entry --check SETTINGS
+  pistachiostand-entry --check-configuration=FILE [--against=FILE] [--json]
   pistachiostand-entry (-h | --help)
   pistachiostand-entry --version
 
 Without SETTINGS, the path of the settings file is taken from the platform's environment.
 
 Options:
-  --check     Check the settings file and exit.
-  -h --help   Show this text.
-  --version   Show the version.
+  --check                     Check the settings file and exit.
+  --check-configuration=FILE  Check a configuration record before it is published, and exit.
+  --against=FILE              Compare it with this earlier record.
+  --json                      Print the findings as one JSON object.
+  -h --help                   Show this text.
+  --version                   Show the version.
 
-SIGTERM stops gracefully, SIGHUP reads the settings again. Exit codes: 0 stopped or settings are
-valid, 1 settings invalid, 2 usage, 3 an address cannot be bound.
+SIGTERM stops gracefully, SIGHUP reads the settings again. Exit codes: 0 stopped, or the checked file
+is valid, 1 settings or configuration record invalid, 2 usage, 3 an address cannot be bound.
 )";
 
 constexpr int kExitInvalid = 1;
@@ -84,6 +89,14 @@
 {
   try {
     const auto args = docopt::docopt_parse(kUsage, { aArgv + 1, aArgv + aArgc }, true, true, false);
+    if (const auto& record = args.at("--check-configuration")) {
+      const auto& against = args.at("--against");
+      return pistachiostand::fleet::CheckConfigurationFile(
+               record.asString(), against ? std::optional{ against.asString() } : std::nullopt,
+               args.at("--json").asBool(), std::cout)
+               ? 0
+               : kExitInvalid;
+    }
     const auto& given = args.at("SETTINGS");
     const std::string path =
       given ? given.asString() : pistachiostand::fleet::platform::SettingsPath();
