Name the count of unreadable parts last in the finding

Cause: the warning about an earlier record read "1 parts" for a single part. Change: the count follows the text.

--- a/src/fleet/ConfigurationCheck.cpp
+++ b/src/fleet/ConfigurationCheck.cpp
@@ -422,7 +422,7 @@
   }
   if (!aBefore.m_unreadable.empty()) {
     Add(findings, FindingKind::Warning, { ConfigurationPart::Record, {}, {} },
-        fmt::format("{} parts of the earlier record cannot be read and are not compared",
+        fmt::format("unreadable parts of the earlier record, which are not compared: {}",
                     aBefore.m_unreadable.size()),
         "check the earlier record on its own");
   }
--- a/tests/unit/ConfigurationCheckTest.cpp
+++ b/tests/unit/ConfigurationCheckTest.cpp
@@ -223,8 +223,8 @@
   const auto before = Patched(R"([{"op":"replace","path":"/routes/0/host","value":7}])");
   const auto lines = Check(Patched(R"([{"op":"replace","path":"/version","value":8}])"), before);
   EXPECT_EQ(lines, (std::vector<std::string>{
-                     "record: warning: 1 parts of the earlier record cannot be read and are not "
-                     "compared",
+                     "record: warning: unreadable parts of the earlier record, which are not "
+                     "compared: 1",
                      R"(routes[0] "r-a": difference: added)" }));
 }
 
