--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -34,6 +34,7 @@
 
   void Signal(int aSignal) const;
   [[nodiscard]] bool IsRunning();
+  [[nodiscard]] pid_t Pid() const noexcept { return m_pid; }
   /// \brief Waits for the child to end; returns its exit status, or minus the signal number.
   int WaitForExit();
   /// \brief Sends SIGKILL and reaps the child.
