Store the learned run times, so that the next owner begins with them

Cause: what an owner had learned about run times was lost with it, so that the first seconds of the next one were ordered by declared times.

Change: RunTimeStore writes one record for each queue (runtime/QUEUE in keyed.fleet) at most once in 5 s, only after a notable change and with the ownership lease; the next owner reads it before it places, and waits for it no longer than 300 ms. Older records replace nothing; malformed ones and unknown versions are counted. [scheduling] learn_run_times = false turns all of it off. The gauge run_time_ratio and the lines runtime: learned show what is known.

--- a/src/manager/EntrySettings.cpp
+++ b/src/manager/EntrySettings.cpp
@@ -169,6 +169,9 @@
                           accounts.Milliseconds("revoke_ms") };
     settings.m_runningOverage = accounts.Number("overage");
   }
+  if ((*file)["scheduling"]["learn_run_times"]) {
+    settings.m_learnRunTimes = TableReader{ *file, "scheduling", aReasons }.Flag("learn_run_times");
+  }
   settings.m_bounds = ReadBounds(TableReader{ *file, "bounds", aReasons });
   settings.m_logLevel = (*file)["log"]["level"].value_or(settings.m_logLevel);
   if (aReasons.size() != before) {
--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -59,8 +59,9 @@
   /// this number an owner with a quarter of a core can send them itself, and carriers only add
   /// cost.
   std::uint32_t m_maxDirectServers{ 120 };
-  AccessPolicy m_access;     ///< Table `[accounts]`; without it no key is required.
-  double m_runningOverage{}; ///< Fraction of a limit of running work that may be exceeded.
+  AccessPolicy m_access;        ///< Table `[accounts]`; without it no key is required.
+  double m_runningOverage{};    ///< Fraction of a limit of running work that may be exceeded.
+  bool m_learnRunTimes{ true }; ///< False: declared run times are used.
   PlatformBounds m_bounds;
   std::string m_logLevel{ "info" };
 
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -85,6 +85,7 @@
   , m_advice(m_state, [this] { ScheduleSoon(); })
   , m_fleet(m_state, m_runs)
   , m_cleaner(m_state)
+  , m_runTimeStore(m_state)
   , m_registry(m_state.m_loop, m_state.m_store,
                { { platform::kRegistryTopic }, kRegistryWaitMs, kRegistryPauseMs },
                { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
@@ -97,7 +98,11 @@
                    { [this](const std::string& aKey, const auto& aValue, Offset /*aOffset*/) {
                       OnFleetRecord(aKey, aValue);
                     },
-                     [this](Millis /*aSentMs*/) { m_fleet.OnRecordsRead(); },
+                     [this](Millis /*aSentMs*/) {
+                       m_fleet.OnRecordsRead();
+                       m_runTimeStore.OnRecordsRead();
+                       ScheduleSoon();
+                     },
                      [this] { OnStoreAvailable(); }, OnMalformedRecord(m_state.m_metrics) })
   , m_scheduleTimer(m_state.m_loop)
   , m_loadTimer(m_state.m_loop)
@@ -284,9 +289,11 @@
     m_fleet.OnStoredWave(*wave, *aValue);
   } else if (key.starts_with(kOrderPrefix) && key.size() > kOrderPrefix.size()) {
     m_fleet.OnStoredOrder(InstanceId{ key.substr(kOrderPrefix.size()) }, *aValue);
+  } else if (key.starts_with(kRunTimePrefix)) {
+    m_runTimeStore.OnRecord(aKey, *aValue);
   } else {
     ReportMalformedEntry(m_state.m_metrics, "records_unreadable_total", "fleet", aKey,
-                         "no wave or order has such a key");
+                         "no wave, order or queue has such a key");
   }
 }
 
@@ -398,7 +405,7 @@
   if (m_state.m_holdsOwnershipLease()) {
     m_runs.StopObsoleteRuns();
     StopRunsOnDrainingServers();
-    if (CatchUp(begin)) {
+    if (CatchUp(begin) && m_runTimeStore.IsReady(begin)) {
       Place(MonotonicMs());
     }
   }
@@ -498,6 +505,7 @@
     m_fleet.Tick(now);
   }
   m_cleaner.Tick(now);
+  m_runTimeStore.Tick(now);
   ForgetOldJobs(now);
   HandOverToLarger(now);
   if (now - m_expectedTimesUpdatedMs >= kExpectedTimesUpdateMs) {
@@ -557,6 +565,7 @@
       }
     }
   }
+  m_runTimeStore.AddGauges();
 }
 
 void FleetOwner::ForgetOldJobs(Millis aNowMs)
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -5,6 +5,7 @@
 #include "FleetControl.h"
 #include "OwnerState.h"
 #include "RunControl.h"
+#include "RunTimeStore.h"
 #include "SubmissionCleaner.h"
 #include "SubmissionWriter.h"
 #include "TopicTail.h"
@@ -113,6 +114,7 @@
   AdviceCalls m_advice;
   FleetControl m_fleet;
   SubmissionCleaner m_cleaner;
+  RunTimeStore m_runTimeStore;
   std::vector<std::unique_ptr<TopicTail>> m_submissions; ///< One for each partition.
   TopicTail m_registry;
   TopicTail m_fleetRecords;
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -677,7 +677,7 @@
     const bool applied = ApplyEnd(m_state.m_jobTable, end, MaxFailures(end.m_subtask), now);
     if (end.m_kind == EndKind::Done) {
       aServer.m_failedRuns = 0;
-      if (applied) {
+      if (applied && m_state.m_settings.m_learnRunTimes) {
         LearnEnd(m_state.m_runTimes, m_state.m_jobTable.m_jobs.at(end.m_subtask.m_job),
                  end.m_subtask);
       }
--- a/tests/unit/JobSimulation.h
+++ b/tests/unit/JobSimulation.h
@@ -41,6 +41,12 @@
   /// Time from the order of a server to its first run. With 0 all servers are always available;
   /// otherwise the pool follows its demand, as with the owner.
   Millis m_provisioningMs{ 0 };
+  /// Images of the steps. The true run times of the first and the last differ by m_imageFactor,
+  /// which the declared ones do not tell.
+  int m_images{ 0 };
+  double m_imageFactor{ 1 };
+  bool m_learnImages{ true };
+  RunTimes m_knownRunTimes{};     ///< What the owner has learned before the burst.
   bool m_predictArrivals{ true }; ///< Demand includes expected arrivals, not only those seen.
 
   friend auto operator<=>(const SimulatedLoad&, const SimulatedLoad&) = default;
@@ -64,6 +70,7 @@
   explicit JobSimulation(const SimulatedLoad& aLoad)
     : m_load(aLoad)
     , m_random(aLoad.m_seed)
+    , m_runTimes(aLoad.m_knownRunTimes)
   {
     QueueRule queue;
     queue.m_name = "q";
@@ -76,6 +83,9 @@
     PlanArrivals();
   }
 
+  /// \brief What the owner has learned.
+  [[nodiscard]] const RunTimes& Learned() const { return m_runTimes; }
+
   /// \brief Runs the simulation until all jobs have ended.
   SimulationResult Simulate()
   {
@@ -140,7 +150,7 @@
       for (std::uint32_t step = 0; step < steps; ++step) {
         const double run = LogNormal(static_cast<double>(m_load.m_runMeanMs), m_load.m_runSpread);
         job.m_spec.m_steps.push_back(MakeStep(step, run));
-        job.m_runMs.push_back(static_cast<Millis>(run));
+        job.m_runMs.push_back(static_cast<Millis>(run * ImageFactor(job.m_spec.m_steps.back())));
         job.m_longestMs.push_back(0);
       }
       for (std::size_t step = 0; step < job.m_runMs.size(); ++step) {
@@ -151,6 +161,19 @@
     }
   }
 
+  /// \brief Chooses the image of a step.
+  /// \return the factor of its true run time.
+  double ImageFactor(StepSpec& aStep)
+  {
+    if (m_load.m_images == 0) {
+      return 1;
+    }
+    const int image = std::uniform_int_distribution<int>{ 0, m_load.m_images - 1 }(m_random);
+    aStep.m_image = m_load.m_learnImages ? "image-" + std::to_string(image) : "";
+    const double place = static_cast<double>(image) / std::max(m_load.m_images - 1, 1) - 0.5;
+    return std::pow(m_load.m_imageFactor, place);
+  }
+
   StepSpec MakeStep(std::uint32_t aStep, double aRunMs)
   {
     StepSpec spec;
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -1,7 +1,10 @@
 #include "JobFixture.h"
 #include "JobSimulation.h"
 
+#include "pistachiostand/job/RunTimeRecord.h"
+
 #include <algorithm>
+#include <fmt/format.h>
 #include <set>
 
 namespace pistachiostand::fleet {
@@ -170,6 +173,60 @@
   EXPECT_GT(learned, declared);
 }
 
+/// \brief Share of the jobs in time over some bursts of steps with four images, whose true run
+/// times differ by a factor of eight that the declared ones do not tell.
+double InTimeWithImages(bool aLearn, bool aLearnImages, const RunTimes& aKnown = {})
+{
+  SimulatedLoad load;
+  load.m_jobsPerS = 80;
+  load.m_burstMs = 2'000;
+  load.m_estimateSpread = 1.1;
+  load.m_images = 4;
+  load.m_imageFactor = 8;
+  load.m_learnRunTimes = aLearn;
+  load.m_learnImages = aLearnImages;
+  load.m_knownRunTimes = aKnown;
+  constexpr unsigned kSeeds = 12;
+  double inTime = 0;
+  for (load.m_seed = 1; load.m_seed <= kSeeds; ++load.m_seed) {
+    inTime += JobSimulation{ load }.Simulate().m_inTime / kSeeds;
+  }
+  return inTime;
+}
+
+// Guards against learning that serves callers no better than the declared times, and against images
+// that are learned in vain.
+TEST_F(SchedulerTest, Burst_ImagesDiffer_LearnedByImageServesMore)
+{
+  const double declared = InTimeWithImages(false, false);
+  const double byQueue = InTimeWithImages(true, false);
+  const double byImage = InTimeWithImages(true, true);
+  EXPECT_GT(byQueue, declared);
+  EXPECT_GT(byImage, byQueue);
+  RecordProperty("in_time", fmt::format("{:.4f} {:.4f} {:.4f}", declared, byQueue, byImage));
+}
+
+// Guards against a burst in the first seconds of an owner that it orders by declared times,
+// although the previous owner had learned the real ones.
+TEST_F(SchedulerTest, Burst_AfterTakeover_RecordOfThePreviousOwnerServesMore)
+{
+  SimulatedLoad before;
+  before.m_jobsPerS = 40;
+  before.m_estimateSpread = 1.1;
+  before.m_images = 4;
+  before.m_imageFactor = 8;
+  JobSimulation previous{ before };
+  (void)previous.Simulate();
+  Reason reason;
+  const auto record =
+    DecodeRunTimeRecord(EncodeRunTimeRecord({ 1, 1, "q", previous.Learned().at("q") }), reason);
+  ASSERT_TRUE(record);
+  const double without = InTimeWithImages(true, true);
+  const double with = InTimeWithImages(true, true, { { "q", record->m_times } });
+  EXPECT_GT(with, without);
+  RecordProperty("in_time", fmt::format("{:.4f} {:.4f}", without, with));
+}
+
 // Guards against instances that are ready 2 s too late while a burst ramps up: ordering them for
 // the predicted arrivals must lose less than half of the credit that is lost when they are ordered
 // for the current ones (regression: scenario spokecalc-south-large scale-1: half of the jobs of the
