Test the order of jobs with wrong declarations against learned run times

Guards against an order by declared times where the real ones are known: the job that declares 5 s and runs for 200 ms goes first only when its run times are learned. Runs in the unit tests, which pass.

--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -173,6 +173,33 @@
   EXPECT_GT(learned, declared);
 }
 
+// Guards against an order by declared times where the real ones are known: the job that declares
+// too much has the earlier objective.
+TEST_F(SchedulerTest, WrongDeclaration_OrderFollowsLearnedTimes)
+{
+  RunTimes times;
+  for (int i = 0; i < 100; ++i) {
+    LearnRun(times, "lookups", 5'000, 200, "fast");
+    LearnRun(times, "lookups", 500, 500, "slow");
+  }
+  StepSpec fast = Step(4, 1'000, 5'000);
+  fast.m_image = "fast";
+  StepSpec slow = Step(4, 1'000, 500);
+  slow.m_image = "slow";
+  for (const bool learned : { false, true }) {
+    m_jobTable = {};
+    Add("fast", { fast }, 500);
+    Add("slow", { slow });
+    for (auto& [id, job] : m_jobTable.m_jobs) {
+      UpdateExpectedTimes(job, learned ? times : RunTimes{});
+    }
+    std::vector<ServerView> serverViews{ MakeServer("s1", 4'000) };
+    const auto placements = Place(serverViews);
+    ASSERT_EQ(placements.size(), 4U);
+    EXPECT_EQ(placements.front().m_subtask.m_job, learned ? "fast" : "slow");
+  }
+}
+
 /// \brief Share of the jobs in time over some bursts of steps with four images, whose true run
 /// times differ by a factor of eight that the declared ones do not tell.
 double InTimeWithImages(bool aLearn, bool aLearnImages, const RunTimes& aKnown = {})
