Hold back starts that exceed the quota of an account

An account could fill all pools, because nothing limited how much of its work ran at once. The job table now counts the declared need of all runs of each account from their plan to their end, and the scheduler asks the limit of the account for each start: wide steps run in waves, gangs start whole or not at all, and the work of other accounts is not delayed.

--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -170,8 +170,10 @@
   std::map<ServerId, std::set<SubtaskId>> m_byServer; ///< Subtasks with a run on the server.
   std::map<ServerId, Resources> m_used;               ///< Counted need of the runs on the server.
   std::map<ServerId, ServerLoad> m_load;              ///< These runs by kind.
-  std::set<JobId> m_toCheck;                          ///< Jobs that may have runs to stop.
-  std::set<ProgressPart> m_changed;            ///< Parts whose durable state has yet to be stored.
+  /// Declared need of all runs of each account, in whatever phase and pool.
+  std::map<AccountName, Resources> m_usedByAccount;
+  std::set<JobId> m_toCheck;        ///< Jobs that may have runs to stop.
+  std::set<ProgressPart> m_changed; ///< Parts whose durable state has yet to be stored.
   /// Cancellations of jobs that have not been added, with their callers.
   std::multimap<JobId, CallerScope> m_cancelledBeforeSubmission;
 };
@@ -209,7 +211,8 @@
 [[nodiscard]] bool IsStepRunnable(const Job& aJob, const Occurrence& aOccurrence,
                                   std::uint32_t aStep) noexcept;
 
-/// \brief Counts a run that was added to a subtask against the capacity of its server.
+/// \brief Counts a run that was added to a subtask against the capacity of its server and the quota
+/// of its account.
 void AllocateRun(JobTable& aJobTable, const SubtaskId& aId, const ServerId& aServer);
 
 /// \brief Adds a run of a subtask on a server, in phase Planned.
--- a/include/pistachiostand/job/Scheduler.h
+++ b/include/pistachiostand/job/Scheduler.h
@@ -15,7 +15,8 @@
 /// Uses no clock, no socket and no other input or output. Handles bursts in which queues need
 /// several times the capacity of their pool for some seconds: jobs that can still meet their
 /// objective come first, earliest deadline first, so that as few objectives as possible are missed
-/// and large jobs are served as well as small ones.
+/// and large jobs are served as well as small ones. Work that the quota of its account holds back
+/// delays no other work.
 
 namespace pistachiostand::fleet {
 
@@ -73,6 +74,9 @@
   std::map<QueueName, double> m_meanWork; ///< Mean core-seconds of a job, by queue.
   /// Valid tickets of queues with a placement service.
   std::map<StepId, std::map<ServerId, Ticket>> m_tickets;
+  /// Fraction of the quota of an account by which a gang may exceed it while the account runs
+  /// nothing else.
+  double m_runningOverage{};
 };
 
 struct Placement
@@ -85,13 +89,24 @@
   friend auto operator<=>(const Placement&, const Placement&) = default;
 };
 
+/// \brief Work of an account that its quota holds back.
+struct HeldBackWork
+{
+  std::uint32_t m_steps{};
+  StepId m_first; ///< The one with the highest precedence.
+
+  friend auto operator<=>(const HeldBackWork&, const HeldBackWork&) = default;
+};
+
 struct SchedulerResult
 {
   std::vector<Placement> m_placements;       ///< Already planned in the job table.
   std::vector<StepId> m_stepsWithoutTickets; ///< Steps that wait for tickets.
+  std::map<AccountName, HeldBackWork> m_heldBack;
 };
 
-/// \brief Places the subtasks that fit, plans their runs in the job table and updates `aServers`.
+/// \brief Places the subtasks that fit and that the quotas of their accounts allow, plans their
+/// runs in the job table and updates `aServers`.
 SchedulerResult PlaceSubtasks(JobTable& aJobTable, const Configuration& aConfiguration,
                               std::vector<ServerView>& aServers, const SchedulerInput& aInput);
 
--- a/src/job/JobTable.cpp
+++ b/src/job/JobTable.cpp
@@ -1,5 +1,6 @@
 #include "pistachiostand/job/JobTable.h"
 
+#include "pistachiostand/account/RunningLimit.h"
 #include "pistachiostand/job/JobLimits.h"
 
 #include <algorithm>
@@ -87,6 +88,11 @@
   aLoad.m_serving += aStep.m_tailLatencyTargetMs > 0 ? by : 0;
 }
 
+const AccountName& AccountOf(const JobTable& aJobTable, const SubtaskId& aId)
+{
+  return aJobTable.m_jobs.at(aId.m_job).m_spec.m_account;
+}
+
 void RemoveRun(JobTable& aJobTable, Subtask& aSubtask, const RunRef& aRef, Millis aNowMs)
 {
   const auto removed = std::erase_if(aSubtask.m_runs, [&aRef](const Run& aRun) {
@@ -97,6 +103,7 @@
     auto& used = aJobTable.m_used[aRef.m_server];
     used = used - ReservedResources(step);
     AdjustLoad(aJobTable.m_load[aRef.m_server], step, -1);
+    RemoveUse(aJobTable.m_usedByAccount, AccountOf(aJobTable, aRef.m_subtask), step.m_need);
   }
   if (std::ranges::none_of(aSubtask.m_runs,
                            [&aRef](const Run& aRun) { return aRun.m_server == aRef.m_server; })) {
@@ -407,6 +414,7 @@
   auto& used = aJobTable.m_used[aServer];
   used = used + ReservedResources(step);
   AdjustLoad(aJobTable.m_load[aServer], step, 1);
+  AddUse(aJobTable.m_usedByAccount, AccountOf(aJobTable, aId), step.m_need);
 }
 
 std::uint64_t PlanRun(JobTable& aJobTable, const SubtaskId& aId, const ServerId& aServer,
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -1,5 +1,7 @@
 #include "pistachiostand/job/Scheduler.h"
 
+#include "pistachiostand/account/RunningLimit.h"
+
 #include <algorithm>
 #include <optional>
 #include <tuple>
@@ -176,7 +178,7 @@
 public:
   StepPlacer(JobTable& aJobTable, const std::vector<ServerView*>& aServers,
              const SchedulerInput& aInput, const Candidate& aCandidate,
-             const std::map<ServerId, Ticket>* aTickets)
+             const std::map<ServerId, Ticket>* aTickets, std::size_t aMaxStarts)
     : m_jobTable(aJobTable)
     , m_servers(aServers)
     , m_input(aInput)
@@ -187,6 +189,7 @@
         aJobTable.m_jobs.at(m_id.m_job).m_occurrences.at(m_id.m_occurrence).m_steps[m_id.m_step])
     , m_tickets(aTickets)
     , m_need(ReservedResources(m_spec))
+    , m_startsLeft(aMaxStarts)
   {
     for (const auto& subtask : m_subtasks) {
       for (const auto& run : subtask.m_runs) {
@@ -195,27 +198,33 @@
     }
   }
 
-  void Place(std::vector<Placement>& aPlacements)
+  /// \return false when the quota of the account holds subtasks back.
+  bool Place(std::vector<Placement>& aPlacements)
   {
     if (m_spec.m_gang) {
       PlaceGang(aPlacements);
-      return;
+      return true;
     }
     for (std::uint32_t index = 0; index < m_subtasks.size(); ++index) {
       const bool copy = NeedsSpeculativeCopy(m_spec, m_times, m_subtasks[index], m_input.m_nowMs);
       if (!copy && !NeedsStart(m_subtasks[index])) {
         continue;
       }
+      if (m_startsLeft == 0) {
+        return false;
+      }
       ServerView* server =
         ChooseServer(copy ? m_subtasks[index].m_runs.front().m_server : ServerId{});
       if (server == nullptr) {
         if (copy) {
           continue;
         }
-        return; // All subtasks of a step have the same need, so no other fits either.
+        return true; // All subtasks of a step have the same need, so no other fits either.
       }
       PlanPlacement(*server, index, m_subtasks[index].m_lastRun + 1, copy, aPlacements);
+      --m_startsLeft;
     }
+    return true;
   }
 
 private:
@@ -357,9 +366,38 @@
   std::vector<Subtask>& m_subtasks;
   const std::map<ServerId, Ticket>* m_tickets;
   Resources m_need;
+  std::size_t m_startsLeft{}; ///< Starts that the quota of the account still allows; not for gangs.
   std::map<ServerId, std::uint32_t> m_stepRunsByServer; ///< Runs of the step on each server.
 };
 
+/// \brief Starts of a step that the quota of its account allows, at least as many as it has
+/// subtasks when there is no limit. A gang gets all or none.
+std::size_t MaxStarts(const JobTable& aJobTable, const Configuration& aConfiguration,
+                      const Candidate& aCandidate, double aOverage)
+{
+  const JobSpec& spec = aCandidate.m_job->m_spec;
+  const StepSpec& step = spec.m_steps[aCandidate.m_step];
+  const Resources limit = LimitOf(aConfiguration.m_accounts, spec.m_account);
+  if (limit == Resources{}) {
+    return step.m_count;
+  }
+  const auto found = aJobTable.m_usedByAccount.find(spec.m_account);
+  const Resources used = found == aJobTable.m_usedByAccount.end() ? Resources{} : found->second;
+  if (step.m_gang) {
+    return MayStartGang(used, step.m_need, limit, step.m_count, aOverage) ? step.m_count : 0;
+  }
+  return StartsAllowed(used, step.m_need, limit, step.m_count);
+}
+
+void AddHeldBack(SchedulerResult& aResult, const AccountName& aAccount, const StepId& aStep)
+{
+  const auto [entry, first] = aResult.m_heldBack.try_emplace(aAccount);
+  ++entry->second.m_steps;
+  if (first) {
+    entry->second.m_first = aStep;
+  }
+}
+
 } // namespace
 
 SchedulerResult PlaceSubtasks(JobTable& aJobTable, const Configuration& aConfiguration,
@@ -376,8 +414,15 @@
     const QueueRule* rule = candidate.m_rule;
     const PoolName& pool = rule != nullptr ? rule->m_pool : job.m_spec.m_pool;
     const std::map<ServerId, Ticket>* tickets = nullptr;
+    const StepId step{ job.m_spec.m_id, candidate.m_occurrence, candidate.m_step };
+    // Before tickets are asked for, which would expire while the quota holds the step back.
+    const std::size_t maxStarts =
+      MaxStarts(aJobTable, aConfiguration, candidate, aInput.m_runningOverage);
+    if (maxStarts == 0) {
+      AddHeldBack(result, job.m_spec.m_account, step);
+      continue;
+    }
     if (TermsOf(job, rule).m_advice) {
-      const StepId step{ job.m_spec.m_id, candidate.m_occurrence, candidate.m_step };
       const auto found = aInput.m_tickets.find(step);
       if (found == aInput.m_tickets.end()) {
         result.m_stepsWithoutTickets.push_back(step);
@@ -390,7 +435,10 @@
       continue;
     }
     const auto& servers = byPool[pool];
-    StepPlacer{ aJobTable, servers, aInput, candidate, tickets }.Place(result.m_placements);
+    StepPlacer placer{ aJobTable, servers, aInput, candidate, tickets, maxStarts };
+    if (!placer.Place(result.m_placements)) {
+      AddHeldBack(result, job.m_spec.m_account, step);
+    }
     if (std::ranges::none_of(servers, [&need](const ServerView* aServer) {
           return !aServer->m_unschedulable && Fits(need, aServer->m_free);
         })) {
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -439,6 +439,7 @@
   input.m_remoteFactor = m_state.m_settings.m_bounds.m_remoteFactor;
   input.m_meanWork = m_state.m_meanWork;
   input.m_tickets = m_advice.Tickets(aNowMs);
+  input.m_runningOverage = m_state.m_settings.m_runningOverage;
   const auto result =
     PlaceSubtasks(m_state.m_jobTable, m_state.m_configuration, availableServers, input);
   for (const auto& placement : result.m_placements) {
