--- a/src/manager/EntryInstance.cpp
+++ b/src/manager/EntryInstance.cpp
@@ -133,6 +133,7 @@
   , m_writer(aLoop, m_store, OwnPartition(m_settings))
   , m_relayWriter(aLoop, m_store, m_settings.m_storePartitions - 1, kRelayMaxInFlight)
   , m_jobApi({ aLoop, m_writer, m_metrics, m_configuration, m_settings.m_storeRecordBytes,
+               m_settings.m_runningOverage,
                [this](const std::string& aPath, HttpResponder aDone) {
                  AskOwner(aPath, std::move(aDone));
                },
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -6,6 +6,7 @@
 
 #include "platform/Topics.h"
 
+#include "pistachiostand/account/RunningLimit.h"
 #include "pistachiostand/base/Bounds.h"
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/job/Backlog.h"
@@ -244,7 +245,10 @@
   }
   Job& job = m_state.m_jobTable.m_jobs.at(id);
   UpdateExpectedTimes(job, m_state.m_runTimes);
-  RecordArrival(m_state.m_arrivals, job, job.m_acceptedMs);
+  // Instances for expected arrivals would stay idle if the quota holds the arriving jobs back.
+  if (!IsAtLimit(job)) {
+    RecordArrival(m_state.m_arrivals, job, job.m_acceptedMs);
+  }
   const double work = job.m_work;
   const auto [mean, first] = m_state.m_meanWork.try_emplace(queue, work);
   if (!first) {
@@ -257,6 +261,15 @@
   }
 }
 
+bool FleetOwner::IsAtLimit(const Job& aJob) const
+{
+  const auto& used = m_state.m_jobTable.m_usedByAccount;
+  const auto found = used.find(aJob.m_spec.m_account);
+  const Resources limit = LimitOf(m_state.m_configuration.m_accounts, aJob.m_spec.m_account);
+  return found != used.end() && !aJob.m_spec.m_steps.empty() &&
+         StartsAllowed(found->second, aJob.m_spec.m_steps.front().m_need, limit, 1) == 0;
+}
+
 void FleetOwner::OnServerRecord(const std::string& aKey, const std::optional<std::string>& aValue)
 {
   Reason reason;
@@ -450,6 +463,7 @@
     }
   }
   m_advice.Ask(result.m_stepsWithoutTickets, availableServers);
+  m_heldBack = result.m_heldBack;
 }
 
 void FleetOwner::OnStored(const CommitBatch& aBatch)
@@ -538,6 +552,22 @@
            m_load.m_longestGapMs, m_state.m_orders.CarrierCount());
   m_load = { aNowMs, 0, 0, 0 };
   LogBacklog(aNowMs);
+  LogHeldBack();
+}
+
+void FleetOwner::LogHeldBack() const
+{
+  for (const auto& [account, work] : m_heldBack) {
+    const auto found = m_state.m_jobTable.m_usedByAccount.find(account);
+    const Resources used =
+      found == m_state.m_jobTable.m_usedByAccount.end() ? Resources{} : found->second;
+    const Resources limit = LimitOf(m_state.m_configuration.m_accounts, account);
+    LogEvent("account", "held-back",
+             "account={} steps={} first_job={} step={} used_cpu={} max_cpu={} used_mem_mb={} "
+             "max_mem_mb={} used_gpu={} max_gpu={}",
+             account, work.m_steps, work.m_first.m_job, work.m_first.m_step, used.m_cpuMillis,
+             limit.m_cpuMillis, used.m_memoryMb, limit.m_memoryMb, used.m_gpus, limit.m_gpus);
+  }
 }
 
 void FleetOwner::LogBacklog(Millis aNowMs)
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -93,6 +93,10 @@
   void HandOverToLarger(Millis aNowMs);
   void LogLoad(Millis aNowMs);
   void LogBacklog(Millis aNowMs);
+  /// \brief Logs the accounts whose work their quota held back in the last pass.
+  void LogHeldBack() const;
+  /// \brief True when the quota of its account would hold back the first subtask of a job.
+  [[nodiscard]] bool IsAtLimit(const Job& aJob) const;
   void Place(Millis aNowMs);
   void StopRunsOnDrainingServers();
   void OnStored(const CommitBatch& aBatch);
@@ -129,6 +133,7 @@
   bool m_scheduled{};
   Millis m_passMs{}; ///< Duration of the last pass over the jobs.
   LoadWindow m_load;
+  std::map<AccountName, HeldBackWork> m_heldBack; ///< In the last pass.
   Millis m_expectedTimesUpdatedMs{};      ///< When the expected times of all jobs were updated.
   Millis m_tickMs{};                      ///< Time of the last tick.
   std::map<JobId, CallerScope> m_cancels; ///< Cancellations read before the progress.
--- a/src/manager/JobApi.cpp
+++ b/src/manager/JobApi.cpp
@@ -6,6 +6,7 @@
 #include "platform/Topics.h"
 #include "platform/Wire.h"
 
+#include "pistachiostand/account/RunningLimit.h"
 #include "pistachiostand/base/Clock.h"
 #include "pistachiostand/base/PercentCoding.h"
 #include "pistachiostand/job/JobCodec.h"
@@ -200,6 +201,16 @@
     aRespond(ErrorResponse(400, fault));
     return;
   }
+  const Resources limit = LimitOf(m_context.m_configuration.m_accounts, aScope.m_account);
+  const auto tooWide = std::ranges::find_if(spec->m_steps, [&](const StepSpec& aStep) {
+    return !CanEverRun(aStep.m_need, limit, aStep.m_count, aStep.m_gang,
+                       m_context.m_runningOverage);
+  });
+  if (tooWide != spec->m_steps.end()) {
+    RejectGang(aQueue, aId, aScope.m_account,
+               static_cast<std::size_t>(tooWide - spec->m_steps.begin()), aRespond);
+    return;
+  }
   std::string record =
     platform::EncodeKeyed(std::string{ kSubmissionPrefix } + aId, EncodeSubmission(*spec));
   // The store would refuse it each time, together with the submissions of other callers in the same
@@ -218,6 +229,17 @@
   Begin(submission);
 }
 
+void JobApi::RejectGang(const QueueRule& aQueue, const JobId& aId, const AccountName& aAccount,
+                        std::size_t aStep, const HttpResponder& aRespond)
+{
+  constexpr std::string_view kCause = "gang wider than the quota of its account";
+  LogEvent("job", "not-accepted", "id={} queue={} account={} status=400 reason={} step={}", aId,
+           aQueue.m_name, aAccount, kCause, aStep);
+  CountResponse(m_context.m_metrics, aQueue.m_name, 400, kCause);
+  aRespond(ErrorResponse(
+    400, fmt::format("step {} is a gang that needs more than its account may run at once", aStep)));
+}
+
 void JobApi::Begin(const std::shared_ptr<Submission>& aSubmission)
 {
   m_pendingSubmissions.insert(aSubmission);
--- a/src/manager/JobApi.h
+++ b/src/manager/JobApi.h
@@ -44,6 +44,8 @@
   Metrics& m_metrics;
   const Configuration& m_configuration; ///< Revision 0: none has been read yet.
   std::size_t m_maxRecordBytes{};       ///< Largest record that the store takes.
+  /// Fraction of the quota of an account that a gang may exceed; see MayStartGang.
+  const double& m_runningOverage;
   /// \brief Forwards a request for a job state or a pending count to the owner of the fleet.
   std::function<void(const std::string& aPath, HttpResponder aDone)> m_askOwner;
   /// \brief Has the owner store a record of the submission topic when this instance cannot.
@@ -78,6 +80,9 @@
 
   void Submit(const HttpRequest& aRequest, const QueueRule& aQueue, const JobId& aId,
               const CallerScope& aScope, HttpResponder aRespond);
+  /// \brief Refuses a job of which a gang is wider than its account may ever run.
+  void RejectGang(const QueueRule& aQueue, const JobId& aId, const AccountName& aAccount,
+                  std::size_t aStep, const HttpResponder& aRespond);
   void Begin(const std::shared_ptr<Submission>& aSubmission);
   void Store(const std::shared_ptr<Submission>& aSubmission);
   void Relay(const std::shared_ptr<Submission>& aSubmission);
--- a/tests/manager/AccountTest.cpp
+++ b/tests/manager/AccountTest.cpp
@@ -139,5 +139,29 @@
     20'000));
 }
 
+// Guards against a gang that is accepted although its account may never run it, and against a
+// refusal of a gang, or of a wide step, that may run.
+TEST_F(AccountTest, GangWiderThanTheQuota_IsRefusedWithTheReason)
+{
+  auto configuration = nlohmann::json::parse(*m_store.Value("keyed.op", "config"));
+  configuration["revision"] = 3;
+  configuration["tenants"][0]["max-count"] = { { "cpu", 4'000 } };
+  m_store.Put("keyed.op", "config", configuration.dump());
+  const auto body = [](int aCount, bool aGang) {
+    auto job = nlohmann::json::parse(TwoSteps());
+    job["steps"][0]["count"] = aCount;
+    job["steps"][0]["gang"] = aGang;
+    job["steps"][0]["cpu"] = 1'000;
+    return job.dump();
+  };
+  ASSERT_TRUE(
+    RunUntil([&] { return Status(1, "POST", JobPath(), "key-1", body(6, true)) == 400; }));
+  EXPECT_NE(Send(1, "POST", JobPath(), "key-1", body(6, true)).m_body.find("gang"),
+            std::string::npos);
+  EXPECT_EQ(Status(1, "POST", JobPath(), "key-1", body(5, true)), 200);
+  EXPECT_EQ(Status(1, "POST", "/lookups/00000000000000f1", "key-1", body(40, false)), 200);
+  EXPECT_EQ(Status(1, "POST", "/lookups/00000000000000f2", "key-3", body(40, true)), 200);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/unit/DemandTest.cpp
+++ b/tests/unit/DemandTest.cpp
@@ -74,5 +74,32 @@
   EXPECT_GT(UrgentInstances(Demand()), 4);
 }
 
+// Guards against instances for work that the quota of its account holds back, and against a quota
+// that reduces the demand of others: 64 of 640 cores may run, and another account needs 32.
+TEST_F(DemandTest, WorkBeyondTheQuota_AsksForNoInstances)
+{
+  Account account;
+  account.m_name = "hot";
+  account.m_maxRunning = { 64'000, 0, 0 };
+  m_configuration.m_accounts.emplace("hot", account);
+  const auto add = [&](const JobId& aId, const AccountName& aAccount, std::uint32_t aCount,
+                       Millis aAgeMs) {
+    auto spec = Spec(aId, { Step(aCount) });
+    spec.m_account = aAccount;
+    ASSERT_TRUE(AddJob(m_jobTable, std::move(spec), kNow, aAgeMs));
+    m_jobTable.m_jobs.at(aId).m_begun = true;
+  };
+  add("a", "hot", 320, 0);
+  add("b", "hot", 320, 0);
+  add("late", "hot", 640, 60'000);
+  EXPECT_NEAR(Demand().m_runnable, 1, 0.01);
+  EXPECT_NEAR(UrgentInstances(Demand()), 1, 0.01);
+  EXPECT_NEAR(LateInstances(Demand()), 0, 0.01);
+  add("c", "other", 32, 0);
+  EXPECT_NEAR(Demand().m_runnable, 1.5, 0.01);
+  m_configuration.m_accounts.clear();
+  EXPECT_NEAR(Demand().m_runnable, 10.5, 0.01);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
