Start a subtask that does not fit while its account uses less than half of its quota

Cause: a subtask that needs more than half of the quota waited beside others for as long as they came, although work must not wait below half. Change: one such start is allowed below half; it stays within the tolerated quota and one subtask.

--- a/include/pistachiostand/account/RunningLimit.h
+++ b/include/pistachiostand/account/RunningLimit.h
@@ -17,7 +17,8 @@
 
 /// \brief Number of subtasks of one step that may start now.
 ///
-/// A subtask that is larger than the limit may start, alone, while nothing is used. Dimensions in
+/// A subtask that does not fit may start while less than half of the limit is used, because work
+/// must not wait then; the platform tolerates one subtask beyond the limit. Dimensions in
 /// which a subtask needs nothing do not hold it back, also if a lowered limit is exceeded there.
 /// \param aNeed declared need of each subtask.
 /// \param aWanted subtasks that could start without a limit.
--- a/src/account/RunningLimit.cpp
+++ b/src/account/RunningLimit.cpp
@@ -26,13 +26,22 @@
   return count;
 }
 
+/// \brief True when less than half of the limit is used in every limited dimension. One more
+/// subtask of any size then stays within what the platform tolerates.
+bool IsBelowHalf(const Resources& aUsed, const Resources& aLimit) noexcept
+{
+  return std::ranges::all_of(kDimensions, [&](const auto aDimension) {
+    return aLimit.*aDimension <= 0 || 2 * (aUsed.*aDimension) < aLimit.*aDimension;
+  });
+}
+
 } // namespace
 
 std::size_t StartsAllowed(const Resources& aUsed, const Resources& aNeed, const Resources& aLimit,
                           std::size_t aWanted) noexcept
 {
   const std::size_t count = CountThatFits(aUsed, aNeed, aLimit, aWanted);
-  return count == 0 && aUsed == Resources{} ? std::min<std::size_t>(aWanted, 1) : count;
+  return count == 0 && IsBelowHalf(aUsed, aLimit) ? std::min<std::size_t>(aWanted, 1) : count;
 }
 
 Resources ToleratedAmount(const Resources& aNeed, const Resources& aLimit, double aOverage) noexcept
