--- a/include/pistachiostand/account/RunningLimit.h
+++ b/include/pistachiostand/account/RunningLimit.h
@@ -4,6 +4,7 @@
 #include "pistachiostand/fleet/Resources.h"
 
 #include <cstddef>
+#include <map>
 
 /// \file
 /// \brief Decides how much work of an account may start under its quota on running work.
--- a/tests/manager/AccountTest.cpp
+++ b/tests/manager/AccountTest.cpp
@@ -144,7 +144,7 @@
 TEST_F(AccountTest, GangWiderThanTheQuota_IsRefusedWithTheReason)
 {
   auto configuration = nlohmann::json::parse(*m_store.Value("keyed.op", "config"));
-  configuration["revision"] = 3;
+  configuration["version"] = 3;
   configuration["tenants"][0]["max-count"] = { { "cpu", 4'000 } };
   m_store.Put("keyed.op", "config", configuration.dump());
   const auto body = [](int aCount, bool aGang) {
--- a/tests/unit/RunningLimitPropertyTest.cpp
+++ b/tests/unit/RunningLimitPropertyTest.cpp
@@ -103,7 +103,7 @@
   {
     Account account;
     account.m_name = NameOf(aAccount);
-    account.m_maxRunning = { Below(6) * 2'000, Below(3) * 6'000, 0 };
+    account.m_maxRunning = { 2'000L * Below(6), 6'000L * Below(3), 0 };
     m_configuration.m_accounts.insert_or_assign(account.m_name, account);
   }
 
