Bound the memory and connections that all callers of a process use together

Cause: 180 callers with incomplete bodies took 62 MB, in tiny chunks 130 MB, over the limit 291 MB, and idle ones 1,470 descriptors, because only single requests and listeners had limits. The socket now counts what each request costs, with the parser that RESTinio uses; one guard for the four listeners refuses with 413 or 503 not-run, closes the largest and slowest, applies the header and idle timeouts of the configuration, and returns memory. Only with the table [limits]. Records relayed by other instances must be submissions or cancellations, because bodies sent there filled the topic and the owner's memory.

--- a/include/pistachiostand/connection/HttpServer.h
+++ b/include/pistachiostand/connection/HttpServer.h
@@ -3,6 +3,7 @@
 #include "pistachiostand/base/Endpoint.h"
 #include "pistachiostand/base/Reason.h"
 #include "pistachiostand/connection/HttpMessage.h"
+#include "pistachiostand/connection/LoadGuard.h"
 
 #include <functional>
 #include <memory>
@@ -28,9 +29,12 @@
 struct HttpServerOptions
 {
   Endpoint m_listen;
-  std::size_t m_maxConnections{ 4096 };
+  std::size_t m_maxConnections{ 4096 }; ///< Without a guard.
+  /// Shared by the listeners of a process; null: only the limits of the server itself.
+  std::shared_ptr<LoadGuard> m_guard{};
+  overload::Listener m_listener{};
 
-  friend auto operator<=>(const HttpServerOptions&, const HttpServerOptions&) = default;
+  friend bool operator==(const HttpServerOptions&, const HttpServerOptions&) = default;
 };
 
 class HttpServer
--- a/include/pistachiostand/fleet/Configuration.h
+++ b/include/pistachiostand/fleet/Configuration.h
@@ -72,6 +72,9 @@
   std::vector<QueueRule> m_queues;
   std::map<PoolName, PoolSettings> m_pools;
   std::size_t m_maxBodyBytes{ 262'144 };
+  std::size_t m_maxHeaderBytes{}; ///< 0: the default.
+  Millis m_headerTimeoutMs{};     ///< From the first byte of a header to its end; 0: the default.
+  Millis m_idleTimeoutMs{};       ///< Of a connection without a byte; 0: the default.
   bool m_requiresKeys{}; ///< Callers of queues that are not public need the key of an account.
   Accounts m_accounts;
   std::map<std::string, AccountName, std::less<>> m_accountByKey;
--- a/src/manager/EntryInstance.cpp
+++ b/src/manager/EntryInstance.cpp
@@ -2,6 +2,7 @@
 
 #include "EventLog.h"
 #include "MalformedEntry.h"
+#include "SubmissionCleaner.h"
 
 #include "platform/Topics.h"
 #include "platform/Wire.h"
@@ -50,6 +51,8 @@
 /// Limit of each of the other listeners: for other entry instances, readiness and metrics.
 constexpr std::size_t kMaxOtherConnections = 500;
 
+/// Timeouts of connections have a slack of 500 ms and more.
+constexpr Millis kLoadCheckMs = 500;
 /// Interval at which an instance that cannot reach the store checks for the owner.
 constexpr Millis kConnectivityCheckMs = 200;
 /// Path under which an instance responds that it can be reached.
@@ -147,10 +150,12 @@
                [this] { return IsStoreSilent(m_connectivity, MonotonicMs()); },
                [this] { return IsIsolated(m_connectivity, MonotonicMs()); } })
   , m_carrier(aLoop, *m_client, m_settings, m_process, m_elector.View(), m_metrics)
+  , m_loadGuard(m_settings.m_machine ? std::make_shared<LoadGuard>(*m_settings.m_machine) : nullptr)
   , m_signals(aLoop, SIGTERM, SIGHUP, SIGINT)
   , m_stopTimer(aLoop)
   , m_flushTicker(aLoop, kFlushMs, [] { spdlog::default_logger()->flush(); })
   , m_connectivityTicker(aLoop, kConnectivityCheckMs, [this] { CheckConnectivity(); })
+  , m_loadTicker(aLoop, kLoadCheckMs, [this] { CheckLoad(); })
 {
 }
 
@@ -195,20 +200,23 @@
 bool EntryInstance::Listen(Reason& aReason)
 {
   m_callerServer = HttpServer::Create(
-    m_loop, { m_settings.m_callerListen, kMaxCallerConnections },
+    m_loop,
+    { m_settings.m_callerListen, kMaxCallerConnections, m_loadGuard, overload::Listener::Callers },
     [this](HttpRequest aRequest, HttpResponder aRespond) {
       m_jobApi.Handle(std::move(aRequest), std::move(aRespond));
     },
     aReason);
   m_readyServer = HttpServer::Create(
-    m_loop, { m_settings.m_readyListen, kMaxOtherConnections },
+    m_loop,
+    { m_settings.m_readyListen, kMaxOtherConnections, m_loadGuard, overload::Listener::Ready },
     [this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
       const bool known = aRequest.m_path == platform::kReadyPath;
       aRespond({ static_cast<std::uint16_t>(!known ? 404 : IsReady() ? 200 : 503), {}, {} });
     },
     aReason);
   m_entryServer = HttpServer::Create(
-    m_loop, { m_settings.m_entryListen, kMaxOtherConnections },
+    m_loop,
+    { m_settings.m_entryListen, kMaxOtherConnections, m_loadGuard, overload::Listener::Entries },
     [this](const HttpRequest& aRequest, HttpResponder aRespond) {
       if (aRequest.m_method == "POST" && aRequest.m_path == kRelayPath) {
         StoreForOtherInstance(aRequest, std::move(aRespond));
@@ -218,8 +226,10 @@
     },
     aReason);
   m_metricsServer = HttpServer::Create(
-    m_loop, { m_settings.m_metricsListen, kMaxOtherConnections },
+    m_loop,
+    { m_settings.m_metricsListen, kMaxOtherConnections, m_loadGuard, overload::Listener::Metrics },
     [this](const HttpRequest& /*aRequest*/, const HttpResponder& aRespond) {
+      UpdateLoadMetrics();
       aRespond(
         { 200, { { "content-type", "text/plain; version=0.0.4" } }, FormatMetrics(m_metrics) });
     },
@@ -227,6 +237,54 @@
   return m_callerServer && m_readyServer && m_entryServer && m_metricsServer;
 }
 
+void EntryInstance::CheckLoad()
+{
+  if (!m_loadGuard) {
+    return;
+  }
+  m_loadGuard->Check(MonotonicMs());
+  for (std::size_t index = 0; index < overload::kCauseCount; ++index) {
+    const auto cause = static_cast<overload::Cause>(index);
+    const std::uint64_t total = m_loadGuard->Refused(cause);
+    const std::uint64_t before = std::exchange(m_loggedRefusals.at(index), total);
+    // Idle connections end all the time, and need no line.
+    if (total != before && cause != overload::Cause::IdleTimeout) {
+      LogEvent("load", "refused", "cause={} count={} held_bytes={} handler_bytes={} limit_bytes={}",
+               overload::NameOf(cause), total - before, m_loadGuard->Totals().m_connectionBytes,
+               m_loadGuard->Totals().m_handlerBytes, m_loadGuard->Limits().m_maxHeldBytes);
+    }
+  }
+}
+
+void EntryInstance::UpdateLoadMetrics()
+{
+  if (!m_loadGuard) {
+    return;
+  }
+  constexpr std::array<std::string_view, overload::kListenerCount> kNames{ "callers", "ready",
+                                                                           "entries", "metrics" };
+  const auto& limits = m_loadGuard->Limits();
+  const auto& totals = m_loadGuard->Totals();
+  auto& gauges = m_metrics.m_gauges;
+  gauges["load_bytes{by=\"connections\"}"] = static_cast<double>(totals.m_connectionBytes);
+  gauges["load_bytes{by=\"handlers\"}"] = static_cast<double>(totals.m_handlerBytes);
+  gauges["load_limit_bytes{by=\"all\"}"] = static_cast<double>(limits.m_maxHeldBytes);
+  gauges["load_limit_bytes{by=\"handlers\"}"] = static_cast<double>(limits.m_maxHandlerBytes);
+  for (std::size_t index = 0; index < overload::kListenerCount; ++index) {
+    const auto listener = static_cast<overload::Listener>(index);
+    const auto label = fmt::format("{{listener=\"{}\"}}", kNames.at(index));
+    gauges["load_connections" + label] = static_cast<double>(m_loadGuard->Connections(listener));
+    gauges["load_limit_connections" + label] =
+      static_cast<double>(limits.Of(listener).m_maxConnections);
+  }
+  for (std::size_t index = 0; index < overload::kCauseCount; ++index) {
+    const auto cause = static_cast<overload::Cause>(index);
+    m_metrics
+      .m_counters[fmt::format("load_refused_total{{cause=\"{}\"}}", overload::NameOf(cause))] =
+      m_loadGuard->Refused(cause);
+  }
+}
+
 void EntryInstance::OnConfigurationRecord(const std::string& aKey,
                                           const std::optional<std::string>& aValue)
 {
@@ -259,6 +317,11 @@
            configuration->m_pools.size(), configuration->m_accounts.size(),
            configuration->m_accountByKey.size());
   m_configuration = std::move(*configuration);
+  if (m_loadGuard) {
+    m_loadGuard->SetRequestLimits(
+      { m_configuration.m_maxHeaderBytes, m_configuration.m_maxBodyBytes,
+        m_configuration.m_headerTimeoutMs, m_configuration.m_idleTimeoutMs });
+  }
   if (m_owner) {
     m_owner->OnConfiguration();
   }
@@ -391,6 +454,15 @@
 
 void EntryInstance::StoreForOtherInstance(const HttpRequest& aRequest, HttpResponder aRespond)
 {
+  // The topic also holds what only the owner writes. A caller that reaches this address must not
+  // fill it with records that no instance can read.
+  const auto record = platform::DecodeKeyed(aRequest.m_body);
+  if (!record ||
+      !(record->first.starts_with(kSubmissionPrefix) || record->first.starts_with(kCancelPrefix))) {
+    Count(m_metrics, "relayed_records_refused_total");
+    aRespond({ 400, {}, {} });
+    return;
+  }
   Count(m_metrics, "submissions_stored_for_others_total");
   StoreRelayedRecord(aRequest.m_body, [respond = std::move(aRespond)](RelayOutcome aOutcome) {
     const auto* known = std::ranges::find(kRelayStatuses, aOutcome, &RelayStatus::first);
--- a/src/manager/EntryInstance.h
+++ b/src/manager/EntryInstance.h
@@ -10,6 +10,7 @@
 
 #include "pistachiostand/connection/HttpClient.h"
 #include "pistachiostand/connection/HttpServer.h"
+#include "pistachiostand/connection/LoadGuard.h"
 #include "pistachiostand/connection/Ticker.h"
 #include "pistachiostand/ownership/Isolation.h"
 
@@ -17,6 +18,8 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <array>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,6 +52,10 @@
   EntryInstance(asio::io_context& aLoop, EntrySettings aSettings, std::string aSettingsPath);
 
   bool Listen(Reason& aReason);
+  /// \brief Closes connections whose time is over, and logs what was refused.
+  void CheckLoad();
+  /// \brief Copies the state of the load guard to the metrics.
+  void UpdateLoadMetrics();
   void OnConfigurationRecord(const std::string& aKey, const std::optional<std::string>& aValue);
   void OnWaveRecord(const std::string& aKey, const std::optional<std::string>& aValue);
   void BeginOwnership(FencingToken aToken, Millis aClaimedMs);
@@ -86,6 +93,8 @@
     m_relayWriter; ///< Used by the owner for records that other instances relay to it.
   JobApi m_jobApi;
   OrderCarrier m_carrier;
+  std::shared_ptr<LoadGuard> m_loadGuard; ///< Null without the table `[limits]`.
+  std::array<std::uint64_t, overload::kCauseCount> m_loggedRefusals{};
   std::unique_ptr<HttpServer> m_callerServer;
   std::unique_ptr<HttpServer> m_readyServer;
   std::unique_ptr<HttpServer> m_entryServer;
@@ -94,6 +103,7 @@
   asio::steady_timer m_stopTimer;
   Ticker m_flushTicker;
   Ticker m_connectivityTicker;
+  Ticker m_loadTicker;
   ConnectivityView m_connectivity;
   bool m_checkingConnectivity{};
   bool m_wasIsolated{};
--- a/src/manager/EntrySettings.cpp
+++ b/src/manager/EntrySettings.cpp
@@ -11,6 +11,10 @@
 
 /// Each partition is read by separate calls, so more partitions only add calls.
 constexpr std::uint32_t kMaxStorePartitions = 8;
+/// An idle instance uses about 15 MB and 25 descriptors.
+constexpr std::size_t kMinMemoryMb = 32;
+constexpr std::size_t kMinDescriptors = 100;
+constexpr double kMaxCount = 1e9;
 constexpr double kMinSizeBytes = 1'024;
 constexpr double kMaxSizeBytes = 1'073'741'824;
 
@@ -72,6 +76,17 @@
     return static_cast<std::size_t>(size);
   }
 
+  /// \brief A whole number that is at least `aLeast`.
+  [[nodiscard]] std::size_t Count(const char* aKey, std::size_t aLeast) const
+  {
+    const double count = Number(aKey);
+    if (count < static_cast<double>(aLeast) || count > kMaxCount) {
+      Fail(aKey, "set it to a number from " + std::to_string(aLeast) + " to 1000000000");
+      return aLeast;
+    }
+    return static_cast<std::size_t>(count);
+  }
+
   [[nodiscard]] Millis Milliseconds(const char* aKey) const
   {
     return static_cast<Millis>(std::llround(Number(aKey)));
@@ -100,6 +115,22 @@
   Reasons& m_reasons;
 };
 
+overload::MachineLimits ReadMachineLimits(const toml::table& aFile, Reasons& aReasons)
+{
+  const TableReader reader{ aFile, "limits", aReasons };
+  const auto optional = [&](const char* aKey) {
+    return aFile["limits"][aKey] ? reader.Count(aKey, 1) : std::size_t{ 0 };
+  };
+  overload::MachineLimits limits;
+  limits.m_memoryMb = reader.Count("memory_mb", kMinMemoryMb);
+  limits.m_maxDescriptors = reader.Count("max_fds", kMinDescriptors);
+  limits.m_linkMbps = reader.Number("link_mbps");
+  limits.m_requestMb = optional("request_mb");
+  limits.m_callerConnections = optional("caller_connections");
+  limits.m_maxChunks = optional("max_chunks");
+  return limits;
+}
+
 PlatformBounds ReadBounds(const TableReader& aReader)
 {
   PlatformBounds bounds;
@@ -169,6 +200,9 @@
                           accounts.Milliseconds("revoke_ms") };
     settings.m_runningOverage = accounts.Number("overage");
   }
+  if ((*file)["limits"].is_table()) {
+    settings.m_machine = ReadMachineLimits(*file, aReasons);
+  }
   settings.m_bounds = ReadBounds(TableReader{ *file, "bounds", aReasons });
   settings.m_logLevel = (*file)["log"]["level"].value_or(settings.m_logLevel);
   if (aReasons.size() != before) {
--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -4,6 +4,7 @@
 #include "pistachiostand/base/Endpoint.h"
 #include "pistachiostand/base/Reason.h"
 #include "pistachiostand/base/Types.h"
+#include "pistachiostand/overload/LoadLimits.h"
 
 #include <optional>
 #include <string>
@@ -61,6 +62,9 @@
   std::uint32_t m_maxDirectServers{ 120 };
   AccessPolicy m_access;     ///< Table `[accounts]`; without it no key is required.
   double m_runningOverage{}; ///< Fraction of a limit of running work that may be exceeded.
+  /// Table `[limits]`; without it requests and connections have only the fixed limits of the
+  /// server.
+  std::optional<overload::MachineLimits> m_machine;
   PlatformBounds m_bounds;
   std::string m_logLevel{ "info" };
 
--- a/src/overload/LoadPolicy.cpp
+++ b/src/overload/LoadPolicy.cpp
@@ -46,10 +46,10 @@
 
 std::size_t HeldBytes(const ConnectionLoad& aLoad) noexcept
 {
-  const std::size_t request = kHeaderFactor * aLoad.m_headerBytes +
-                              (aLoad.m_chunked ? kChunkedBodyFactor : 1) * aLoad.m_bodyBytes +
-                              ChunkBytes(aLoad);
-  return request + aLoad.m_responseBytes;
+  // RESTinio reserves a body of a stated length when its header is complete.
+  const std::size_t body = aLoad.m_chunked ? kChunkedBodyFactor * aLoad.m_bodyBytes
+                                           : std::max(aLoad.m_bodyBytes, aLoad.m_declaredBytes);
+  return kHeaderFactor * aLoad.m_headerBytes + body + ChunkBytes(aLoad) + aLoad.m_responseBytes;
 }
 
 std::size_t HandlerBytes(const ConnectionLoad& aLoad) noexcept
