Test that refusals say not-run, and that small chunks within the limits pass

Cause: the crowds check memory only, so a refusal without a status, or a limit that cuts the largest legal body in chunks of 16 bytes, would not be noticed.

--- a/tests/process/OverloadFaultTest.cpp
+++ b/tests/process/OverloadFaultTest.cpp
@@ -569,5 +569,32 @@
   CheckBounds(MemoryMb(), descriptors);
 }
 
+/// Guards against a refusal that the caller cannot tell from a lost connection.
+TEST_F(OverloadFaultTest, Refusals_OfOneCaller_SayThatNothingHasRun)
+{
+  const std::string path = std::string{ kQueue } + "00000000000000aa";
+  const auto tooLarge = ExchangeBytes(kCallers, WithLength(path, 4 * kBodyBytes) + "x");
+  EXPECT_TRUE(tooLarge.starts_with("HTTP/1.1 413")) << tooLarge;
+  EXPECT_NE(tooLarge.find("X-Outcome: not-run"), std::string::npos) << tooLarge;
+  const auto begun = ExchangeBytes(kCallers, "POST " + path + " HTTP/1.1\r\nHost: jobs.exam");
+  EXPECT_TRUE(begun.starts_with("HTTP/1.1 503")) << begun;
+  EXPECT_NE(begun.find("Retry-After: 1"), std::string::npos) << begun;
+  EXPECT_NE(begun.find("X-Outcome: not-run"), std::string::npos) << begun;
+  const auto relayed = ExchangeBytes(
+    kEntries, Head("POST", "/submissions", "Connection: close\r\nContent-Length: 3\r\n") + "abc");
+  EXPECT_TRUE(relayed.starts_with("HTTP/1.1 400")) << relayed;
+}
+
+/// Guards against limits that cut a caller whose request is within the configuration's limits.
+TEST_F(OverloadFaultTest, LargestBody_InSmallChunks_ReachesTheHandler)
+{
+  const auto response =
+    ExchangeBytes(kCallers, Head("POST", std::string{ kQueue } + "00000000000000aa",
+                                 "Connection: close\r\nTransfer-Encoding: chunked\r\n") +
+                              Chunks(kBodyBytes, 16) + "0\r\n\r\n");
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 400")) << response; // The body is no JSON.
+  EXPECT_EQ(response.find("not-run"), std::string::npos) << response;
+}
+
 } // namespace
 } // namespace pistachiostand::testing
