--- a/src/manager/EntrySettings.h
+++ b/src/manager/EntrySettings.h
@@ -4,6 +4,7 @@
 #include "pistachiostand/base/Endpoint.h"
 #include "pistachiostand/base/Reason.h"
 #include "pistachiostand/base/Types.h"
+#include "pistachiostand/overload/LoadLimits.h"
 
 #include <optional>
 #include <string>
@@ -62,6 +63,9 @@
   AccessPolicy m_access;        ///< Table `[accounts]`; without it no key is required.
   double m_runningOverage{};    ///< Fraction of a limit of running work that may be exceeded.
   bool m_learnRunTimes{ true }; ///< False: declared run times are used.
+  /// Table `[limits]`; without it requests and connections have only the fixed limits of the
+  /// server.
+  std::optional<overload::MachineLimits> m_machine;
   PlatformBounds m_bounds;
   std::string m_logLevel{ "info" };
 
--- a/tests/unit/RunningLimitPropertyTest.cpp
+++ b/tests/unit/RunningLimitPropertyTest.cpp
@@ -289,7 +289,7 @@
     RC_ASSERT(limit.m_memoryMb == 0 || atWork.m_memoryMb <= tolerated.m_memoryMb);
   }
 
-  /// \brief No subtask that needs at most half of the quota waits while less than half is used.
+  /// \brief No subtask waits while less than half of the quota is used.
   void CheckNoNeedlessWait() const
   {
     for (const auto& id : m_jobTable.m_active) {
@@ -299,12 +299,11 @@
       const auto found = m_jobTable.m_usedByAccount.find(job.m_spec.m_account);
       const Resources used =
         found == m_jobTable.m_usedByAccount.end() ? Resources{} : found->second;
-      const auto isBelowHalf = [](std::int64_t aUsed, std::int64_t aNeed, std::int64_t aLimit) {
-        return aLimit == 0 || (2 * aUsed < aLimit && 2 * aNeed <= aLimit);
+      const auto isBelowHalf = [](std::int64_t aUsed, std::int64_t aLimit) {
+        return aLimit == 0 || 2 * aUsed < aLimit;
       };
-      if (!step.m_gang &&
-          isBelowHalf(used.m_cpuMillis, step.m_need.m_cpuMillis, limit.m_cpuMillis) &&
-          isBelowHalf(used.m_memoryMb, step.m_need.m_memoryMb, limit.m_memoryMb)) {
+      if (!step.m_gang && isBelowHalf(used.m_cpuMillis, limit.m_cpuMillis) &&
+          isBelowHalf(used.m_memoryMb, limit.m_memoryMb)) {
         RC_ASSERT(std::ranges::none_of(job.m_occurrences.at(0).m_steps[0], [](const Subtask& aOne) {
           return !aOne.m_done && aOne.m_runs.empty();
         }));
