--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -49,8 +49,7 @@
   aRequest.header().for_each_field([&request](const auto& aField) {
     SetHeader(request.m_headers, aField.name(), aField.value());
   });
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast): the request itself is not const
-  request.m_body = std::move(const_cast<std::string&>(aRequest.body()));
+  request.m_body = aRequest.body();
   return request;
 }
 
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -204,7 +204,7 @@
     }
     m_cleaner.OnRecord(id, aPartition);
     if (!m_loaded) {
-      m_cancels.insert_or_assign(id, DecodeCancel(*aValue));
+      m_cancels.emplace(id, DecodeCancel(*aValue));
       return;
     }
     Cancel(id, DecodeCancel(*aValue));
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -138,9 +138,9 @@
   Millis m_passMs{}; ///< Duration of the last pass over the jobs.
   LoadWindow m_load;
   std::map<AccountName, HeldBackWork> m_heldBack; ///< In the last pass.
-  Millis m_expectedTimesUpdatedMs{};      ///< When the expected times of all jobs were updated.
-  Millis m_tickMs{};                      ///< Time of the last tick.
-  std::map<JobId, CallerScope> m_cancels; ///< Cancellations read before the progress.
+  Millis m_expectedTimesUpdatedMs{}; ///< When the expected times of all jobs were updated.
+  Millis m_tickMs{};                 ///< Time of the last tick.
+  std::multimap<JobId, CallerScope> m_cancels; ///< Cancellations read before the progress.
 };
 
 } // namespace pistachiostand::fleet
--- a/src/manager/JobApi.cpp
+++ b/src/manager/JobApi.cpp
@@ -91,6 +91,7 @@
   bool m_relayed{};           ///< The owner was asked to store it.
   bool m_uncertain{};         ///< An append had no response and may still take effect.
   asio::steady_timer m_timer; ///< Ends the submission at its deadline.
+  bool m_isCancel{};
 };
 
 JobApi::JobApi(JobApiContext aContext)
@@ -174,7 +175,7 @@
     return;
   }
   if (const auto known = m_accepted.find(aId); known != m_accepted.end()) {
-    if (known->second.m_account != aScope.m_account) {
+    if (known->second.m_scope.m_account != aScope.m_account) {
       aRespond(ErrorResponse(400, "the job id is in use"));
       return;
     }
@@ -347,7 +348,10 @@
 {
   const Millis now = MonotonicMs();
   PruneAccepted(now);
-  m_accepted.emplace(aSubmission->m_id, AcceptedJob{ now, aSubmission->m_account });
+  if (!aSubmission->m_isCancel) {
+    m_accepted.emplace(aSubmission->m_id,
+                       AcceptedJob{ now, { aSubmission->m_account, aSubmission->m_queue } });
+  }
   Finish(aSubmission, 200, "stored");
 }
 
@@ -377,15 +381,17 @@
     Submission{ aId, "cancel", aScope.m_account,
                 platform::EncodeKeyed(std::string{ kCancelPrefix } + aId, EncodeCancel(aScope)),
                 std::move(aRespond), now, now + CallerTimeoutMs(aRequest) - kResponseMarginMs, 0,
-                false, false, asio::steady_timer{ m_context.m_loop } });
+                false, false, asio::steady_timer{ m_context.m_loop }, true });
   Begin(submission);
 }
 
 void JobApi::AskState(const JobId& aId, const CallerScope& aScope, HttpResponder aRespond)
 {
   const auto known = m_accepted.find(aId);
-  const bool accepted = known != m_accepted.end() &&
-                        (aScope.m_account.empty() || known->second.m_account == aScope.m_account);
+  const bool accepted =
+    known != m_accepted.end() &&
+    (aScope.m_account.empty() ? known->second.m_scope.m_queue == aScope.m_queue
+                              : known->second.m_scope.m_account == aScope.m_account);
   m_context.m_askOwner(
     OwnerJobPath(aId, aScope), [accepted, respond = std::move(aRespond)](HttpResponse aResponse) {
       if (accepted && aResponse.m_status == 410) {
--- a/src/manager/JobApi.h
+++ b/src/manager/JobApi.h
@@ -107,7 +107,7 @@
   struct AcceptedJob
   {
     Millis m_sinceMs{};
-    AccountName m_account;
+    CallerScope m_scope; ///< Of the caller that submitted it.
   };
   /// Jobs accepted recently by this instance, which the owner may not have read yet.
   std::map<JobId, AcceptedJob> m_accepted;
--- a/src/manager/TopicTail.cpp
+++ b/src/manager/TopicTail.cpp
@@ -48,6 +48,7 @@
   m_listed.clear();
   m_listIsPartial = false;
   m_listEnd.reset();
+  m_listSentMs = MonotonicMs();
   List({});
 }
 
@@ -154,8 +155,8 @@
   }
   // Changes made while the pages were read are read again as records.
   m_next = *m_listEnd;
-  m_currentMs = m_sentMs;
-  m_handlers.m_onCurrent(m_sentMs);
+  m_currentMs = m_listSentMs;
+  m_handlers.m_onCurrent(m_listSentMs);
   Read();
 }
 
--- a/src/manager/TopicTail.h
+++ b/src/manager/TopicTail.h
@@ -92,6 +92,7 @@
   std::map<std::string, Offset> m_listed;  ///< Keys of the list that is being read.
   bool m_listIsPartial{};                  ///< Some of its items are malformed.
   std::optional<Offset> m_listEnd;         ///< End of the topic when the list began.
+  Millis m_listSentMs{};                   ///< When its first page was requested.
   Offset m_next{};
   Millis m_sentMs{};
   std::optional<Millis> m_currentMs;
--- a/src/overload/LoadPolicy.cpp
+++ b/src/overload/LoadPolicy.cpp
@@ -16,9 +16,9 @@
 constexpr std::size_t kChunkedBodyFactor = 3;
 /// RESTinio keeps 48 bytes for each chunk in a vector that grows by doubling.
 constexpr std::size_t kChunkBytes = 144;
-/// The body or the record that is made of it, the writer's copy, the copy in the call to the store
-/// and one in the allocator's free lists.
-constexpr std::size_t kHandlerBodyFactor = 4;
+/// The body that RESTinio keeps until the response, the record that is made of it, the writer's
+/// copy, the copy in the call to the store and one in the allocator's free lists.
+constexpr std::size_t kHandlerBodyFactor = 5;
 constexpr std::size_t kHandlerBaseBytes = 2'048;
 
 std::size_t ChunkBytes(const ConnectionLoad& aLoad)
--- a/tests/manager/AccountTest.cpp
+++ b/tests/manager/AccountTest.cpp
@@ -124,6 +124,26 @@
   EXPECT_TRUE(status == 503 || status == 401) << status;
 }
 
+// Guards against callers without a key that see a private job for as long as its instance remembers
+// that it has accepted it.
+TEST_F(AccountTest, PrivateJobJustAccepted_CallerOfAPublicQueue_DoesNotSeeIt)
+{
+  ASSERT_EQ(Submit(1, "key-1"), 200);
+  EXPECT_NE(Status(1, "GET", std::string{ "/open/" } + kJob, ""), 200);
+}
+
+// Guards against a cancellation by another account that blocks the job id for its owner.
+TEST_F(AccountTest, CancelledByAnotherAccountBefore_Submission_IsAcceptedAndCompletes)
+{
+  Status(1, "DELETE", JobPath(), "key-3");
+  ASSERT_EQ(Submit(1, "key-1"), 200);
+  EXPECT_TRUE(RunUntil(
+    [this] {
+      return Send(1, "GET", JobPath(), "key-1").m_body.find("completed") != std::string::npos;
+    },
+    20'000));
+}
+
 // Guards against callers that read or cancel the jobs of another account.
 TEST_F(AccountTest, JobOfAnotherAccount_StateAndCancel_HaveNoEffect)
 {
--- a/tests/unit/AccessTest.cpp
+++ b/tests/unit/AccessTest.cpp
@@ -149,12 +149,22 @@
 {
   const auto before = Decode(R"(,"tenants":[{"name":"tupelo","api-keys":["k1"]}])");
   const auto decoded = Decode(
-    R"(,"tenants":[{"name":"tupelo","api-keys":["secret"],"weight":"x"},["secret"]])", before);
+    R"(,"tenants":[{"name":"tupelo","api-keys":["k1","secret"],"weight":"x"},["secret"]])", before);
   EXPECT_EQ(decoded.m_accounts, before.m_accounts);
   EXPECT_EQ(m_malformed.m_count, 2U);
   EXPECT_EQ(m_malformed.m_cause.find("secret"), std::string::npos) << m_malformed.m_cause;
 }
 
+// Guards against a withdrawn key that stays valid because another field of the row is malformed.
+TEST_F(AccountDecodeTest, Row_MalformedWithoutAnEarlierKey_WithdrawsTheKey)
+{
+  const auto before = Decode(R"(,"tenants":[{"name":"tupelo","api-keys":["k1","k2"]}])");
+  const auto decoded =
+    Decode(R"(,"tenants":[{"name":"tupelo","api-keys":["k2"],"weight":"x"}])", before);
+  EXPECT_FALSE(decoded.m_accountByKey.contains("k1"));
+  EXPECT_EQ(decoded.m_accountByKey.at("k2"), "tupelo");
+}
+
 // Guards against a version without the list of accounts, or with something else in its place, that
 // admits everyone.
 TEST_F(AccountDecodeTest, List_MissingOrMalformed_StillRequiresKeys)
