--- a/review/11/run.sh
+++ b/review/12/run.sh
@@ -15,7 +15,7 @@
 # Another range of ports when one is in use.
 for attempt in 1 2; do
   port=$((20000 + (RANDOM % 40) * 250))
-  timeout -k 2 55 "$driver" wide "$program" "$folder" "$here/record.txt" "$port" "${TROUBLE:-1}" &
+  timeout -k 2 55 "$driver" table "$program" "$folder" "$here/record.txt" "$port" "${TROUBLE:-1}" &
   child=$!
   status=0
   wait "$child" || status=$?
--- a/review/standin-3/Deployment.h
+++ b/review/standin-3/Deployment.h
@@ -33,6 +33,11 @@
 using pistachiostand::Ticker;
 using pistachiostand::fleet::standin::PreparedStore;
 
+/// Begins and ends of runs that are recorded.
+constexpr std::size_t kRecordedRunLines = 400;
+/// Part of a job's body that is recorded.
+constexpr std::size_t kRecordedBytes = 600;
+
 /// \brief Set by SIGTERM: the case ends, and its processes with it.
 inline volatile std::sig_atomic_t g_stopped = 0;
 
@@ -151,6 +156,7 @@
   bool m_rejected{}; ///< All attempts so far were rejected.
   unsigned m_attempts{};
   std::string m_state;
+  bool m_answered{}; ///< A request for its state was answered with one.
   Millis m_cancelSentMs{};
   Millis m_cancelledMs{};
   bool m_open{ true };
@@ -164,7 +170,7 @@
   std::string m_record;
   int m_port{ 27'000 };
   int m_entries{ 3 };
-  int m_minions{ 8 };
+  int m_minions{ 18 }; ///< Half of them for each queue.
   std::int64_t m_cpu{ 64'000 };
   long m_memoryMiB{ 260 }; ///< Above it, the platform kills an entry instance.
   Millis m_maxHoldMs{ 6'000 };
@@ -188,7 +194,13 @@
     if (!m_store.IsListening()) {
       throw std::runtime_error("a port is in use");
     }
-    m_minions.m_log = [this](const std::string& aLine) { m_record.Add(aLine); };
+    m_minions.m_log = [this](const std::string& aLine) {
+      if (++m_runLines <= kRecordedRunLines) {
+        m_record.Add(aLine);
+      } else if (m_runLines == kRecordedRunLines + 1) {
+        m_record.Add("further begins and ends of runs are not recorded");
+      }
+    };
     Json routes = Json::array();
     Json pools = Json::array();
     for (const std::string name : { "builds", "lookups" }) {
@@ -320,9 +332,10 @@
   void Attempt(int aEntry, ClientJob& aJob)
   {
     ++aJob.m_attempts;
-    m_record.Add(
-      fmt::format("client POST {} to entry {}: {}", aJob.m_id, aEntry, aJob.m_body.dump()));
-    Send(aEntry, "POST", "/" + aJob.m_queue + "/" + aJob.m_id, aJob.m_body.dump(), 3'000,
+    const std::string body = aJob.m_body.dump();
+    m_record.Add(fmt::format("client POST {} to entry {}, {} bytes: {}", aJob.m_id, aEntry,
+                             body.size(), body.substr(0, kRecordedBytes)));
+    Send(aEntry, "POST", "/" + aJob.m_queue + "/" + aJob.m_id, body, 3'000,
          [this, &aJob, aEntry](const ClientResponse& aResponse) {
            m_record.Add(fmt::format("client POST {} at entry {}: {} {}", aJob.m_id, aEntry,
                                     aResponse.m_status, aResponse.m_body));
@@ -373,6 +386,7 @@
              aResponse.m_failure ? "no answer" : std::to_string(aResponse.m_status);
            if (!aResponse.m_failure && aResponse.m_status == 200 && body.is_object()) {
              state = body.value("state", "?");
+             aJob.m_answered = true;
            }
            if (state != aJob.m_state) {
              m_record.Add(fmt::format("client GET {} at entry {}: {}", aJob.m_id, aEntry, state));
@@ -422,6 +436,7 @@
   asio::io_context m_loop{ 1 };
   DeploymentOptions m_options;
   long m_mostMiB{};
+  std::size_t m_runLines{}; ///< Begins and ends of runs.
   Record m_record;
   PreparedStore m_store;
   Minions m_minions;
--- a/review/standin-3/Minions.h
+++ b/review/standin-3/Minions.h
@@ -373,8 +373,10 @@
   }
   const std::string text = aBody.at("spec");
   const Json spec = Json::parse(text);
-  const auto step =
-    spec.at("steps").at(std::stoul(task.substr(task.find('.', task.find('.') + 1) + 1)));
+  // Steps that are alike are described once.
+  const auto& steps = spec.at("steps");
+  const auto number = std::stoul(task.substr(task.find('.', task.find('.') + 1) + 1));
+  const auto& step = steps.at(std::min<std::size_t>(number, steps.size() - 1));
   std::int64_t used = 0;
   for (const auto& [other, active] : m_active) {
     used += active.m_cpu;
