--- a/include/pistachiostand/job/Scheduler.h
+++ b/include/pistachiostand/job/Scheduler.h
@@ -4,6 +4,8 @@
 #include "pistachiostand/job/JobTable.h"
 
 #include <compare>
+#include <cstddef>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -33,6 +35,8 @@
   bool m_avoid{};          ///< Its last runs failed; used only as a last resort.
   bool m_maintenanceDue{}; ///< Due for maintenance; avoided for long-running work.
   bool m_unschedulable{};  ///< Accepts no new work.
+  /// Further runs that may be planned on it until starts are answered; not for gangs.
+  std::size_t m_startsLeft{ std::numeric_limits<std::size_t>::max() };
 
   friend bool operator==(const ServerView&, const ServerView&) = default;
 };
@@ -78,6 +82,8 @@
   /// Fraction of the quota of an account by which a gang may exceed it while the account runs
   /// nothing else.
   double m_runningOverage{};
+  /// Runs that may be planned in all. A gang that is placed as a whole may exceed it.
+  std::size_t m_startsLeft{ std::numeric_limits<std::size_t>::max() };
 };
 
 struct Placement
@@ -104,6 +110,8 @@
   std::vector<Placement> m_placements;       ///< Already planned in the job table.
   std::vector<StepId> m_stepsWithoutTickets; ///< Steps that wait for tickets.
   std::map<AccountName, HeldBackWork> m_heldBack;
+  /// Subtasks would fit, and wait until starts are answered.
+  bool m_startsHeldBack{};
 };
 
 /// \brief Places the subtasks that fit and that the quotas of their accounts allow, plans their
--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -203,7 +203,8 @@
 public:
   StepPlacer(JobTable& aJobTable, const std::vector<ServerView*>& aServers,
              const SchedulerInput& aInput, const Candidate& aCandidate,
-             const std::map<ServerId, Ticket>* aTickets, std::size_t aMaxStarts)
+             const std::map<ServerId, Ticket>* aTickets, std::size_t aMaxStarts,
+             std::size_t& aStartsLeft)
     : m_jobTable(aJobTable)
     , m_servers(aServers)
     , m_input(aInput)
@@ -214,7 +215,8 @@
         aJobTable.m_jobs.at(m_id.m_job).m_occurrences.at(m_id.m_occurrence).m_steps[m_id.m_step])
     , m_tickets(aTickets)
     , m_need(ReservedResources(m_spec))
-    , m_startsLeft(aMaxStarts)
+    , m_startsWithinQuota(aMaxStarts)
+    , m_startsLeft(aStartsLeft)
   {
     for (const auto& subtask : m_subtasks) {
       for (const auto& run : subtask.m_runs) {
@@ -235,9 +237,12 @@
       if (!copy && !NeedsStart(m_subtasks[index])) {
         continue;
       }
-      if (m_startsLeft == 0) {
+      if (m_startsWithinQuota == 0) {
         return false;
       }
+      if (m_startsLeft == 0) {
+        return true;
+      }
       ServerView* server =
         ChooseServer(copy ? m_subtasks[index].m_runs.front().m_server : ServerId{});
       if (server == nullptr) {
@@ -247,7 +252,7 @@
         return true; // All subtasks of a step have the same need, so no other fits either.
       }
       PlanPlacement(*server, index, m_subtasks[index].m_lastRun + 1, copy, aPlacements);
-      --m_startsLeft;
+      --m_startsWithinQuota;
     }
     return true;
   }
@@ -257,7 +262,7 @@
   {
     // The cheapest check comes first; most servers of a full pool fail it.
     if (aServer.m_unschedulable || !Fits(m_need, aServer.m_free) ||
-        aServer.m_id == aExcludedServer) {
+        aServer.m_id == aExcludedServer || (aServer.m_startsLeft == 0 && !m_spec.m_gang)) {
       return false;
     }
     if (m_spec.m_maxPerServer != 0) {
@@ -319,6 +324,8 @@
     PlanRun(m_jobTable, id, aServer.m_id, aRun, m_input.m_nowMs);
     aServer.m_free = aServer.m_free - m_need;
     aServer.m_load = m_jobTable.m_load.at(aServer.m_id);
+    aServer.m_startsLeft -= std::min<std::size_t>(aServer.m_startsLeft, 1);
+    m_startsLeft -= std::min<std::size_t>(m_startsLeft, 1);
     ++m_stepRunsByServer[aServer.m_id];
     aPlacements.push_back({ id, aServer.m_id, aRun, aCopy });
   }
@@ -391,7 +398,8 @@
   std::vector<Subtask>& m_subtasks;
   const std::map<ServerId, Ticket>* m_tickets;
   Resources m_need;
-  std::size_t m_startsLeft{}; ///< Starts that the quota of the account still allows; not for gangs.
+  std::size_t m_startsWithinQuota{}; ///< Starts that the quota still allows; not for gangs.
+  std::size_t& m_startsLeft;         ///< Of the pass.
   std::map<ServerId, std::uint32_t> m_stepRunsByServer; ///< Runs of the step on each server.
 };
 
@@ -434,7 +442,11 @@
     byPool[server.m_pool].push_back(&server);
   }
   std::map<PoolName, UnplaceableNeeds> unplaceable;
+  std::size_t startsLeft = aInput.m_startsLeft;
   for (const auto& candidate : CollectCandidates(aJobTable, aConfiguration, aInput)) {
+    if (startsLeft == 0) {
+      break;
+    }
     const Job& job = *candidate.m_job;
     const QueueRule* rule = candidate.m_rule;
     const PoolName& pool = rule != nullptr ? rule->m_pool : job.m_spec.m_pool;
@@ -460,16 +472,23 @@
       continue;
     }
     const auto& servers = byPool[pool];
-    StepPlacer placer{ aJobTable, servers, aInput, candidate, tickets, maxStarts };
+    StepPlacer placer{ aJobTable, servers, aInput, candidate, tickets, maxStarts, startsLeft };
     if (!placer.Place(result.m_placements)) {
       AddHeldBack(result, job.m_spec.m_account, step);
     }
-    if (std::ranges::none_of(servers, [&need](const ServerView* aServer) {
-          return !aServer->m_unschedulable && Fits(need, aServer->m_free);
-        })) {
+    bool fits = false;
+    bool mayStart = false;
+    for (const ServerView* server : servers) {
+      const bool hasRoom = !server->m_unschedulable && Fits(need, server->m_free);
+      fits = fits || hasRoom;
+      mayStart = mayStart || (hasRoom && server->m_startsLeft != 0);
+    }
+    if (!mayStart) {
       unplaceable[pool].Add(need);
+      result.m_startsHeldBack = result.m_startsHeldBack || fits;
     }
   }
+  result.m_startsHeldBack = result.m_startsHeldBack || startsLeft == 0;
   return result;
 }
 
--- a/src/manager/FleetControl.cpp
+++ b/src/manager/FleetControl.cpp
@@ -490,6 +490,7 @@
     }
     availableServer.m_avoid = server.m_failedRuns >= kFailedRunsToAvoid;
     availableServer.m_maintenanceDue = IsDue(id);
+    availableServer.m_startsLeft = m_runs.StartsLeft(id);
     availableServers.push_back(std::move(availableServer));
   }
   return availableServers;
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -473,15 +473,19 @@
   input.m_meanWork = m_state.m_meanWork;
   input.m_tickets = m_advice.Tickets(aNowMs);
   input.m_runningOverage = m_state.m_settings.m_runningOverage;
+  input.m_startsLeft = m_runs.StartsLeft();
   const auto result =
     PlaceSubtasks(m_state.m_jobTable, m_state.m_configuration, availableServers, input);
   for (const auto& placement : result.m_placements) {
-    m_committer.AddPlanned({ placement.m_subtask, placement.m_run, placement.m_server });
+    const RunRef run{ placement.m_subtask, placement.m_run, placement.m_server };
+    m_committer.AddPlanned(run);
+    m_runs.OnPlanned(run);
     const auto tickets = input.m_tickets.find(StepOf(placement.m_subtask));
     if (tickets != input.m_tickets.end()) {
       m_runs.m_tickets[placement.m_subtask] = tickets->second.at(placement.m_server);
     }
   }
+  m_runs.SetStartsHeldBack(result.m_startsHeldBack);
   m_advice.Ask(result.m_stepsWithoutTickets, availableServers);
   m_heldBack = result.m_heldBack;
 }
--- a/src/manager/IncarnationOrders.cpp
+++ b/src/manager/IncarnationOrders.cpp
@@ -42,27 +42,31 @@
     m_orders.Start(aServer, aOrder, aSendBeforeMs, aTimeoutMs, std::move(aDone));
     return;
   }
-  m_queues[aServer.m_address].m_starts.push_back(
+  StartQueue& queue = m_queues[aServer.m_address];
+  queue.m_starts.push_back(
     { aServer, aOrder, aSendBeforeMs, MonotonicMs() + aTimeoutMs, std::move(aDone) });
-  SendQueued(aServer.m_address);
+  // Otherwise the starts before it wait for a connection, too, and enough polls are in flight.
+  if (queue.m_starts.size() == 1 || queue.m_polls < kMaxPollsForStarts) {
+    SendQueued(aServer.m_address);
+  }
 }
 
 void IncarnationOrders::SendQueued(const Endpoint& aAddress)
 {
-  const std::weak_ptr<int> alive = m_alive;
-  FinishQueued(aAddress, { CallOutcome::NotSent, {} }, [](const PendingStart& aStart) {
-    return MonotonicMs() + kMinStartTimeoutMs > aStart.m_deadlineMs;
-  });
-  if (!alive.lock()) {
-    return;
-  }
   const auto found = m_queues.find(aAddress);
   if (found == m_queues.end()) {
     return;
   }
   StartQueue& queue = found->second;
+  const Millis latestDeadlineMs = MonotonicMs() + kMinStartTimeoutMs;
+  std::vector<PendingStart> expired;
   while (!queue.m_starts.empty()) {
     PendingStart& next = queue.m_starts.front();
+    if (next.m_deadlineMs < latestDeadlineMs) {
+      expired.push_back(std::move(next));
+      queue.m_starts.pop_front();
+      continue;
+    }
     next.m_order.m_establishedByMs = EstablishedByMs(aAddress, next.m_order.m_incarnation);
     if (next.m_order.m_establishedByMs == 0) {
       break;
@@ -77,6 +81,18 @@
   if (queue.m_starts.empty() && queue.m_polls == 0) {
     m_queues.erase(found);
   }
+  // A callback may send other orders or destroy this object.
+  std::ranges::for_each(expired, [](const PendingStart& aStart) {
+    Withhold(aStart, { CallOutcome::NotSent, {} });
+  });
+}
+
+void IncarnationOrders::Withhold(const PendingStart& aStart, const platform::OrderResult& aResult)
+{
+  LogEvent("run", "start-withheld", "task={} server={} expected_born={} outcome={}",
+           ToString(aStart.m_order.m_run.m_subtask), aStart.m_server.m_id,
+           aStart.m_order.m_incarnation, static_cast<int>(aResult.m_outcome));
+  aStart.m_done(aResult);
 }
 
 void IncarnationOrders::SendStart(PendingStart aStart)
@@ -149,12 +165,8 @@
   const std::vector<PendingStart> finished{ std::make_move_iterator(first),
                                             std::make_move_iterator(starts.end()) };
   starts.erase(first, starts.end());
-  for (const auto& start : finished) {
-    LogEvent("run", "start-withheld", "task={} server={} expected_born={} outcome={}",
-             ToString(start.m_order.m_run.m_subtask), start.m_server.m_id,
-             start.m_order.m_incarnation, static_cast<int>(aResult.m_outcome));
-    start.m_done(aResult);
-  }
+  std::ranges::for_each(finished,
+                        [&aResult](const PendingStart& aStart) { Withhold(aStart, aResult); });
 }
 
 std::uint64_t IncarnationOrders::Poll(const ServerRegistration& aServer,
--- a/src/manager/IncarnationOrders.h
+++ b/src/manager/IncarnationOrders.h
@@ -83,8 +83,10 @@
     std::size_t m_polls{}; ///< Polls in flight that open connections for them.
   };
 
-  /// \brief Sends the waiting starts for which a connection is free, and polls for the others.
+  /// \brief Sends the waiting starts for which a connection is free, and polls for the others. The
+  /// cost does not depend on how many wait.
   void SendQueued(const Endpoint& aAddress);
+  static void Withhold(const PendingStart& aStart, const platform::OrderResult& aResult);
   void SendStart(PendingStart aStart);
   void PollForStarts(const PendingStart& aStart);
   void OnPolledForStarts(const Endpoint& aAddress, const platform::PollResult& aResult);
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -7,6 +7,8 @@
 #include "pistachiostand/job/Reconcile.h"
 #include "pistachiostand/job/Scheduler.h"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -20,6 +22,11 @@
 /// Lease of a start, which a poll extends. Short, so that a start without a response expires early.
 constexpr Millis kStartLeaseMs = 1'500;
 constexpr Millis kStartTimeoutMs = 700;
+/// Starts that wait for their record or their server, at a time. An open start takes up to 18 kB,
+/// and a server answers this many well within the timeout of the last one.
+constexpr OrderLimits kStartLimits{ 64, 2'048 };
+/// Starts sent in one turn of the loop, so that other calls and timers come in between.
+constexpr std::size_t kStartsPerTurn = 64;
 constexpr Millis kStopTimeoutMs = 600;
 constexpr Millis kThrottleTimeoutMs = 600;
 /// Longest wait of a poll for an end. Allows several renewals within a lease.
@@ -66,7 +73,8 @@
 } // namespace
 
 RunControl::RunControl(OwnerState& aState, Committer& aCommitter, std::function<void()> aOnChange)
-  : m_state(aState)
+  : m_starts{ kStartLimits }
+  , m_state(aState)
   , m_committer(aCommitter)
   , m_onChange(std::move(aOnChange))
 {
@@ -270,8 +278,43 @@
       }
     }
   }
-  for (const auto& run : aBatch.m_planned) {
-    Start(run);
+  m_storedStarts.insert(m_storedStarts.end(), aBatch.m_planned.begin(), aBatch.m_planned.end());
+  SendStarts();
+}
+
+void RunControl::SendStarts()
+{
+  for (std::size_t sent = 0;
+       sent < kStartsPerTurn && !m_storedStarts.empty() && m_startsInFlight < kStartLimits.m_all;
+       ++sent) {
+    const RunRef run = std::move(m_storedStarts.front());
+    m_storedStarts.pop_front();
+    if (Start(run)) {
+      ++m_startsInFlight;
+    } else {
+      CloseStart(run.m_server);
+    }
+  }
+  if (!m_storedStarts.empty() && m_startsInFlight < kStartLimits.m_all) {
+    SendStartsSoon();
+  }
+}
+
+void RunControl::SendStartsSoon()
+{
+  if (!std::exchange(m_startsScheduled, true)) {
+    asio::post(m_state.m_loop, m_state.Guard([this] {
+      m_startsScheduled = false;
+      SendStarts();
+    }));
+  }
+}
+
+void RunControl::CloseStart(const ServerId& aId)
+{
+  CloseOrder(m_starts, aId);
+  if (std::exchange(m_startsHeldBack, false)) {
+    m_onChange();
   }
 }
 
@@ -296,23 +339,23 @@
   }
 }
 
-void RunControl::Start(const RunRef& aRun)
+bool RunControl::Start(const RunRef& aRun)
 {
   Run* run = FindRun(m_state.m_jobTable, aRun);
   if (run == nullptr || run->m_phase != RunPhase::Planned) {
-    return; // Dropped in the meantime, or already sent.
+    return false; // Dropped in the meantime, or already sent.
   }
   const Job& job = m_state.m_jobTable.m_jobs.at(aRun.m_subtask.m_job);
   if (job.m_phase != JobPhase::Active || FindSubtask(m_state.m_jobTable, aRun.m_subtask)->m_done) {
     Drop(aRun, "not needed any more");
-    return;
+    return false;
   }
   const Millis now = MonotonicMs();
   ServerState& server = m_state.m_servers[aRun.m_server];
   const auto clock = ServerClockMs(server, now);
   if (!m_state.m_holdsOwnershipLease() || !clock || !server.m_registered) {
     Drop(aRun, "it must not be sent now");
-    return;
+    return false;
   }
   platform::StartOrder order;
   order.m_run = aRun;
@@ -339,7 +382,15 @@
     server.m_registration, order, m_state.m_ownershipLeaseEndMs(), kStartTimeoutMs,
     m_state.Guard(
       [this, sent = SentOrder{ aRun, server.m_registration.m_address, now, order.m_incarnation }](
-        const platform::OrderResult& aResult) { OnStarted(sent, aResult); }));
+        const platform::OrderResult& aResult) {
+        --m_startsInFlight;
+        OnStarted(sent, aResult);
+        CloseStart(sent.m_run.m_server);
+        if (!m_storedStarts.empty()) {
+          SendStartsSoon();
+        }
+      }));
+  return true;
 }
 
 void RunControl::OnStarted(const SentOrder& aSent, const platform::OrderResult& aResult)
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -3,6 +3,10 @@
 #include "Committer.h"
 #include "OwnerState.h"
 
+#include "pistachiostand/job/OrderWindow.h"
+
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -31,6 +35,19 @@
   void OnServerRegistration(const ServerId& aId,
                             const std::optional<ServerRegistration>& aRegistration);
 
+  /// \brief Number of further runs that may be planned at the moment, on a server or on any.
+  [[nodiscard]] std::size_t StartsLeft(const ServerId& aId) const
+  {
+    return OrdersLeft(m_starts, aId);
+  }
+  [[nodiscard]] std::size_t StartsLeft() const noexcept { return OrdersLeft(m_starts); }
+
+  /// \brief Counts a planned run until its start is answered or turns out to be needless.
+  void OnPlanned(const RunRef& aRun) { OpenOrder(m_starts, aRun.m_server); }
+
+  /// \brief Calls `aOnChange` when the next start is answered, because starts are held back.
+  void SetStartsHeldBack(bool aHeldBack) noexcept { m_startsHeldBack = aHeldBack; }
+
   /// \brief Starts the planned runs of a stored batch and allows its ends to be acknowledged.
   void OnStored(const CommitBatch& aBatch);
 
@@ -64,7 +81,12 @@
     std::int64_t m_incarnation{}; ///< Incarnation that a start is meant for; 0: not known.
   };
 
-  void Start(const RunRef& aRun);
+  /// \brief Sends starts of stored runs, a few in each turn of the loop.
+  void SendStarts();
+  void SendStartsSoon();
+  /// \return false when the run is not needed any more or must not be sent.
+  bool Start(const RunRef& aRun);
+  void CloseStart(const ServerId& aId);
   /// \brief Removes a run without an end from the job table, and logs the cause.
   void Drop(const RunRef& aRun, std::string_view aCause);
   /// \brief Logs why runs were removed from the job table without an end.
@@ -107,6 +129,11 @@
   void RepeatStops(Millis aNowMs);
 
   Millis m_stopsCheckedMs{};
+  OrderWindow m_starts;              ///< From the plan of a run to the answer to its start.
+  std::deque<RunRef> m_storedStarts; ///< Stored runs whose starts have not been sent yet.
+  std::size_t m_startsInFlight{};
+  bool m_startsHeldBack{};
+  bool m_startsScheduled{};
   OwnerState& m_state;
   Committer& m_committer;
   std::function<void()> m_onChange;
--- a/tests/unit/IncarnationOrdersTest.cpp
+++ b/tests/unit/IncarnationOrdersTest.cpp
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace pistachiostand::fleet {
@@ -33,7 +35,7 @@
     order.m_run = { { "a", 0, 0, 0 }, 1, "s1" };
     order.m_leaseEndMs = 50'000;
     order.m_incarnation = kIncarnation;
-    m_orders.Start(m_server, order, 0, kTimeoutMs, [this](const platform::OrderResult& aResult) {
+    m_orders.Start(m_server, order, 0, m_timeoutMs, [this](const platform::OrderResult& aResult) {
       m_outcomes.push_back(aResult.m_outcome);
     });
   }
@@ -78,6 +80,7 @@
   IncarnationOrders m_orders;
   std::vector<CallOutcome> m_outcomes;
   int m_reportCount{};
+  Millis m_timeoutMs{ kTimeoutMs };
 };
 
 // Guards against a start that reaches a later incarnation: it waits until the intended one has
@@ -220,5 +223,33 @@
   EXPECT_FALSE(nlohmann::json::parse(LatestPoll().m_body).contains("deadline-ms"));
 }
 
+// Guards against starts that are withheld although a connection becomes free for each of them.
+TEST_F(IncarnationOrdersTest, ManyStartsWait_ConnectionsBecomeFree_AllAreSentInOrder)
+{
+  m_client.m_hasIdleConnection = false;
+  for (int start = 0; start < 100; ++start) {
+    Start();
+  }
+  EXPECT_EQ(StartCount(), 0U);
+  EXPECT_EQ(m_client.Find("/hold").size(), 4U);
+  m_client.m_hasIdleConnection = true;
+  Report(kIncarnation);
+  EXPECT_EQ(StartCount(), 100U);
+  EXPECT_TRUE(m_outcomes.empty());
+}
+
+// Guards against a start that is sent with too little time left for its response.
+TEST_F(IncarnationOrdersTest, StartWaits_TimeForItsResponseIsOver_IsWithheld)
+{
+  m_client.m_hasIdleConnection = false;
+  m_timeoutMs = 310;
+  Start();
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+  m_client.m_hasIdleConnection = true;
+  Report(kIncarnation);
+  EXPECT_EQ(StartCount(), 0U);
+  EXPECT_EQ(m_outcomes, std::vector{ CallOutcome::NotSent });
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/unit/JobFixture.h
+++ b/tests/unit/JobFixture.h
@@ -76,7 +76,8 @@
   std::vector<Placement> Place(std::vector<ServerView>& aServers, Millis aNowMs = kNow)
   {
     m_input.m_nowMs = aNowMs;
-    return PlaceSubtasks(m_jobTable, m_configuration, aServers, m_input).m_placements;
+    m_result = PlaceSubtasks(m_jobTable, m_configuration, aServers, m_input);
+    return m_result.m_placements;
   }
 
   /// \brief Starts a run and lets its server confirm it.
@@ -97,6 +98,7 @@
   JobTable m_jobTable;
   Configuration m_configuration;
   SchedulerInput m_input;
+  SchedulerResult m_result; ///< Of the last Place().
 };
 
 } // namespace pistachiostand::fleet
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -14,7 +15,7 @@
 protected:
   RunControlTest()
     : m_committer(m_state, [](const CommitBatch& /*aBatch*/) {})
-    , m_runs(m_state, m_committer, [] {})
+    , m_runs(m_state, m_committer, [this] { ++m_changeCount; })
   {
   }
 
@@ -49,6 +50,24 @@
     m_runs.OnStored(batch);
   }
 
+  /// \brief Plans all runs of a job with many subtasks on one server.
+  CommitBatch WideBatch(std::uint32_t aCount)
+  {
+    JobSpec spec;
+    spec.m_id = "wide";
+    spec.m_queue = "lookups";
+    spec.m_steps.emplace_back();
+    spec.m_steps.back().m_count = aCount;
+    AddJob(m_state.m_jobTable, std::move(spec), MonotonicMs(), 0);
+    CommitBatch batch;
+    for (std::uint32_t index = 0; index < aCount; ++index) {
+      batch.m_planned.push_back({ { "wide", 0, 0, index }, 1, "s1" });
+      PlanRun(m_state.m_jobTable, batch.m_planned.back().m_subtask, "s1", 1, MonotonicMs());
+    }
+    return batch;
+  }
+
+  int m_changeCount{};
   Committer m_committer;
   RunControl m_runs;
 };
@@ -340,5 +359,48 @@
     nlohmann::json::parse(m_client.m_sent.at(polls[1]).m_request.m_body).contains("deadline-ms"));
 }
 
+// Guards against an owner that exceeds its memory and starts nothing: all starts of a wide job were
+// sent in one turn of the loop, and those that had to wait were withheld (review, case 11).
+TEST_F(RunControlTest, OnStored_WideJob_StartsInFlightAreBounded)
+{
+  const auto first = WideBatch(5'000);
+  m_runs.OnStored(first);
+  EXPECT_LE(m_client.Find("/run-start").size(), 64U);
+  m_loop.poll();
+  const auto sent = m_client.Find("/run-start");
+  EXPECT_EQ(sent.size(), 2'048U);
+  for (std::size_t index = 0; index < 100; ++index) {
+    m_client.Respond(sent[index], 200, R"({"clock-ms":50010})");
+  }
+  m_loop.restart();
+  m_loop.poll();
+  EXPECT_EQ(m_client.Find("/run-start").size(), 2'148U);
+}
+
+// Guards against starts that stay counted, so that a server gets none any more: their runs ended
+// before the record was stored.
+TEST_F(RunControlTest, OnPlanned_RunsDroppedBeforeTheirStart_AreNotCounted)
+{
+  const std::size_t all = m_runs.StartsLeft("s1");
+  const auto batch = WideBatch(static_cast<std::uint32_t>(all));
+  std::ranges::for_each(batch.m_planned, [this](const RunRef& aRun) { m_runs.OnPlanned(aRun); });
+  EXPECT_EQ(m_runs.StartsLeft("s1"), 0U);
+  EXPECT_TRUE(CancelJob(m_state.m_jobTable, "wide"));
+  m_runs.StopObsoleteRuns();
+  m_runs.OnStored(batch);
+  EXPECT_EQ(m_runs.StartsLeft("s1"), all);
+  EXPECT_TRUE(m_client.Find("/run-start").empty());
+}
+
+// Guards against a pass that is never repeated after a server had no starts left.
+TEST_F(RunControlTest, StartAnswered_StartsWereHeldBack_OwnerIsToldOnce)
+{
+  StartRun();
+  m_runs.SetStartsHeldBack(true);
+  const int before = m_changeCount;
+  Respond("/run-start", R"({"clock-ms":50010})");
+  EXPECT_EQ(m_changeCount, before + 1);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -313,5 +313,41 @@
   }));
 }
 
+// Guards against thousands of starts for one server, most of which miss their deadline while they
+// wait for the others (review, case 11).
+TEST_F(SchedulerTest, ManySmallSubtasks_ServerHasFewStartsLeft_OthersGetTheRest)
+{
+  Add("a", { Step(50, 10) });
+  std::vector<ServerView> serverViews{ MakeServer("s1", 8'000), MakeServer("s2", 8'000) };
+  serverViews[0].m_startsLeft = serverViews[1].m_startsLeft = 8;
+  const auto placed = Place(serverViews);
+  EXPECT_EQ(std::ranges::count(placed, "s1", &Placement::m_server), 8);
+  EXPECT_EQ(std::ranges::count(placed, "s2", &Placement::m_server), 8);
+  EXPECT_TRUE(m_result.m_startsHeldBack);
+}
+
+// Guards against a pass without an end in sight, and against a burst of records.
+TEST_F(SchedulerTest, ManySmallSubtasks_FewStartsLeftInAll_NoMoreArePlaced)
+{
+  Add("a", { Step(50, 10) });
+  Add("b", { Step(50, 10) });
+  std::vector<ServerView> serverViews{ MakeServer("s1", 8'000) };
+  m_input.m_startsLeft = 60;
+  EXPECT_EQ(Place(serverViews).size(), 60U);
+  EXPECT_TRUE(m_result.m_startsHeldBack);
+}
+
+// Guards against a gang that never starts: it is placed as a whole.
+TEST_F(SchedulerTest, Gang_WiderThanTheStartsLeft_IsPlaced)
+{
+  StepSpec gang = Step(20, 10);
+  gang.m_gang = true;
+  Add("a", { gang });
+  std::vector<ServerView> serverViews{ MakeServer("s1", 8'000) };
+  serverViews[0].m_startsLeft = 8;
+  m_input.m_startsLeft = 8;
+  EXPECT_EQ(Place(serverViews).size(), 20U);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
