--- a/include/pistachiostand/job/PlacementPass.h
+++ b/include/pistachiostand/job/PlacementPass.h
@@ -50,8 +50,14 @@
 
   [[nodiscard]] const SchedulerInput& Input() const noexcept { return m_input; }
 
-  /// \brief What has been found since the last call.
-  [[nodiscard]] SchedulerResult TakeResult();
+  /// \brief The placements since the last call.
+  [[nodiscard]] std::vector<Placement> TakePlacements();
+
+  /// \brief What has been found so far, with the placements that were not taken.
+  [[nodiscard]] const SchedulerResult& Result() const noexcept { return m_result; }
+
+  /// \brief Jobs, steps and servers visited by the last call of Continue().
+  [[nodiscard]] std::size_t Visits() const noexcept { return m_visits; }
 
 private:
   /// \brief Needs that no server of a pool can satisfy any more in this pass.
--- a/src/job/PlacementPass.cpp
+++ b/src/job/PlacementPass.cpp
@@ -135,9 +135,9 @@
   return m_work.empty();
 }
 
-SchedulerResult PlacementPass::TakeResult()
+std::vector<Placement> PlacementPass::TakePlacements()
 {
-  return std::exchange(m_result, {});
+  return std::exchange(m_result.m_placements, {});
 }
 
 bool PlacementPass::CollectWork(const JobTable& aJobTable, const QueueIndex& aQueues,
@@ -364,7 +364,7 @@
   while (
     !pass.Continue(aJobTable, aConfiguration, aServers, std::numeric_limits<std::size_t>::max())) {
   }
-  return pass.TakeResult();
+  return pass.Result();
 }
 
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetOwner.cpp
+++ b/src/manager/FleetOwner.cpp
@@ -12,10 +12,13 @@
 #include "pistachiostand/job/Backlog.h"
 #include "pistachiostand/job/JobCodec.h"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <fmt/format.h>
+#include <numeric>
 #include <utility>
 
 namespace pistachiostand::fleet {
@@ -47,11 +50,16 @@
 /// What is learned from runs changes little within this time, except for the first runs of an
 /// ownership.
 constexpr Millis kExpectedTimesUpdateMs = 500;
+/// Jobs, steps and servers that a pass, or an update of expected times, visits in one turn of the
+/// loop: a few milliseconds on a quarter of a core.
+constexpr std::size_t kVisitsPerTurn = 20'000;
 constexpr Millis kLogMs = 1'000;
 constexpr Millis kCarriersRetryMs = 1'000;
 /// Time to read the submissions after an outage: the longest pause between the reads of a topic and
 /// one read. A partition that is unavailable for longer delays nothing else.
 constexpr Millis kCatchUpTimeoutMs = 600;
+/// Jobs are forgotten a few at a time, so that the removal of their records does not add up.
+constexpr std::size_t kMaxChangedParts = 2'000;
 constexpr Millis kHandOverAfterMs = 2'000;
 /// A handover has to wait for an ownership record in flight, a few milliseconds.
 constexpr Millis kHandOverRetryMs = 500;
@@ -65,6 +73,14 @@
   return isWhole ? std::optional{ number } : std::nullopt;
 }
 
+/// \brief Steps and dependencies that an update of the expected times of a job visits.
+std::size_t UpdateCostOf(const JobSpec& aSpec)
+{
+  return std::accumulate(
+    aSpec.m_steps.begin(), aSpec.m_steps.end(), std::size_t{ 1 },
+    [](std::size_t aSum, const StepSpec& aStep) { return aSum + 1 + aStep.m_dependencies.size(); });
+}
+
 StepId StepOf(const SubtaskId& aId)
 {
   return { aId.m_job, aId.m_occurrence, aId.m_step };
@@ -427,17 +443,29 @@
 
 void FleetOwner::Schedule()
 {
+  if (m_pass) {
+    m_passWanted = true;
+    return;
+  }
   const Millis begin = MonotonicMs();
+  m_passMs = 0;
+  m_load.m_passes += 1;
   if (m_state.m_holdsOwnershipLease()) {
     m_runs.StopObsoleteRuns();
     StopRunsOnDrainingServers();
     if (CatchUp(begin) && m_runTimeStore.IsReady(begin)) {
-      Place(MonotonicMs());
+      BeginPass(MonotonicMs());
     }
   }
   m_committer.FlushSoon();
-  m_passMs = MonotonicMs() - begin;
-  m_load.m_passes += 1;
+  CountTurn(begin);
+}
+
+void FleetOwner::CountTurn(Millis aBeginMs)
+{
+  const Millis turn = MonotonicMs() - aBeginMs;
+  m_passMs += turn;
+  m_load.m_longestTurnMs = std::max(m_load.m_longestTurnMs, turn);
   m_load.m_longestPassMs = std::max(m_load.m_longestPassMs, m_passMs);
 }
 
@@ -464,9 +492,8 @@
   }
 }
 
-void FleetOwner::Place(Millis aNowMs)
+void FleetOwner::BeginPass(Millis aNowMs)
 {
-  auto availableServers = m_fleet.ServerViews(aNowMs);
   SchedulerInput input;
   input.m_nowMs = aNowMs;
   input.m_remoteFactor = m_state.m_settings.m_bounds.m_remoteFactor;
@@ -474,20 +501,49 @@
   input.m_tickets = m_advice.Tickets(aNowMs);
   input.m_runningOverage = m_state.m_settings.m_runningOverage;
   input.m_startsLeft = m_runs.StartsLeft();
-  const auto result =
-    PlaceSubtasks(m_state.m_jobTable, m_state.m_configuration, availableServers, input);
-  for (const auto& placement : result.m_placements) {
+  m_pass.emplace(std::move(input));
+  ContinuePass();
+}
+
+void FleetOwner::ContinuePass()
+{
+  // What the last turns have changed is in these views, too.
+  auto availableServers = m_fleet.ServerViews(MonotonicMs());
+  const bool isComplete =
+    m_pass->Continue(m_state.m_jobTable, m_state.m_configuration, availableServers, kVisitsPerTurn);
+  const auto& tickets = m_pass->Input().m_tickets;
+  for (const auto& placement : m_pass->TakePlacements()) {
     const RunRef run{ placement.m_subtask, placement.m_run, placement.m_server };
     m_committer.AddPlanned(run);
     m_runs.OnPlanned(run);
-    const auto tickets = input.m_tickets.find(StepOf(placement.m_subtask));
-    if (tickets != input.m_tickets.end()) {
-      m_runs.m_tickets[placement.m_subtask] = tickets->second.at(placement.m_server);
+    const auto ticket = tickets.find(StepOf(placement.m_subtask));
+    if (ticket != tickets.end()) {
+      m_runs.m_tickets[placement.m_subtask] = ticket->second.at(placement.m_server);
     }
   }
-  m_runs.SetStartsHeldBack(result.m_startsHeldBack);
-  m_advice.Ask(result.m_stepsWithoutTickets, availableServers);
-  m_heldBack = result.m_heldBack;
+  if (isComplete) {
+    m_runs.SetStartsHeldBack(m_pass->Result().m_startsHeldBack);
+    m_advice.Ask(m_pass->Result().m_stepsWithoutTickets, availableServers);
+    m_heldBack = m_pass->Result().m_heldBack;
+    m_pass.reset();
+    if (std::exchange(m_passWanted, false)) {
+      ScheduleSoon();
+    }
+    return;
+  }
+  asio::post(m_state.m_loop, m_state.Guard([this] {
+    if (!m_pass) {
+      return;
+    }
+    const Millis begin = MonotonicMs();
+    if (CatchUp(begin)) {
+      ContinuePass();
+    } else {
+      m_pass.reset();
+    }
+    m_committer.FlushSoon();
+    CountTurn(begin);
+  }));
 }
 
 void FleetOwner::OnStored(const CommitBatch& aBatch)
@@ -540,13 +596,30 @@
   m_runTimeStore.Tick(now);
   ForgetOldJobs(now);
   HandOverToLarger(now);
-  if (now - m_expectedTimesUpdatedMs >= kExpectedTimesUpdateMs) {
-    m_expectedTimesUpdatedMs = now;
-    for (const auto& id : m_state.m_jobTable.m_active) {
-      UpdateExpectedTimes(m_state.m_jobTable.m_jobs.at(id), m_state.m_runTimes);
+  UpdateJobTimes(now);
+  ScheduleSoon();
+}
+
+void FleetOwner::UpdateJobTimes(Millis aNowMs)
+{
+  if (m_lastUpdated.empty()) {
+    if (aNowMs - m_expectedTimesUpdatedMs < kExpectedTimesUpdateMs) {
+      return;
     }
+    m_expectedTimesUpdatedMs = aNowMs;
+  }
+  const auto& active = m_state.m_jobTable.m_active;
+  std::size_t visits = 0;
+  auto id = active.upper_bound(m_lastUpdated);
+  for (; id != active.end() && visits < kVisitsPerTurn; ++id) {
+    Job& job = m_state.m_jobTable.m_jobs.at(*id);
+    UpdateExpectedTimes(job, m_state.m_runTimes);
+    visits += UpdateCostOf(job.m_spec);
+    m_lastUpdated = *id;
+  }
+  if (id == active.end()) {
+    m_lastUpdated.clear();
   }
-  ScheduleSoon();
 }
 
 void FleetOwner::HandOverToLarger(Millis aNowMs)
@@ -572,10 +645,11 @@
     return;
   }
   LogEvent("owner", "load",
-           "active={} passes={} longest_pass_ms={} longest_tick_gap_ms={} carriers={}",
+           "active={} passes={} longest_pass_ms={} longest_turn_ms={} longest_tick_gap_ms={} "
+           "carriers={}",
            m_state.m_jobTable.m_active.size(), m_load.m_passes, m_load.m_longestPassMs,
-           m_load.m_longestGapMs, m_state.m_orders.CarrierCount());
-  m_load = { aNowMs, 0, 0, 0 };
+           m_load.m_longestTurnMs, m_load.m_longestGapMs, m_state.m_orders.CarrierCount());
+  m_load = { aNowMs, 0, 0, 0, 0 };
   LogBacklog(aNowMs);
   LogHeldBack();
 }
@@ -619,15 +693,20 @@
 void FleetOwner::ForgetOldJobs(Millis aNowMs)
 {
   const Millis keep = m_state.m_settings.m_bounds.m_keepStateMs + kKeepMarginMs;
-  std::erase_if(m_state.m_jobTable.m_jobs, [&](const auto& aEntry) {
+  const auto forgotten = std::erase_if(m_state.m_jobTable.m_jobs, [&](const auto& aEntry) {
     const Job& job = aEntry.second;
     const bool old = job.m_phase != JobPhase::Active && job.m_phaseStored &&
-                     aNowMs - job.m_finishedMs > keep && !m_cleaner.Contains(aEntry.first);
+                     aNowMs - job.m_finishedMs > keep && !m_cleaner.Contains(aEntry.first) &&
+                     m_state.m_jobTable.m_changed.size() < kMaxChangedParts;
     if (old) {
       RemoveRecords(m_state.m_jobTable, job);
     }
     return old;
   });
+  if (forgotten != 0 && m_pass) {
+    m_pass.reset(); // It refers to jobs.
+    ScheduleSoon();
+  }
 }
 
 } // namespace pistachiostand::fleet
--- a/src/manager/FleetOwner.h
+++ b/src/manager/FleetOwner.h
@@ -12,7 +12,7 @@
 
 #include "pistachiostand/account/Access.h"
 #include "pistachiostand/connection/Ticker.h"
-#include "pistachiostand/job/Scheduler.h"
+#include "pistachiostand/job/PlacementPass.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -88,6 +88,7 @@
     Millis m_beginMs{};
     unsigned m_passes{};
     Millis m_longestPassMs{};
+    Millis m_longestTurnMs{};
     Millis m_longestGapMs{};
   };
 
@@ -100,7 +101,12 @@
   void LogHeldBack() const;
   /// \brief True when the quota of its account would hold back the first subtask of a job.
   [[nodiscard]] bool IsAtLimit(const Job& aJob) const;
-  void Place(Millis aNowMs);
+  void BeginPass(Millis aNowMs);
+  /// \brief Does a part of the pass; the rest follows in later turns of the loop.
+  void ContinuePass();
+  void CountTurn(Millis aBeginMs);
+  /// \brief Updates the expected times of some jobs.
+  void UpdateJobTimes(Millis aNowMs);
   void StopRunsOnDrainingServers();
   void OnStored(const CommitBatch& aBatch);
   void Tick();
@@ -135,11 +141,14 @@
   Millis m_handOverTriedMs{};
   Millis m_carriersTriedMs{};
   bool m_scheduled{};
-  Millis m_passMs{}; ///< Duration of the last pass over the jobs.
+  std::optional<PlacementPass> m_pass; ///< The pass in progress.
+  bool m_passWanted{};                 ///< Another pass has to follow it.
+  Millis m_passMs{};                   ///< Time that the last pass over the jobs took in all.
   LoadWindow m_load;
   std::map<AccountName, HeldBackWork> m_heldBack; ///< In the last pass.
-  Millis m_expectedTimesUpdatedMs{}; ///< When the expected times of all jobs were updated.
-  Millis m_tickMs{};                 ///< Time of the last tick.
+  Millis m_expectedTimesUpdatedMs{}; ///< When the last update of the expected times began.
+  JobId m_lastUpdated; ///< Last job of that update whose times are up to date; empty: all are.
+  Millis m_tickMs{};   ///< Time of the last tick.
   std::multimap<JobId, CallerScope> m_cancels; ///< Cancellations read before the progress.
 };
 
--- a/tests/unit/LargeJobTest.cpp
+++ b/tests/unit/LargeJobTest.cpp
@@ -199,5 +199,52 @@
   EXPECT_EQ(m_jobTable.m_used["s0"], Resources{});
 }
 
+// Guards against an owner that loses its ownership in the middle of a pass: a pass visited each
+// waiting step of each occurrence, with all that it depends on (review, case 13).
+TEST_F(LargeJobTest, Pass_JobsOfManySteps_VisitsFarLessThanWhatWaits)
+{
+  constexpr std::size_t kWaitingSteps = 20 * 100 * 128;
+  AddJobsOfManySteps(20);
+  std::vector<ServerView> servers{ MakeServer("s1", 8'000) };
+  PlacementPass pass{ m_input };
+  EXPECT_TRUE(pass.Continue(m_jobTable, m_configuration, servers, kWaitingSteps));
+  EXPECT_EQ(pass.Result().m_placements.size(), 2U);
+  EXPECT_LT(pass.Visits(), kWaitingSteps / 10);
+}
+
+// Guards against a pass that keeps the loop from renewing the ownership however long it is.
+TEST_F(LargeJobTest, Pass_InTurns_EachVisitsNoMoreThanItsBudgetAndAllIsPlaced)
+{
+  constexpr std::size_t kBudget = 1'000;
+  // The last job or step visited ends the turn.
+  constexpr std::size_t kMaxVisits = kBudget + 3 * 256;
+  AddJobsOfManySteps(20);
+  std::vector<ServerView> servers{ MakeServer("s1", 400'000) };
+  servers[0].m_capacity.m_memoryMb = servers[0].m_free.m_memoryMb = 1'000'000;
+  PlacementPass pass{ m_input };
+  int turns = 1;
+  for (; !pass.Continue(m_jobTable, m_configuration, servers, kBudget); ++turns) {
+    EXPECT_LE(pass.Visits(), kMaxVisits);
+  }
+  EXPECT_GT(turns, 5);
+  EXPECT_EQ(pass.TakePlacements().size(), 100U);
+}
+
+// Guards against a start of a job that ended between two turns of a pass.
+TEST_F(LargeJobTest, Pass_JobCancelledBetweenTurns_IsNotPlaced)
+{
+  Add("a", { Step(1) });
+  Add("b", { Step(1) });
+  std::vector<ServerView> servers{ MakeServer("s1", 8'000) };
+  PlacementPass pass{ m_input };
+  ASSERT_FALSE(pass.Continue(m_jobTable, m_configuration, servers, 1));
+  CancelJob(m_jobTable, "a");
+  while (!pass.Continue(m_jobTable, m_configuration, servers, 1)) {
+  }
+  const auto placed = pass.TakePlacements();
+  ASSERT_EQ(placed.size(), 1U);
+  EXPECT_EQ(placed[0].m_subtask.m_job, "b");
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
