--- a/include/pistachiostand/job/JobTable.h
+++ b/include/pistachiostand/job/JobTable.h
@@ -8,7 +8,9 @@
 #include "pistachiostand/job/StepState.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -262,7 +264,9 @@
 /// \brief Runs to stop: those of ended jobs, and copies of subtasks that are done.
 ///
 /// Checks only the jobs in m_toCheck, and removes those without such runs from it.
-[[nodiscard]] std::vector<RunRef> RunsToStop(JobTable& aJobTable);
+/// \param aMaxRuns returns no more than this; a later call returns the others.
+[[nodiscard]] std::vector<RunRef> RunsToStop(
+  JobTable& aJobTable, std::size_t aMaxRuns = std::numeric_limits<std::size_t>::max());
 
 /// \brief Resources that a subtask reserves on its server.
 [[nodiscard]] Resources ReservedResources(const StepSpec& aStep) noexcept;
--- a/src/job/JobTable.cpp
+++ b/src/job/JobTable.cpp
@@ -252,7 +252,7 @@
 
 /// \brief Collects the runs of one job that must be stopped and whose stop has not been ordered.
 /// \return true while the job has runs to stop, including those whose stop has been ordered.
-bool CollectStops(const Job& aJob, std::vector<RunRef>& aStops)
+bool CollectStops(const Job& aJob, std::size_t aMaxRuns, std::vector<RunRef>& aStops)
 {
   bool hasRunsToStop = false;
   for (const auto& [number, occurrence] : aJob.m_occurrences.Entries()) {
@@ -263,6 +263,9 @@
         }
         hasRunsToStop = hasRunsToStop || !subtask.m_runs.empty();
         for (const auto& run : subtask.m_runs) {
+          if (aStops.size() >= aMaxRuns) {
+            return true;
+          }
           if (run.m_phase != RunPhase::Stopping) {
             aStops.push_back(
               { { aJob.m_spec.m_id, number, step, index }, run.m_number, run.m_server });
@@ -744,12 +747,12 @@
   }
 }
 
-std::vector<RunRef> RunsToStop(JobTable& aJobTable)
+std::vector<RunRef> RunsToStop(JobTable& aJobTable, std::size_t aMaxRuns)
 {
   std::vector<RunRef> stops;
   std::erase_if(aJobTable.m_toCheck, [&](const JobId& aId) {
     const auto found = aJobTable.m_jobs.find(aId);
-    return found == aJobTable.m_jobs.end() || !CollectStops(found->second, stops);
+    return found == aJobTable.m_jobs.end() || !CollectStops(found->second, aMaxRuns, stops);
   });
   return stops;
 }
--- a/src/job/Reconcile.cpp
+++ b/src/job/Reconcile.cpp
@@ -121,6 +121,10 @@
 
 std::vector<ThrottleChange> PlanThrottling(const JobTable& aJobTable, const ServerId& aServer)
 {
+  const auto load = aJobTable.m_load.find(aServer);
+  if (load == aJobTable.m_load.end() || load->second.m_bestEffortRuns == 0) {
+    return {};
+  }
   std::vector<std::pair<RunRef, int>> bestEffortRuns;
   double worst = 0;
   for (const auto& ref : RunsOn(aJobTable, aServer)) {
--- a/src/manager/RunControl.cpp
+++ b/src/manager/RunControl.cpp
@@ -27,6 +27,9 @@
 constexpr OrderLimits kStartLimits{ 64, 2'048 };
 /// Starts sent in one turn of the loop, so that other calls and timers come in between.
 constexpr std::size_t kStartsPerTurn = 64;
+constexpr OrderLimits kStopLimits{ 64, 512 };
+constexpr std::size_t kStopsPerTurn = 64;
+constexpr OrderLimits kThrottleLimits{ 64, 256 };
 constexpr Millis kStopTimeoutMs = 600;
 constexpr Millis kThrottleTimeoutMs = 600;
 /// Longest wait of a poll for an end. Allows several renewals within a lease.
@@ -74,6 +77,8 @@
 
 RunControl::RunControl(OwnerState& aState, Committer& aCommitter, std::function<void()> aOnChange)
   : m_starts{ kStartLimits }
+  , m_stops{ kStopLimits }
+  , m_throttles{ kThrottleLimits }
   , m_state(aState)
   , m_committer(aCommitter)
   , m_onChange(std::move(aOnChange))
@@ -95,7 +100,9 @@
 Millis RunControl::PollWaitMs(const ServerId& aId, Millis aWaitMs) const
 {
   const auto found = m_state.m_jobTable.m_byServer.find(aId);
-  if (found == m_state.m_jobTable.m_byServer.end()) {
+  const auto load = m_state.m_jobTable.m_load.find(aId);
+  if (found == m_state.m_jobTable.m_byServer.end() || load == m_state.m_jobTable.m_load.end() ||
+      (load->second.m_longRunning == 0 && load->second.m_serving == 0)) {
     return aWaitMs;
   }
   for (const auto& id : found->second) {
@@ -489,6 +496,11 @@
     Drop(aRun, aReason);
     return;
   }
+  if (OrdersLeft(m_stops, aRun.m_server) == 0) {
+    m_stopsHeldBack = true;
+    return;
+  }
+  OpenOrder(m_stops, aRun.m_server);
   if (run != nullptr) {
     run->m_phase = RunPhase::Stopping;
     run->m_stopSentMs = now;
@@ -501,7 +513,13 @@
     server->second.m_registration, aRun, { m_state.m_token, m_state.m_ownershipLeaseEndMs() },
     kStopTimeoutMs,
     m_state.Guard([this, sent = SentOrder{ aRun, server->second.m_registration.m_address, now, 0 }](
-                    const platform::OrderResult& aResult) { OnStopped(sent, aResult); }));
+                    const platform::OrderResult& aResult) {
+      CloseOrder(m_stops, sent.m_run.m_server);
+      OnStopped(sent, aResult);
+      if (std::exchange(m_stopsHeldBack, false)) {
+        m_onChange();
+      }
+    }));
 }
 
 void RunControl::OnStopped(const SentOrder& aSent, const platform::OrderResult& aResult)
@@ -530,9 +548,13 @@
 
 void RunControl::StopObsoleteRuns()
 {
-  for (const auto& run : RunsToStop(m_state.m_jobTable)) {
+  const auto runs = RunsToStop(m_state.m_jobTable, kStopsPerTurn);
+  for (const auto& run : runs) {
     Stop(run, "job ended");
   }
+  if (runs.size() == kStopsPerTurn && OrdersLeft(m_stops) != 0) {
+    m_onChange();
+  }
 }
 
 void RunControl::CancelPoll(ServerState& aServer)
@@ -750,12 +772,20 @@
 void RunControl::Throttle(const ServerState& aServer)
 {
   for (const auto& change : PlanThrottling(m_state.m_jobTable, aServer.m_registration.m_id)) {
+    const ServerId& id = change.m_run.m_server;
+    if (OrdersLeft(m_throttles, id) == 0) {
+      break; // The next report asks for it again.
+    }
+    OpenOrder(m_throttles, id);
     FindRun(m_state.m_jobTable, change.m_run)->m_speedPercent = change.m_percent;
     LogEvent("run", "pace", "task={} server={} percent={}", ToString(change.m_run.m_subtask),
              aServer.m_registration.m_id, change.m_percent);
     m_state.m_orders.Throttle(aServer.m_registration, change.m_run, change.m_percent,
                               { m_state.m_token, m_state.m_ownershipLeaseEndMs() },
-                              kThrottleTimeoutMs, [](const platform::OrderResult&) {});
+                              kThrottleTimeoutMs,
+                              m_state.Guard([this, id](const platform::OrderResult& /*aResult*/) {
+                                CloseOrder(m_throttles, id);
+                              }));
   }
 }
 
--- a/src/manager/RunControl.h
+++ b/src/manager/RunControl.h
@@ -58,10 +58,11 @@
   /// order ends this incarnation of the server, unless it was a repeat.
   void OnInstanceOrderDone(const ServerId& aId);
 
-  /// \brief Sends a stop for a run, or drops the run if its start was not sent yet.
+  /// \brief Sends a stop for a run, or drops the run if its start was not sent yet. Does nothing
+  /// while too many stops are open; what asks for the stop asks again.
   void Stop(const RunRef& aRun, std::string_view aReason);
 
-  /// \brief Stops all runs that are no longer needed.
+  /// \brief Stops runs that are no longer needed, a few in each turn of the loop.
   void StopObsoleteRuns();
 
   /// \brief True when the server may receive new work.
@@ -133,6 +134,9 @@
   std::deque<RunRef> m_storedStarts; ///< Stored runs whose starts have not been sent yet.
   std::size_t m_startsInFlight{};
   bool m_startsHeldBack{};
+  OrderWindow m_stops;
+  bool m_stopsHeldBack{};
+  OrderWindow m_throttles;
   bool m_startsScheduled{};
   OwnerState& m_state;
   Committer& m_committer;
--- a/tests/unit/RunControlTest.cpp
+++ b/tests/unit/RunControlTest.cpp
@@ -402,5 +402,29 @@
   EXPECT_EQ(m_changeCount, before + 1);
 }
 
+// Guards against an owner that exceeds its memory, and the next one after it: the stops of all runs
+// of a cancelled job were in flight at a time (review, case 14).
+TEST_F(RunControlTest, StopObsoleteRuns_WideJobCancelled_StopsInFlightAreBounded)
+{
+  const auto batch = WideBatch(5'000);
+  for (const auto& run : batch.m_planned) {
+    FindRun(m_state.m_jobTable, run)->m_phase = RunPhase::Running;
+  }
+  ASSERT_TRUE(CancelJob(m_state.m_jobTable, "wide"));
+  for (int turn = 0; turn < 20; ++turn) {
+    const auto before = m_client.Find("/run-stop").size();
+    m_runs.StopObsoleteRuns();
+    EXPECT_LE(m_client.Find("/run-stop").size(), before + 64);
+  }
+  const auto sent = m_client.Find("/run-stop");
+  ASSERT_EQ(sent.size(), 64U); // As many as one server gets at a time.
+  const int changes = m_changeCount;
+  m_client.Respond(sent[0], 200, R"({"clock-ms":50010})");
+  m_client.Respond(sent[1], 200, R"({"clock-ms":50010})");
+  EXPECT_GT(m_changeCount, changes);
+  m_runs.StopObsoleteRuns();
+  EXPECT_EQ(m_client.Find("/run-stop").size(), 66U);
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
