Search the urgency of waiting occurrences without a view that clang 14 rejects

The linter could not compile std::ranges::partition_point over std::views::iota (clang 14 with the headers of g++ 12), nor accept three products of int. The search is the same.

--- a/src/job/Scheduler.cpp
+++ b/src/job/Scheduler.cpp
@@ -1,7 +1,6 @@
 #include "pistachiostand/job/Scheduler.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace pistachiostand::fleet {
 
@@ -64,11 +63,16 @@
 std::uint32_t FirstWithUrgency(const Job& aJob, const QueueTerms& aTerms, std::uint32_t aFirst,
                                Urgency aUrgency, Millis aNowMs)
 {
-  const auto later = std::views::iota(aFirst, std::max(aFirst, aJob.m_dueOccurrences));
-  const auto found = std::ranges::partition_point(later, [&](std::uint32_t aOccurrence) {
-    return ObjectiveUrgency(aJob, aTerms, aOccurrence, aJob.m_criticalPathMs, aNowMs) > aUrgency;
-  });
-  return aFirst + static_cast<std::uint32_t>(found - later.begin());
+  std::uint32_t end = std::max(aFirst, aJob.m_dueOccurrences);
+  while (aFirst < end) {
+    const std::uint32_t middle = aFirst + (end - aFirst) / 2;
+    if (ObjectiveUrgency(aJob, aTerms, middle, aJob.m_criticalPathMs, aNowMs) <= aUrgency) {
+      end = middle;
+    } else {
+      aFirst = middle + 1;
+    }
+  }
+  return aFirst;
 }
 
 const QueueTerms& TermsOf(const Job& aJob, const QueueRule* aRule) noexcept
--- a/tests/unit/LargeJobTest.cpp
+++ b/tests/unit/LargeJobTest.cpp
@@ -203,7 +203,7 @@
 // waiting step of each occurrence, with all that it depends on (review, case 13).
 TEST_F(LargeJobTest, Pass_JobsOfManySteps_VisitsFarLessThanWhatWaits)
 {
-  constexpr std::size_t kWaitingSteps = 20 * 100 * 128;
+  constexpr std::size_t kWaitingSteps = std::size_t{ 20 } * 100 * 128;
   AddJobsOfManySteps(20);
   std::vector<ServerView> servers{ MakeServer("s1", 8'000) };
   PlacementPass pass{ m_input };
@@ -217,7 +217,7 @@
 {
   constexpr std::size_t kBudget = 1'000;
   // The last job or step visited ends the turn.
-  constexpr std::size_t kMaxVisits = kBudget + 3 * 256;
+  constexpr std::size_t kMaxVisits = kBudget + std::size_t{ 3 } * 256;
   AddJobsOfManySteps(20);
   std::vector<ServerView> servers{ MakeServer("s1", 400'000) };
   servers[0].m_capacity.m_memoryMb = servers[0].m_free.m_memoryMb = 1'000'000;
