Ask for tickets only for steps that have something to start

Found when the pass was read again: with one piece of work for all steps of an occurrence, a speculative step whose subtasks all run was visited with the others, counted as held back by the quota and asked for tickets. Test: SchedulerTest.Advice_SpeculativeStepRuns_IsNotAskedForAgain.

--- a/include/pistachiostand/job/PlacementPass.h
+++ b/include/pistachiostand/job/PlacementPass.h
@@ -69,6 +69,10 @@
   void CollectNotBegun(const Job& aJob, const QueueRule* aRule, bool aLongRunning);
   void Add(const Job& aJob, const QueueRule* aRule, std::uint32_t aOccurrence,
            std::uint32_t aEndOccurrence, bool aLongRunning, const Occurrence* aState);
+  /// \brief True when a subtask of the step has to start, or a copy of one.
+  /// \param aOccurrence null when it has not begun.
+  [[nodiscard]] bool NeedsPlacement(const Job& aJob, const Occurrence* aOccurrence,
+                                    std::uint32_t aStep);
   [[nodiscard]] bool HasWork(const Job& aJob, const Occurrence& aOccurrence, bool aLongRunning);
   void PlaceNext(JobTable& aJobTable, View& aView);
   /// \return true when the next occurrence may have more success: one of its steps was placed, or
--- a/src/job/PlacementPass.cpp
+++ b/src/job/PlacementPass.cpp
@@ -177,24 +177,28 @@
   }
 }
 
+bool PlacementPass::NeedsPlacement(const Job& aJob, const Occurrence* aOccurrence,
+                                   std::uint32_t aStep)
+{
+  if (CountSubtasks(aJob.m_spec, aOccurrence, aStep).m_waiting != 0) {
+    return true;
+  }
+  const StepSpec& spec = aJob.m_spec.m_steps[aStep];
+  const StepState* state = aOccurrence == nullptr ? nullptr : aOccurrence->m_steps.Find(aStep);
+  if (!spec.m_speculative || state == nullptr) {
+    return false;
+  }
+  m_visits += state->Entries().size();
+  return std::ranges::any_of(state->Entries(), [&](const auto& aEntry) {
+    return NeedsSpeculativeCopy(spec, aJob.m_times[aStep], aEntry.second, m_input.m_nowMs);
+  });
+}
+
 bool PlacementPass::HasWork(const Job& aJob, const Occurrence& aOccurrence, bool aLongRunning)
 {
   return std::ranges::any_of(aOccurrence.m_ready, [&](std::uint32_t aStep) {
-    const StepSpec& spec = aJob.m_spec.m_steps[aStep];
-    if (spec.m_longRunning != aLongRunning) {
-      return false;
-    }
-    const StepState* state = aOccurrence.m_steps.Find(aStep);
-    if (state == nullptr || state->WaitingCount() != 0) {
-      return true;
-    }
-    if (!spec.m_speculative) {
-      return false;
-    }
-    m_visits += state->Entries().size();
-    return std::ranges::any_of(state->Entries(), [&](const auto& aEntry) {
-      return NeedsSpeculativeCopy(spec, aJob.m_times[aStep], aEntry.second, m_input.m_nowMs);
-    });
+    return aJob.m_spec.m_steps[aStep].m_longRunning == aLongRunning &&
+           NeedsPlacement(aJob, &aOccurrence, aStep);
   });
 }
 
@@ -287,12 +291,8 @@
   const std::size_t placedBefore = m_result.m_placements.size();
   const std::size_t withoutTicketsBefore = m_result.m_stepsWithoutTickets.size();
   for (const auto step : steps) {
-    const StepSpec& spec = job.m_spec.m_steps[step];
-    if (spec.m_longRunning != aWork.m_longRunning) {
-      continue;
-    }
-    const auto counts = CountSubtasks(job.m_spec, job.m_occurrences.Find(aWork.m_occurrence), step);
-    if (counts.m_waiting == 0 && !spec.m_speculative) {
+    if (job.m_spec.m_steps[step].m_longRunning != aWork.m_longRunning ||
+        !NeedsPlacement(job, job.m_occurrences.Find(aWork.m_occurrence), step)) {
       continue;
     }
     if (!PlaceStep(aJobTable, aView, { job.m_spec.m_id, aWork.m_occurrence, step }, aRule)) {
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -349,5 +349,19 @@
   EXPECT_EQ(Place(serverViews).size(), 20U);
 }
 
+// Guards against tickets that are asked for although nothing has to start: those of other steps
+// come later.
+TEST_F(SchedulerTest, Advice_SpeculativeStepRuns_IsNotAskedForAgain)
+{
+  m_configuration.m_queues.front().m_advice.emplace();
+  StepSpec speculative = Step(1);
+  speculative.m_speculative = true;
+  Add("a", { speculative, Step(1) });
+  Run({ "a", 0, 0, 0 }, "s1");
+  std::vector<ServerView> serverViews{ MakeServer("s1", 8'000) };
+  EXPECT_TRUE(Place(serverViews).empty());
+  EXPECT_EQ(m_result.m_stepsWithoutTickets, (std::vector<StepId>{ { "a", 0, 1 } }));
+}
+
 } // namespace
 } // namespace pistachiostand::fleet
